--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := packages/magnoliawood packages/magnoliawood-server \
+	packages/magnoliawood-cli packages/magnoliawood-testing
+
+.PHONY: setup demo test lint format bench
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(PACKAGES:%=%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+		--requirement requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation $(PACKAGES:%=--editable %)
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/python -m magnoliawood_testing.demo
+
+test: setup
+	$(BIN)/python bin/run_tests.py
+
+lint: setup
+	$(BIN)/ruff format --check packages bin
+	$(BIN)/ruff check packages bin
+	$(BIN)/flake8 packages bin
+	$(BIN)/python bin/check_imports.py
+
+format: setup
+	$(BIN)/ruff check --fix-only --quiet packages bin
+	$(BIN)/ruff format packages bin
--- /dev/null
+++ b/packages/magnoliawood-cli/magnoliawood_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/__init__.py
@@ -0,0 +1,1 @@
+"""The entry and sidecar processes of magnoliawood."""
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/bodies.py
@@ -0,0 +1,143 @@
+"""Validated bodies of the caller API."""
+
+import json
+import typing
+
+import pydantic
+
+from magnoliawood.core import errors
+from magnoliawood.programs import budget as budgets
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import message as conversation
+from magnoliawood_server.http import message as http_message
+
+DEFAULT_MAX_TOKENS = 1024
+_MAX_TOKENS_LIMIT = 1_000_000
+_NAME = r'^[A-Za-z0-9][A-Za-z0-9._/-]{0,127}$'
+
+Model = typing.TypeVar('Model', bound=pydantic.BaseModel)
+Name = typing.Annotated[str, pydantic.Field(pattern=_NAME)]
+TokenLimit = typing.Annotated[int, pydantic.Field(ge=1, le=_MAX_TOKENS_LIMIT)]
+
+
+class _Strict(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+
+class BudgetBody(_Strict):
+    """Budget of a program."""
+
+    tokens: typing.Annotated[int, pydantic.Field(ge=0)]
+    calls: typing.Annotated[int, pydantic.Field(ge=1)]
+    seconds: typing.Annotated[float, pydantic.Field(gt=0)]
+
+    def to_budget(self) -> budgets.Budget:
+        """Return the budget as the program keeps it."""
+        return budgets.Budget(self.tokens, self.calls, self.seconds)
+
+
+class OpenBody(_Strict):
+    """Opens a program."""
+
+    work_class: Name = pydantic.Field(alias='class')
+    budget: BudgetBody
+
+
+class MessageBody(pydantic.BaseModel):
+    """One message of a conversation."""
+
+    model_config = pydantic.ConfigDict(extra='ignore')
+
+    role: typing.Literal['system', 'developer', 'user', 'assistant', 'tool']
+    content: str
+
+    def to_message(self) -> conversation.Message:
+        """Return the message as the history keeps it."""
+        return conversation.Message(self.role, self.content)
+
+
+class ModelCallBody(_Strict):
+    """Asks for a model turn; ``messages`` holds the new ones only."""
+
+    kind: typing.Literal['model']
+    model: Name
+    messages: typing.Annotated[list[MessageBody], pydantic.Field(min_length=1)]
+    max_tokens: TokenLimit = DEFAULT_MAX_TOKENS
+    stream: bool = False
+
+    def to_request(self) -> calls.ModelRequest:
+        """Return the request as the call keeps it."""
+        return calls.ModelRequest(
+            self.model,
+            [message.to_message() for message in self.messages],
+            self.max_tokens,
+        )
+
+
+class ServiceCallBody(_Strict):
+    """Asks for a call of a plain service."""
+
+    kind: typing.Literal['service']
+    service: Name
+    operation: Name
+    arguments: dict[str, typing.Any] = {}
+    idempotent: bool = False
+    stream: bool = False
+
+    def to_request(self) -> calls.ServiceRequest:
+        """Return the request as the call keeps it."""
+        return calls.ServiceRequest(
+            self.service,
+            self.operation,
+            json.dumps(self.arguments, sort_keys=True),
+            self.idempotent,
+        )
+
+
+class CallBody(
+    pydantic.RootModel[
+        typing.Annotated[
+            ModelCallBody | ServiceCallBody,
+            pydantic.Field(discriminator='kind'),
+        ]
+    ]
+):
+    """Either kind of call."""
+
+
+class ChatBody(pydantic.BaseModel):
+    """OpenAI-compatible chat completion; ``messages`` holds all of them."""
+
+    model_config = pydantic.ConfigDict(extra='ignore')
+
+    model: Name
+    messages: typing.Annotated[list[MessageBody], pydantic.Field(min_length=1)]
+    max_tokens: TokenLimit | None = None
+    max_completion_tokens: TokenLimit | None = None
+    stream: bool = False
+
+    @property
+    def token_limit(self) -> int:
+        """The most tokens to generate."""
+        return (
+            self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
+        )
+
+
+def parse_body(model: type[Model], request: http_message.Request) -> Model:
+    """Validate a JSON body.
+
+    :raises MagnoliawoodError: with ``malformed_body``, naming the fields
+    """
+    try:
+        return model.model_validate_json(request.body)
+    except pydantic.ValidationError as error:
+        detail = '; '.join(map(_describe, error.errors()))
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.MALFORMED_BODY, detail
+        ) from error
+
+
+def _describe(item: typing.Any) -> str:
+    place = '.'.join(map(str, item['loc'])) or 'body'
+    return f'{place}: {item["msg"]}'
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -0,0 +1,366 @@
+"""Runs the calls of owned programs on upstreams."""
+
+import collections.abc
+import dataclasses
+import datetime
+import logging
+
+import curio
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.core import verdict as verdicts
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import program as programs
+from magnoliawood.programs import records
+from magnoliawood.scheduling import priority as priorities
+from magnoliawood.scheduling import routing
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import sidecar_directory
+from magnoliawood_server.peer import connection as connections
+from magnoliawood_server.peer import messages
+from magnoliawood_server.peer import pool as pools
+from magnoliawood_server.runtime import answer as answers
+
+MAX_ATTEMPTS = 3
+SETTLE_LIMIT = datetime.timedelta(seconds=4)
+SETTLE_INTERVAL = datetime.timedelta(milliseconds=200)
+RETRY_AFTER = datetime.timedelta(seconds=1)
+
+_log = logging.getLogger(__name__)
+
+Journal = collections.abc.Callable[
+    [records.Record], collections.abc.Awaitable[int]
+]
+WaitDurable = collections.abc.Callable[[int], collections.abc.Awaitable[bool]]
+
+
+@dataclasses.dataclass(slots=True)
+class Execution:
+    """A call under way at its owner.
+
+    :param epoch: fencing number under which it runs
+    """
+
+    program: programs.Program
+    call: calls.Call
+    target: datetime.timedelta
+    epoch: int
+    answer: answers.AnswerBuffer = dataclasses.field(
+        default_factory=answers.AnswerBuffer
+    )
+    excluded: set[str] = dataclasses.field(default_factory=set)
+
+
+class OwnershipLost(errors.MagnoliawoodError):  # noqa: N818
+    """Another entry owns the program now and settles the call."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            errors.ErrorCode.NOT_OWNER,
+            'the program has another owner now',
+            verdicts.Verdict.MAY_HAVE_RUN,
+        )
+
+
+class CallExecutor:
+    """Routes calls, sends orders and settles lost connections.
+
+    :param journal: appends a record
+    :param wait_durable: waits until a record is stored
+    """
+
+    def __init__(
+        self,
+        sidecars: sidecar_directory.SidecarDirectory,
+        pool: pools.PeerPool,
+        clock: clocks.Clock,
+        metrics: registries.Registry,
+        router: routing.Router,
+        priority: priorities.Priority,
+        journal: Journal,
+        wait_durable: WaitDurable,
+    ) -> None:
+        self._sidecars = sidecars
+        self._pool = pool
+        self._clock = clock
+        self._metrics = metrics
+        self._router = router
+        self._priority = priority
+        self._journal = journal
+        self._wait_durable = wait_durable
+
+    def choose(
+        self,
+        program: programs.Program,
+        request: calls.Request,
+        excluded: set[str],
+    ) -> sidecar_directory.Sidecar:
+        """Choose the upstream for a request.
+
+        :raises MagnoliawoodError: if none is available
+        """
+        if isinstance(request, calls.ModelRequest):
+            found = self._sidecars.candidates('engine', request.model)
+        else:
+            found = self._sidecars.candidates('service', request.service)
+        fresh = [s for s in found if s.name not in excluded] or found
+        views = [sidecar_directory.view_of(sidecar) for sidecar in fresh]
+        last = _last_upstream(program, request)
+        chosen = self._router.choose(program.key, views, last)
+        return next(s for s in fresh if s.name == chosen.name)
+
+    async def run(
+        self, execution: Execution, sidecar: sidecar_directory.Sidecar
+    ) -> calls.CallOutcome:
+        """Run a call whose intent for ``sidecar`` was applied.
+
+        :raises OwnershipLost: if another entry settles the call
+        """
+        while True:
+            await self._journal_intent(execution)
+            outcome = await self._order(execution, sidecar)
+            if not self._may_retry(execution, outcome):
+                return outcome
+            self._metrics.count('retries_total', reason=outcome.code)
+            execution.excluded.add(sidecar.name)
+            try:
+                sidecar = self._intend_again(execution)
+            except errors.MagnoliawoodError:
+                return outcome
+
+    async def resume(
+        self, execution: Execution, silent: set[str]
+    ) -> calls.CallOutcome:
+        """Settle a call that an earlier owner began.
+
+        :param silent: sidecars that did not answer the fence
+        :raises OwnershipLost: if another entry settles the call
+        """
+        call = execution.call
+        sidecar = self._sidecars.find(call.upstream)
+        outcome = _unknown_outcome(execution)
+        if sidecar is not None and call.upstream not in silent:
+            outcome = await self._settle_lost(execution, sidecar)
+        if not self._may_retry(execution, outcome):
+            return outcome
+        self._metrics.count('retries_total', reason='takeover')
+        return await self.run(execution, self._intend_again(execution))
+
+    async def cancel(self, execution: Execution) -> None:
+        """Ask the sidecar to stop a call."""
+        call = execution.call
+        sidecar = self._sidecars.find(call.upstream)
+        if sidecar is not None:
+            await self._pool.ask(
+                sidecar.host.address,
+                messages.Cancel(call.id, execution.epoch),
+                sidecar_directory.ANSWER_TIMEOUT,
+            )
+
+    def _may_retry(
+        self, execution: Execution, outcome: calls.CallOutcome
+    ) -> bool:
+        if outcome.is_success or execution.call.attempt >= MAX_ATTEMPTS:
+            return False
+        if outcome.code == errors.ErrorCode.CANCELLED:
+            return False
+        return (
+            outcome.verdict.is_safe_to_repeat
+            or execution.call.request.is_idempotent
+        )
+
+    def _intend_again(self, execution: Execution) -> sidecar_directory.Sidecar:
+        call = execution.call
+        sidecar = self.choose(
+            execution.program, call.request, execution.excluded
+        )
+        execution.program.apply(
+            intent(
+                call.id,
+                call.key,
+                call.request,
+                call.reserved,
+                sidecar,
+                call.attempt + 1,
+            )
+        )
+        return sidecar
+
+    async def _journal_intent(self, execution: Execution) -> None:
+        call = execution.call
+        position = await self._journal(_intent_of(call))
+        if not call.request.is_idempotent:
+            await self._wait_durable(position)
+
+    async def _order(
+        self, execution: Execution, sidecar: sidecar_directory.Sidecar
+    ) -> calls.CallOutcome:
+        sidecar.orders += 1
+        try:
+            return await self._send_order(execution, sidecar)
+        finally:
+            sidecar.orders -= 1
+
+    async def _send_order(
+        self, execution: Execution, sidecar: sidecar_directory.Sidecar
+    ) -> calls.CallOutcome:
+        try:
+            stream = await self._pool.open_stream(sidecar.host.address)
+        except connections.PeerLost as error:
+            return calls.CallOutcome.from_error(
+                errors.MagnoliawoodError(
+                    errors.ErrorCode.UPSTREAM_UNAVAILABLE,
+                    error.detail,
+                    retry_after=RETRY_AFTER,
+                )
+            )
+        try:
+            await stream.send(self._order_message(execution))
+            return await self._follow(execution, stream)
+        except connections.PeerLost:
+            return await self._settle_lost(execution, sidecar)
+        except errors.MagnoliawoodError as error:
+            return _outcome_of_refusal(error)
+        finally:
+            stream.close()
+
+    async def _follow(
+        self, execution: Execution, stream: connections.Stream
+    ) -> calls.CallOutcome:
+        while True:
+            message = await stream.receive()
+            if isinstance(message, messages.Finished):
+                return message.outcome
+            await execution.answer.append(message.text, message.tokens)
+
+    async def _settle_lost(
+        self, execution: Execution, sidecar: sidecar_directory.Sidecar
+    ) -> calls.CallOutcome:
+        """Ask the sidecar what became of a call, for a limited time."""
+        self._metrics.count('settlements_total')
+        limit = self._clock.monotonic() + SETTLE_LIMIT
+        while self._clock.monotonic() < limit:
+            try:
+                return await self._attach(execution, sidecar)
+            except connections.PeerLost:
+                await curio.sleep(SETTLE_INTERVAL.total_seconds())
+            except errors.MagnoliawoodError as error:
+                return _outcome_of_refusal(error)
+        return _unknown_outcome(execution)
+
+    async def _attach(
+        self, execution: Execution, sidecar: sidecar_directory.Sidecar
+    ) -> calls.CallOutcome:
+        call = execution.call
+        await self._sidecars.poll(sidecar)
+        if not sidecar.is_reachable:
+            raise connections.PeerLost('the sidecar does not answer')
+        if sidecar.reply.incarnation != call.upstream_incarnation:
+            return _unknown_outcome(execution)
+        stream = await self._pool.open_stream(sidecar.host.address)
+        try:
+            await stream.send(
+                messages.Attach(
+                    call.id,
+                    call.attempt,
+                    execution.epoch,
+                    len(execution.answer.text),
+                )
+            )
+            return await self._follow(execution, stream)
+        finally:
+            stream.close()
+
+    def _order_message(self, execution: Execution) -> messages.Order:
+        now = self._clock.now()
+        program = execution.program
+        ledger = program.ledger
+        progress = priorities.ProgramProgress(
+            program.opened.opened_at,
+            execution.target,
+            ledger.calls_made,
+            ledger.tokens_spent,
+        )
+        is_turn = isinstance(execution.call.request, calls.ModelRequest)
+        lifetime = datetime.timedelta(seconds=program.opened.budget.seconds)
+        return messages.Order(
+            program.opened,
+            _intent_of(execution.call),
+            execution.epoch,
+            program.history if is_turn else [],
+            execution.answer.text,
+            execution.answer.tokens,
+            self._priority.rank(progress, now),
+            program.opened.opened_at + lifetime,
+        )
+
+
+def intent(
+    call: calls.identity.CallId,
+    key: str,
+    request: calls.Request,
+    reserved: int,
+    sidecar: sidecar_directory.Sidecar,
+    attempt: int,
+) -> records.Intended:
+    """Return the record of an order to a sidecar."""
+    return records.Intended(
+        call,
+        key,
+        request,
+        reserved,
+        sidecar.name,
+        sidecar.reply.incarnation,
+        attempt,
+    )
+
+
+def _intent_of(call: calls.Call) -> records.Intended:
+    return records.Intended(
+        call.id,
+        call.key,
+        call.request,
+        call.reserved,
+        call.upstream,
+        call.upstream_incarnation,
+        call.attempt,
+    )
+
+
+def _last_upstream(program: programs.Program, request: calls.Request) -> str:
+    if not isinstance(request, calls.ModelRequest):
+        return ''
+    turns = (
+        call.upstream
+        for call in reversed(program.calls)
+        if isinstance(call.request, calls.ModelRequest)
+        and call.request.model == request.model
+    )
+    return next(turns, '')
+
+
+def _outcome_of_refusal(
+    error: errors.MagnoliawoodError,
+) -> calls.CallOutcome:
+    if error.code == errors.ErrorCode.STALE_EPOCH:
+        raise OwnershipLost
+    if error.code == errors.ErrorCode.UNKNOWN_CALL:
+        error = errors.MagnoliawoodError(
+            errors.ErrorCode.UPSTREAM_UNAVAILABLE,
+            'the order never arrived',
+            retry_after=RETRY_AFTER,
+        )
+    return calls.CallOutcome.from_error(error)
+
+
+def _unknown_outcome(execution: Execution) -> calls.CallOutcome:
+    return calls.CallOutcome(
+        verdicts.Verdict.MAY_HAVE_RUN,
+        execution.answer.text,
+        execution.answer.tokens,
+        status=502,
+        finish_reason='error',
+        code=str(errors.ErrorCode.OUTCOME_UNKNOWN),
+        detail='the process that ran the call was lost',
+    )
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
@@ -0,0 +1,254 @@
+"""HTTP API for callers."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import json
+import typing
+
+from magnoliawood.config import account as accounts
+from magnoliawood.core import errors
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import identity
+from magnoliawood_server.entry import bodies
+from magnoliawood_server.entry import gateway as gateways
+from magnoliawood_server.http import message as http_message
+from magnoliawood_server.peer import messages
+
+_NAME_LIMIT = 200
+_NAME_CHARACTERS = frozenset('-_.:')
+
+
+class CallerApi:
+    """Programs and calls under ``/v1/programs``."""
+
+    def __init__(self, gateway: gateways.Gateway) -> None:
+        self._gateway = gateway
+
+    async def handle(
+        self, request: http_message.Request, account: accounts.Account
+    ) -> http_message.Response:
+        """Serve one request of an authenticated caller."""
+        match (request.method, request.segments[2:]):
+            case ('PUT', [name]):
+                return await self._open(request, _key(account, name))
+            case ('GET', [name]):
+                return await self._status(_key(account, name))
+            case ('DELETE', [name]):
+                return await self._end(_key(account, name))
+            case ('GET', [name, 'history']):
+                return await self._history(_key(account, name))
+            case ('PUT', [name, 'calls', number]):
+                return await self._run_call(
+                    request, _call_id(account, name, number)
+                )
+            case ('GET', [name, 'calls', number]):
+                return await self._read_call(
+                    request, _call_id(account, name, number)
+                )
+            case ('DELETE', [name, 'calls', number]):
+                return await self._cancel(_call_id(account, name, number))
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.NOT_FOUND,
+            f'no operation {request.method} {request.path}',
+        )
+
+    async def _open(
+        self, request: http_message.Request, key: identity.ProgramKey
+    ) -> http_message.Response:
+        body = bodies.parse_body(bodies.OpenBody, request)
+        status = await self._gateway.ask(
+            messages.OpenProgram(key, body.work_class, body.budget.to_budget())
+        )
+        return http_message.Response.from_json(
+            program_document(status), status=201
+        )
+
+    async def _status(self, key: identity.ProgramKey) -> http_message.Response:
+        status = await self._gateway.ask(messages.GetProgram(key))
+        return http_message.Response.from_json(program_document(status))
+
+    async def _end(self, key: identity.ProgramKey) -> http_message.Response:
+        status = await self._gateway.ask(
+            messages.EndProgram(key, 'ended by the caller')
+        )
+        return http_message.Response.from_json(program_document(status))
+
+    async def _history(
+        self, key: identity.ProgramKey
+    ) -> http_message.Response:
+        history = await self._gateway.ask(messages.GetHistory(key))
+        return http_message.Response.from_json(
+            {
+                'program': key.name,
+                'messages': [
+                    dataclasses.asdict(message) for message in history.messages
+                ],
+                'digest': history.digest,
+            }
+        )
+
+    async def _run_call(
+        self, request: http_message.Request, call: identity.CallId
+    ) -> http_message.Response:
+        body = bodies.parse_body(bodies.CallBody, request).root
+        key = request.header('idempotency-key', str(call.sequence))
+        message = messages.RunCall(call, key, body.to_request())
+        return await self._respond(message, body.stream)
+
+    async def _read_call(
+        self, request: http_message.Request, call: identity.CallId
+    ) -> http_message.Response:
+        offset = _query_number(request, 'offset')
+        is_streamed = request.query.get('stream') in ('1', 'true')
+        message = messages.ReadCall(call, offset)
+        return await self._respond(message, is_streamed)
+
+    async def _cancel(self, call: identity.CallId) -> http_message.Response:
+        await self._gateway.ask(messages.CancelCall(call))
+        return http_message.Response(204)
+
+    async def _respond(
+        self, message: gateways.CallMessage, is_streamed: bool
+    ) -> http_message.Response:
+        parts = self._gateway.answer(message)
+        if not is_streamed:
+            return await _whole_answer(message.call, message.offset, parts)
+        # The first part decides between a stream and an error status.
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(parts.aclose)
+            first = await anext(parts)
+            _raise_failure(first)
+            stack.pop_all()
+        return http_message.Response(
+            200,
+            {
+                'content-type': http_message.EVENT_STREAM_TYPE,
+                'cache-control': 'no-store',
+            },
+            parts=_event_stream(message.call, first, parts),
+        )
+
+
+def program_document(status: messages.ProgramStatus) -> dict[str, typing.Any]:
+    """Return the JSON form of a program's status."""
+    return {
+        'program': status.program.name,
+        'caller': status.program.caller,
+        'class': status.work_class,
+        'state': status.state,
+        'end_reason': status.end_reason,
+        'opened_at': status.opened_at.isoformat(),
+        'budget': dataclasses.asdict(status.budget),
+        'tokens_spent': status.tokens_spent,
+        'tokens_left': status.tokens_left,
+        'calls_made': status.calls_made,
+        'calls_left': status.calls_left,
+        'next_sequence': status.next_sequence,
+        'pending_sequence': status.pending_sequence,
+    }
+
+
+def call_document(
+    call: identity.CallId, outcome: calls.CallOutcome, content: str
+) -> dict[str, typing.Any]:
+    """Return the JSON form of a finished call."""
+    return {
+        'program': call.program.name,
+        'sequence': call.sequence,
+        'verdict': str(outcome.verdict),
+        'content': content,
+        'tokens': outcome.tokens,
+        'status': outcome.status,
+        'finish_reason': outcome.finish_reason,
+    }
+
+
+async def _whole_answer(
+    call: identity.CallId,
+    offset: int,
+    parts: collections.abc.AsyncGenerator[gateways.AnswerPart],
+) -> http_message.Response:
+    texts = []
+    async with contextlib.aclosing(parts):
+        async for part in parts:
+            if isinstance(part, messages.Delta):
+                texts.append(part.text)
+    _raise_failure(part)
+    content = ''.join(texts) if offset else part.outcome.content
+    return http_message.Response.from_json(
+        call_document(call, part.outcome, content)
+    )
+
+
+async def _event_stream(
+    call: identity.CallId,
+    first: gateways.AnswerPart,
+    rest: collections.abc.AsyncGenerator[gateways.AnswerPart],
+) -> collections.abc.AsyncIterator[bytes]:
+    async with contextlib.aclosing(rest):
+        yield _event_of(call, first)
+        try:
+            async for part in rest:
+                yield _event_of(call, part)
+        except errors.MagnoliawoodError as error:
+            yield _event('error', _problem(error))
+
+
+def _event_of(call: identity.CallId, part: gateways.AnswerPart) -> bytes:
+    if isinstance(part, messages.Delta):
+        return _event('delta', {'text': part.text})
+    outcome = part.outcome
+    if not outcome.is_success:
+        return _event('error', _problem(outcome.to_error()))
+    return _event('finished', call_document(call, outcome, outcome.content))
+
+
+def _event(kind: str, value: typing.Any) -> bytes:
+    return f'event: {kind}\ndata: {json.dumps(value)}\n\n'.encode()
+
+
+def _problem(error: errors.MagnoliawoodError) -> typing.Any:
+    return json.loads(http_message.Response.from_error(error).body)
+
+
+def _raise_failure(part: gateways.AnswerPart) -> None:
+    if isinstance(part, messages.Finished) and not part.outcome.is_success:
+        raise part.outcome.to_error()
+
+
+def _key(account: accounts.Account, name: str) -> identity.ProgramKey:
+    is_valid = (
+        0 < len(name) <= _NAME_LIMIT
+        and name.isascii()
+        and all(c.isalnum() or c in _NAME_CHARACTERS for c in name)
+        and all(name.split(identity.CHILD_SEPARATOR))
+    )
+    if not is_valid:
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.MALFORMED_REQUEST,
+            f'a program name has 1 to {_NAME_LIMIT} letters, digits or '
+            '"-_.", sub-agents separated by ":"',
+        )
+    return identity.ProgramKey(account.name, name)
+
+
+def _call_id(
+    account: accounts.Account, name: str, number: str
+) -> identity.CallId:
+    if not (number.isascii() and number.isdigit() and int(number) > 0):
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.MALFORMED_REQUEST,
+            'a sequence number is a whole number from 1',
+        )
+    return identity.CallId(_key(account, name), int(number))
+
+
+def _query_number(request: http_message.Request, name: str) -> int:
+    text = request.query.get(name, '0')
+    if not (text.isascii() and text.isdigit()):
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.MALFORMED_REQUEST,
+            f'{name} is a whole number from 0',
+        )
+    return int(text)
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
@@ -0,0 +1,316 @@
+"""OpenAI-compatible API."""
+
+import collections.abc
+import contextlib
+import json
+import time
+import typing
+import uuid
+
+from magnoliawood.config import account as accounts
+from magnoliawood.core import errors
+from magnoliawood.programs import budget as budgets
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import identity
+from magnoliawood.programs import message as conversation
+from magnoliawood_server.entry import bodies
+from magnoliawood_server.entry import configuration_keeper
+from magnoliawood_server.entry import gateway as gateways
+from magnoliawood_server.entry import sidecar_directory
+from magnoliawood_server.http import message as http_message
+from magnoliawood_server.peer import messages
+
+PROGRAM_HEADER = 'x-magnoliawood-program'
+CLASS_HEADER = 'x-magnoliawood-class'
+
+
+class ChatApi:
+    """``/v1/chat/completions`` and ``/v1/models``.
+
+    Explanation
+    ===========
+
+    With the program header each request carries the whole conversation; its
+    head must equal the history that the system keeps, and the rest becomes
+    the next call. Without the header a request is a program of one call.
+
+    :param default_class: class of programs that name none
+    """
+
+    def __init__(
+        self,
+        gateway: gateways.Gateway,
+        sidecars: sidecar_directory.SidecarDirectory,
+        configuration: configuration_keeper.ConfigurationKeeper,
+        default_class: str,
+    ) -> None:
+        self._gateway = gateway
+        self._sidecars = sidecars
+        self._configuration = configuration
+        self._default_class = default_class
+
+    async def handle(
+        self, request: http_message.Request, account: accounts.Account
+    ) -> http_message.Response:
+        """Serve one request of an authenticated caller."""
+        match (request.method, request.path):
+            case ('GET', '/v1/models'):
+                return self._models()
+            case ('POST', '/v1/chat/completions'):
+                return await self._complete(request, account)
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.NOT_FOUND,
+            f'no operation {request.method} {request.path}',
+        )
+
+    def _models(self) -> http_message.Response:
+        names = self._sidecars.served_names('engine')
+        return http_message.Response.from_json(
+            {
+                'object': 'list',
+                'data': [
+                    {
+                        'id': name,
+                        'object': 'model',
+                        'created': 0,
+                        'owned_by': 'magnoliawood',
+                    }
+                    for name in names
+                ],
+            }
+        )
+
+    async def _complete(
+        self, request: http_message.Request, account: accounts.Account
+    ) -> http_message.Response:
+        body = bodies.parse_body(bodies.ChatBody, request)
+        name = request.header(PROGRAM_HEADER)
+        key = identity.ProgramKey(
+            account.name, name or f'chat-{uuid.uuid4().hex}'
+        )
+        work_class = request.header(CLASS_HEADER, self._default_class)
+        message = await self._next_call(key, work_class, body)
+        completion = _Completion(body.model, bool(body.stream))
+        parts = self._gateway.answer(message)
+        closing = _closing_parts(
+            self._gateway, message.call, parts, ends_program=not name
+        )
+        first = await _first_part(closing)
+        if body.stream:
+            return http_message.Response(
+                200,
+                {'content-type': http_message.EVENT_STREAM_TYPE},
+                parts=completion.events(first, closing),
+            )
+        return await completion.whole(first, closing)
+
+    async def _next_call(
+        self,
+        key: identity.ProgramKey,
+        work_class: str,
+        body: bodies.ChatBody,
+    ) -> messages.RunCall:
+        status = await self._open(key, work_class)
+        history = await self._gateway.ask(messages.GetHistory(key))
+        given = [item.to_message() for item in body.messages]
+        length = _matching_length(history.messages, given)
+        repeated = _is_repeat(history.messages, given)
+        sequence = status.next_sequence - 1 if repeated else 0
+        request = calls.ModelRequest(
+            body.model, given[length:], body.token_limit
+        )
+        return messages.RunCall(
+            identity.CallId(key, sequence or status.next_sequence),
+            conversation.chain_digest('', given),
+            request,
+        )
+
+    async def _open(
+        self, key: identity.ProgramKey, name: str
+    ) -> messages.ProgramStatus:
+        try:
+            return await self._gateway.ask(messages.GetProgram(key))
+        except errors.MagnoliawoodError as error:
+            if error.code != errors.ErrorCode.UNKNOWN_PROGRAM:
+                raise
+        limits = self._configuration.current.work_class(name)
+        budget = budgets.Budget(
+            limits.max_tokens, limits.max_calls, limits.max_seconds
+        )
+        return await self._gateway.ask(messages.OpenProgram(key, name, budget))
+
+
+class _Completion:
+    """Writes one answer in the OpenAI form."""
+
+    def __init__(self, model: str, is_streamed: bool) -> None:
+        self._model = model
+        self._id = f'chatcmpl-{uuid.uuid4().hex}'
+        self._created = int(time.time())
+        self._kind = (
+            'chat.completion.chunk' if is_streamed else 'chat.completion'
+        )
+
+    async def whole(
+        self,
+        first: gateways.AnswerPart,
+        rest: collections.abc.AsyncGenerator[gateways.AnswerPart],
+    ) -> http_message.Response:
+        last = first
+        async with contextlib.aclosing(rest):
+            async for part in rest:
+                last = part
+        _check(last.outcome)
+        outcome = last.outcome
+        choice = {
+            'index': 0,
+            'message': {'role': 'assistant', 'content': outcome.content},
+            'finish_reason': outcome.finish_reason,
+        }
+        usage = {
+            'prompt_tokens': 0,
+            'completion_tokens': outcome.tokens,
+            'total_tokens': outcome.tokens,
+        }
+        return http_message.Response.from_json(
+            {**self._document(choice), 'usage': usage}
+        )
+
+    async def events(
+        self,
+        first: gateways.AnswerPart,
+        rest: collections.abc.AsyncGenerator[gateways.AnswerPart],
+    ) -> collections.abc.AsyncGenerator[bytes]:
+        async with contextlib.aclosing(rest):
+            yield self._event(first)
+            try:
+                async for part in rest:
+                    yield self._event(part)
+            except errors.MagnoliawoodError as error:
+                yield _data({'error': _openai_error(error)})
+        yield b'data: [DONE]\n\n'
+
+    def _event(self, part: gateways.AnswerPart) -> bytes:
+        if isinstance(part, messages.Delta):
+            delta = {'role': 'assistant', 'content': part.text}
+            return _data(
+                self._document(
+                    {'index': 0, 'delta': delta, 'finish_reason': None}
+                )
+            )
+        _check(part.outcome)
+        return _data(
+            self._document(
+                {
+                    'index': 0,
+                    'delta': {},
+                    'finish_reason': part.outcome.finish_reason,
+                }
+            )
+        )
+
+    def _document(self, choice: typing.Any) -> dict[str, typing.Any]:
+        return {
+            'id': self._id,
+            'object': self._kind,
+            'created': self._created,
+            'model': self._model,
+            'choices': [choice],
+        }
+
+
+async def _first_part(
+    parts: collections.abc.AsyncGenerator[gateways.AnswerPart],
+) -> gateways.AnswerPart:
+    """Return the first part; an error there still sets the status."""
+    try:
+        first = await anext(parts)
+        if isinstance(first, messages.Finished):
+            _check(first.outcome)
+    except errors.MagnoliawoodError:
+        await parts.aclose()
+        raise
+    return first
+
+
+async def _closing_parts(
+    gateway: gateways.Gateway,
+    call: identity.CallId,
+    parts: collections.abc.AsyncGenerator[gateways.AnswerPart],
+    ends_program: bool,
+) -> collections.abc.AsyncGenerator[gateways.AnswerPart]:
+    """Pass parts on; cancel the call if the caller closes midway."""
+    is_whole = False
+    try:
+        async with contextlib.aclosing(parts):
+            async for part in parts:
+                is_whole = isinstance(part, messages.Finished)
+                yield part
+    finally:
+        if not is_whole:
+            await gateway.ask(messages.CancelCall(call))
+        if ends_program:
+            await gateway.ask(
+                messages.EndProgram(call.program, 'single request')
+            )
+
+
+def openai_response(
+    error: errors.MagnoliawoodError,
+) -> http_message.Response:
+    """Return an error in the form that OpenAI clients parse."""
+    response = http_message.Response.from_error(error)
+    problem = json.loads(response.body)
+    body = json.dumps({**problem, 'error': _openai_error(error)})
+    response.body = body.encode()
+    return response
+
+
+def _openai_error(error: errors.MagnoliawoodError) -> dict[str, str]:
+    return {
+        'message': str(error),
+        'type': str(error.code),
+        'code': str(error.code),
+        'verdict': str(error.verdict),
+    }
+
+
+def _check(outcome: calls.CallOutcome) -> None:
+    if not outcome.is_success:
+        raise outcome.to_error()
+
+
+def _data(value: typing.Any) -> bytes:
+    return f'data: {json.dumps(value)}\n\n'.encode()
+
+
+def _matching_length(
+    history: list[conversation.Message],
+    given: list[conversation.Message],
+) -> int:
+    """Return how many messages at the head of ``given`` are known."""
+    if given[: len(history)] == history and len(given) > len(history):
+        return len(history)
+    if _is_repeat(history, given):
+        return _turn_start(history)
+    raise errors.MagnoliawoodError(
+        errors.ErrorCode.CALL_MISMATCH,
+        "the head of the messages differs from the program's history",
+    )
+
+
+def _is_repeat(
+    history: list[conversation.Message],
+    given: list[conversation.Message],
+) -> bool:
+    return bool(history) and given == history[:-1]
+
+
+def _turn_start(history: list[conversation.Message]) -> int:
+    """Return the length of the history before its last turn."""
+    answers = [
+        index
+        for index, message in enumerate(history[:-1])
+        if message.role in ('assistant', 'tool')
+    ]
+    return answers[-1] + 1 if answers else 0
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/gateway.py
@@ -0,0 +1,246 @@
+"""Brings a caller's operation to the owner of its program."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import datetime
+import typing
+
+import curio
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.core import verdict as verdicts
+from magnoliawood.programs import identity
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import membership as memberships
+from magnoliawood_server.entry import owner_service
+from magnoliawood_server.entry import shard_keeper
+from magnoliawood_server.peer import connection as connections
+from magnoliawood_server.peer import messages
+from magnoliawood_server.peer import pool as pools
+from magnoliawood_server.runtime import answer as answers
+
+OWNER_WAIT = datetime.timedelta(seconds=10)
+RETRY_INTERVAL = datetime.timedelta(milliseconds=100)
+RETRY_AFTER = datetime.timedelta(seconds=2)
+ANSWER_TIMEOUT = datetime.timedelta(seconds=5)
+_OWNER_MOVED = frozenset(
+    {errors.ErrorCode.NOT_OWNER, errors.ErrorCode.PEER_LOST}
+)
+
+AnswerPart = messages.Delta | messages.Finished
+CallMessage = messages.RunCall | messages.ReadCall
+
+
+class Gateway:
+    """Runs operations here or at the owner, following it if it changes."""
+
+    def __init__(
+        self,
+        entry: str,
+        service: owner_service.OwnerService,
+        keeper: shard_keeper.ShardKeeper,
+        membership: memberships.Membership,
+        pool: pools.PeerPool,
+        clock: clocks.Clock,
+        metrics: registries.Registry,
+    ) -> None:
+        self._entry = entry
+        self._service = service
+        self._keeper = keeper
+        self._membership = membership
+        self._pool = pool
+        self._clock = clock
+        self._metrics = metrics
+        self._local: dict[type, typing.Any] = {
+            messages.OpenProgram: service.open,
+            messages.GetProgram: self._get_program,
+            messages.GetHistory: self._get_history,
+            messages.EndProgram: self._end_program,
+            messages.CancelCall: self._cancel_call,
+        }
+
+    async def ask(self, message: typing.Any) -> typing.Any:
+        """Run an operation that has one answer.
+
+        :raises MagnoliawoodError: as the owner does, or with
+            ``owner_unavailable``
+        """
+        shard = _shard_of(message)
+        patience = _Patience(self._clock)
+        while True:
+            try:
+                return await self._ask_owner(shard, message)
+            except errors.MagnoliawoodError as error:
+                await patience.wait(error)
+                self._metrics.count('reroutes_total', reason=error.code)
+
+    async def answer(
+        self, message: CallMessage
+    ) -> collections.abc.AsyncGenerator[AnswerPart]:
+        """Yield the parts of a call's answer, the outcome last.
+
+        :raises MagnoliawoodError: as the owner does, or with
+            ``owner_unavailable``
+        """
+        offset = message.offset
+        patience = _Patience(self._clock)
+        while True:
+            try:
+                request = dataclasses.replace(message, offset=offset)
+                async with contextlib.aclosing(
+                    self._answer_at_owner(request)
+                ) as parts:
+                    async for part in parts:
+                        patience.renew()
+                        yield part
+                        if isinstance(part, messages.Finished):
+                            return
+                        offset += len(part.text)
+            except errors.MagnoliawoodError as error:
+                await patience.wait(error)
+                self._metrics.count('reroutes_total', reason=error.code)
+
+    async def handle_peer(
+        self, stream: connections.Stream, message: typing.Any
+    ) -> None:
+        """Serve an operation that another entry passed on."""
+        if isinstance(message, messages.RunCall | messages.ReadCall):
+            answer = await self._local_answer(message)
+            await answers.send_answer(stream, answer, message.offset)
+            return
+        await stream.send(await self._run_local(message))
+
+    def handles(self, message: typing.Any) -> bool:
+        """Whether a message is an operation on a program."""
+        return type(message) in self._local or isinstance(
+            message, messages.RunCall | messages.ReadCall
+        )
+
+    async def _ask_owner(self, shard: int, message: typing.Any) -> typing.Any:
+        owner = self._keeper.owner(shard)
+        if owner == self._entry:
+            return await self._run_local(message)
+        return await self._pool.ask(
+            self._address(owner), message, ANSWER_TIMEOUT
+        )
+
+    async def _answer_at_owner(
+        self, message: CallMessage
+    ) -> collections.abc.AsyncGenerator[AnswerPart]:
+        owner = self._keeper.owner(message.call.program.shard)
+        if owner == self._entry:
+            parts = self._follow_local(message)
+        else:
+            parts = self._follow_remote(self._address(owner), message)
+        async with contextlib.aclosing(parts):
+            async for part in parts:
+                if isinstance(part, messages.Finished):
+                    _raise_if_moved(part.outcome.code)
+                yield part
+
+    async def _follow_local(
+        self, message: CallMessage
+    ) -> collections.abc.AsyncGenerator[AnswerPart]:
+        answer = await self._local_answer(message)
+        async with contextlib.aclosing(answer.follow(message.offset)) as texts:
+            async for text in texts:
+                yield messages.Delta(text, answer.tokens)
+        yield messages.Finished(await answer.wait())
+
+    async def _follow_remote(
+        self, address: str, message: CallMessage
+    ) -> collections.abc.AsyncGenerator[AnswerPart]:
+        stream = await self._pool.open_stream(address)
+        try:
+            await stream.send(message)
+            while True:
+                part = await stream.receive()
+                yield part
+                if isinstance(part, messages.Finished):
+                    return
+        finally:
+            stream.close()
+
+    def _address(self, owner: str) -> str:
+        address = self._membership.address_of(owner)
+        if not address:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.NOT_OWNER, 'the program has no owner now'
+            )
+        return address
+
+    async def _local_answer(
+        self, message: CallMessage
+    ) -> answers.AnswerBuffer:
+        if isinstance(message, messages.RunCall):
+            return await self._service.run_call(message)
+        return self._service.read_call(message.call)
+
+    async def _run_local(self, message: typing.Any) -> typing.Any:
+        return await self._local[type(message)](message)
+
+    async def _get_program(
+        self, message: messages.GetProgram
+    ) -> messages.ProgramStatus:
+        return self._service.status(message.program)
+
+    async def _get_history(
+        self, message: messages.GetHistory
+    ) -> messages.History:
+        return self._service.history(message.program)
+
+    async def _end_program(
+        self, message: messages.EndProgram
+    ) -> messages.ProgramStatus:
+        return await self._service.end(message.program, message.reason)
+
+    async def _cancel_call(
+        self, message: messages.CancelCall
+    ) -> messages.Done:
+        await self._service.cancel_call(message.call)
+        return messages.Done()
+
+
+class _Patience:
+    """How long an operation still waits for an owner."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._verdict = verdicts.Verdict.NOT_RUN
+        self.renew()
+
+    def renew(self) -> None:
+        self._limit = self._clock.monotonic() + OWNER_WAIT
+
+    async def wait(self, error: errors.MagnoliawoodError) -> None:
+        if error.code not in _OWNER_MOVED:
+            raise error
+        if error.verdict is not verdicts.Verdict.NOT_RUN:
+            self._verdict = verdicts.Verdict.MAY_HAVE_RUN
+        if self._clock.monotonic() >= self._limit:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.OWNER_UNAVAILABLE,
+                'the program has no owner that answers',
+                self._verdict,
+                RETRY_AFTER,
+            ) from error
+        await curio.sleep(RETRY_INTERVAL.total_seconds())
+
+
+def _shard_of(message: typing.Any) -> int:
+    key = getattr(message, 'program', None)
+    if key is None:
+        key = message.call.program
+    assert isinstance(key, identity.ProgramKey)
+    return key.shard
+
+
+def _raise_if_moved(code: str) -> None:
+    if code == errors.ErrorCode.NOT_OWNER:
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.NOT_OWNER,
+            'the program has another owner now',
+            verdicts.Verdict.MAY_HAVE_RUN,
+        )
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/journal_writer.py
@@ -0,0 +1,192 @@
+"""Writes the owner's journal to the platform's store."""
+
+import collections.abc
+import datetime
+import logging
+
+import curio
+
+from magnoliawood.core import errors
+from magnoliawood.ownership import journal
+from magnoliawood.platform import store
+from magnoliawood.programs import records
+from magnoliawood.telemetry import registry as registries
+
+_RETRY_INTERVAL = datetime.timedelta(milliseconds=200)
+
+_log = logging.getLogger(__name__)
+
+SealedCallback = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
+
+class JournalWriter:
+    """Appends to one log by group commit, one write in flight.
+
+    Explanation
+    ===========
+
+    Segments are created under rising numbers and never overwritten. Another
+    entry that takes over creates the next number itself, as a seal; this
+    writer's next write then meets a conflict and knows that it lost.
+
+    :param log: name of the log
+    :param interval: shortest time between two writes
+    :param on_sealed: called once another entry has sealed the log
+    """
+
+    def __init__(
+        self,
+        objects: store.ObjectStore,
+        log: str,
+        interval: datetime.timedelta,
+        metrics: registries.Registry,
+        on_sealed: SealedCallback,
+    ) -> None:
+        self._objects = objects
+        self._log = log
+        self._interval = interval
+        self._metrics = metrics
+        self._on_sealed = on_sealed
+        self._buffer = journal.JournalBuffer()
+        self._next_segment = 1
+        self._appended = curio.Event()
+        self._progress = curio.Event()
+        self._is_stalled = False
+        self._is_sealed = False
+
+    @property
+    def log(self) -> str:
+        """Name of the log."""
+        return self._log
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether the store refuses or delays the writes."""
+        return self._is_stalled
+
+    @property
+    def is_sealed(self) -> bool:
+        """Whether another entry has sealed the log."""
+        return self._is_sealed
+
+    @property
+    def durable(self) -> int:
+        """Position up to which all records are stored."""
+        return self._buffer.durable
+
+    @property
+    def backlog(self) -> int:
+        """Number of records that are not stored yet."""
+        return self._buffer.backlog
+
+    async def append(self, record: records.Record) -> int:
+        """Add a record and return its position."""
+        position = self._buffer.append(record)
+        await self._appended.set()
+        return position
+
+    def barrier(self) -> int:
+        """Return the position of the last record."""
+        return self._buffer.appended
+
+    async def wait_durable(self, position: int) -> bool:
+        """Wait until a record is stored.
+
+        :returns: false if the store is failing or the log was sealed
+        """
+        while self._buffer.durable < position:
+            if self._is_stalled or self._is_sealed:
+                return False
+            await self._progress.wait()
+        return True
+
+    async def wait_progress(self) -> None:
+        """Wait until the state of the writer changes."""
+        await self._progress.wait()
+
+    async def run(self) -> None:
+        """Write batches until the log is sealed."""
+        while not self._is_sealed:
+            await self._appended.wait()
+            self._appended.clear()
+            while self._buffer.backlog and not self._is_sealed:
+                await self._write_batch()
+                await curio.sleep(self._interval.total_seconds())
+
+    async def _write_batch(self) -> None:
+        batch = self._buffer.take_batch()
+        name = journal.segment_name(self._log, self._next_segment)
+        try:
+            await self._objects.put(
+                name, journal.encode_batch(batch), store.ABSENT
+            )
+        except store.VersionConflict as conflict:
+            await self._settle_conflict(batch, conflict)
+            return
+        except errors.MagnoliawoodError as error:
+            await self._stall(error)
+            return
+        await self._confirm(batch)
+
+    async def _settle_conflict(
+        self, batch: list[records.Record], conflict: store.VersionConflict
+    ) -> None:
+        text = conflict.current.value if conflict.current else ''
+        if text == journal.encode_batch(batch):
+            # An earlier try took effect although its reply was lost.
+            await self._confirm(batch)
+            return
+        self._is_sealed = True
+        _log.warning('journal sealed', extra={'log': self._log})
+        await self._notify()
+        await self._on_sealed()
+
+    async def _confirm(self, batch: list[records.Record]) -> None:
+        self._metrics.count('journal_writes_total')
+        self._metrics.count('journal_records_total', len(batch))
+        self._next_segment += 1
+        self._buffer.confirm_batch()
+        if self._is_stalled:
+            self._is_stalled = False
+            _log.info('journal writes again')
+        await self._notify()
+
+    async def _stall(self, error: errors.MagnoliawoodError) -> None:
+        self._metrics.count('journal_failures_total')
+        if not self._is_stalled:
+            self._is_stalled = True
+            _log.warning('journal stalled', extra={'error': str(error)})
+            await self._notify()
+        await curio.sleep(_RETRY_INTERVAL.total_seconds())
+
+    async def _notify(self) -> None:
+        progress, self._progress = self._progress, curio.Event()
+        await progress.set()
+
+
+async def read_log(
+    objects: store.ObjectStore, log: str
+) -> list[records.Record]:
+    """Return all records of a log in order."""
+    listing = await objects.scan(f'{journal.JOURNAL_PREFIX}{log}/')
+    segments = sorted(listing.objects, key=lambda item: item.name)
+    return [
+        record
+        for segment in segments
+        if segment.value != journal.SEAL
+        for record in journal.decode_batch(segment.value)
+    ]
+
+
+async def seal_log(objects: store.ObjectStore, log: str) -> None:
+    """Make every later write to a log fail."""
+    while True:
+        listing = await objects.scan(f'{journal.JOURNAL_PREFIX}{log}/')
+        if any(item.value == journal.SEAL for item in listing.objects):
+            return
+        name = journal.segment_name(log, len(listing.objects) + 1)
+        try:
+            await objects.put(name, journal.SEAL, store.ABSENT)
+            return
+        except store.VersionConflict:
+            _log.info('log grew while being sealed', extra={'log': log})
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
@@ -0,0 +1,450 @@
+"""Operations on the programs that this entry owns."""
+
+import datetime
+import itertools
+import logging
+
+import curio
+
+from magnoliawood.config import work_class as work_classes
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.core import verdict as verdicts
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import identity
+from magnoliawood.programs import program as programs
+from magnoliawood.programs import records
+from magnoliawood.programs import table as tables
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import call_executor
+from magnoliawood_server.entry import configuration_keeper
+from magnoliawood_server.entry import journal_writer
+from magnoliawood_server.entry import shard_keeper
+from magnoliawood_server.entry import sidecar_directory
+from magnoliawood_server.peer import messages
+from magnoliawood_server.peer import pool as pools
+from magnoliawood_server.runtime import answer as answers
+
+UNKNOWN_TARGET = datetime.timedelta(seconds=60)
+ENDED_RETENTION = datetime.timedelta(minutes=10)
+
+_log = logging.getLogger(__name__)
+
+
+class OwnerService:
+    """Opens programs, runs their calls in order and ends them."""
+
+    def __init__(
+        self,
+        programs_table: tables.ProgramTable,
+        configuration: configuration_keeper.ConfigurationKeeper,
+        sidecars: sidecar_directory.SidecarDirectory,
+        pool: pools.PeerPool,
+        clock: clocks.Clock,
+        metrics: registries.Registry,
+    ) -> None:
+        self._programs = programs_table
+        self._configuration = configuration
+        self._sidecars = sidecars
+        self._pool = pool
+        self._clock = clock
+        self._metrics = metrics
+        self._executions: dict[identity.CallId, call_executor.Execution] = {}
+        self._unforgotten: list[tuple[int, str, identity.CallId]] = []
+        self._keeper: shard_keeper.ShardKeeper | None = None
+        self._executor: call_executor.CallExecutor | None = None
+        self._writer: journal_writer.JournalWriter | None = None
+
+    def connect(
+        self,
+        keeper: shard_keeper.ShardKeeper,
+        executor: call_executor.CallExecutor,
+    ) -> None:
+        """Set the parts that refer back to this service."""
+        self._keeper = keeper
+        self._executor = executor
+
+    def set_writer(self, writer: journal_writer.JournalWriter) -> None:
+        """Use another journal from now on."""
+        self._writer = writer
+        self._unforgotten = []
+
+    @property
+    def calls_under_way(self) -> int:
+        """Calls of this entry that have no outcome yet."""
+        return len(self._executions)
+
+    async def journal(self, record: records.Record) -> int:
+        """Append a record to the journal and return its position."""
+        return await self._writer.append(record)
+
+    async def wait_durable(self, position: int) -> bool:
+        """Wait until a record is stored, unless the store fails."""
+        return await self._writer.wait_durable(position)
+
+    async def open(
+        self, message: messages.OpenProgram
+    ) -> messages.ProgramStatus:
+        """Open a program, or return the one that a repeat names."""
+        self._check_owner(message.program)
+        known = self._programs.find(message.program)
+        if known is not None:
+            _check_same_program(known, message)
+            return _status(known)
+        opened = self._opened(message)
+        self._programs.apply(opened)
+        self._metrics.count(
+            'programs_opened_total', work_class=message.work_class
+        )
+        program = self._programs.get(message.program)
+        position = await self._writer.append(opened)
+        is_durable = await self._writer.wait_durable(position)
+        if not is_durable:
+            # A sealed log means that the record may be lost.
+            self._check_owner(message.program)
+        return _status(program)
+
+    async def run_call(
+        self, message: messages.RunCall
+    ) -> answers.AnswerBuffer:
+        """Start a call, or return the answer of the one it repeats."""
+        while True:
+            self._check_owner(message.call.program)
+            program = self._programs.get(message.call.program)
+            if message.call.sequence < program.next_sequence:
+                return self._join(program, message)
+            pending = program.pending
+            if pending is None:
+                return await self._start(program, message)
+            self._check_sequence(program, message.call.sequence)
+            await self._executions[pending.id].answer.wait()
+
+    def read_call(self, call: identity.CallId) -> answers.AnswerBuffer:
+        """Return the answer of a known call."""
+        self._check_owner(call.program)
+        known = self._programs.get(call.program).call(call.sequence)
+        return self._answer_of(known)
+
+    async def cancel_call(self, call: identity.CallId) -> None:
+        """Stop a call if it is under way."""
+        self._check_owner(call.program)
+        execution = self._executions.get(call)
+        if execution is not None:
+            await self._executor.cancel(execution)
+
+    def status(self, key: identity.ProgramKey) -> messages.ProgramStatus:
+        """Return the status of a program."""
+        self._check_owner(key)
+        return _status(self._programs.get(key))
+
+    def history(self, key: identity.ProgramKey) -> messages.History:
+        """Return the history of a program."""
+        self._check_owner(key)
+        program = self._programs.get(key)
+        return messages.History(key, program.history, program.digest)
+
+    async def end(
+        self, key: identity.ProgramKey, reason: str
+    ) -> messages.ProgramStatus:
+        """End a program and its sub-agents and free their cache."""
+        self._check_owner(key)
+        program = self._programs.get(key)
+        for member in self._programs.family(key):
+            if not member.is_ended:
+                await self._end_one(member, reason)
+        return _status(program)
+
+    async def adopt(self, shards: list[int], silent: set[str]) -> None:
+        """Carry on the calls of shards that were just loaded.
+
+        :param silent: sidecars that did not answer the fence
+        """
+        found = itertools.chain.from_iterable(
+            self._programs.in_shard(shard) for shard in shards
+        )
+        for program in found:
+            if program.pending is not None:
+                execution = self._execution(program, program.pending)
+                await curio.spawn(self._resume, execution, silent, daemon=True)
+
+    async def forget_forever(self) -> None:
+        """Tell sidecars which outcomes the journal covers."""
+        while True:
+            await self._writer.wait_progress()
+            durable = self._writer.durable
+            covered = [
+                item for item in self._unforgotten if item[0] <= durable
+            ]
+            self._unforgotten = [
+                item for item in self._unforgotten if item[0] > durable
+            ]
+            by_sidecar: dict[str, list[identity.CallId]] = {}
+            for _, name, call in covered:
+                by_sidecar.setdefault(name, []).append(call)
+            for name, found in by_sidecar.items():
+                await self._send_forget(name, found)
+
+    def _opened(self, message: messages.OpenProgram) -> records.Opened:
+        work_class = self._configuration.current.work_class(message.work_class)
+        _check_class_limits(work_class, message)
+        parent = message.program.parent
+        if parent is not None and self._programs.get(parent).is_ended:
+            raise _ended(parent)
+        return records.Opened(
+            message.program,
+            message.work_class,
+            message.budget,
+            self._clock.now(),
+        )
+
+    def _check_owner(self, key: identity.ProgramKey) -> None:
+        if not self._keeper.serves(key.shard):
+            raise shard_keeper.refusal_of_foreign(key.shard)
+
+    def _join(
+        self, program: programs.Program, message: messages.RunCall
+    ) -> answers.AnswerBuffer:
+        call = program.call(message.call.sequence)
+        if not call.matches(message.key, message.request):
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.CALL_MISMATCH,
+                f'call {call.id.sequence} was issued with another '
+                'idempotency key or content',
+            )
+        self._metrics.count('repeats_total')
+        return self._answer_of(call)
+
+    def _answer_of(self, call: calls.Call) -> answers.AnswerBuffer:
+        if call.outcome is not None:
+            return answers.finished_answer(call.outcome)
+        return self._executions[call.id].answer
+
+    def _check_sequence(
+        self, program: programs.Program, sequence: int
+    ) -> None:
+        if sequence != program.next_sequence:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.SEQUENCE_GAP,
+                f'the next call is {program.next_sequence}, not {sequence}',
+            )
+
+    async def _start(
+        self, program: programs.Program, message: messages.RunCall
+    ) -> answers.AnswerBuffer:
+        self._check_sequence(program, message.call.sequence)
+        if program.is_ended:
+            raise _ended(program.key)
+        program.check_time(self._clock.now())
+        reserved = self._reservation(program, message.request)
+        sidecar = self._executor.choose(program, message.request, set())
+        program.apply(
+            call_executor.intent(
+                message.call,
+                message.key,
+                message.request,
+                reserved,
+                sidecar,
+                1,
+            )
+        )
+        execution = self._execution(program, program.pending)
+        await curio.spawn(self._run, execution, sidecar, daemon=True)
+        return execution.answer
+
+    def _reservation(
+        self, program: programs.Program, request: calls.Request
+    ) -> int:
+        wanted = request.token_limit
+        ledger = program.ledger
+        if wanted > 0:
+            # A turn gets what is left rather than a refusal; the engine
+            # then ends it with the finish reason "length".
+            wanted = max(1, min(wanted, ledger.tokens_left))
+        ledger.check(wanted)
+        return wanted
+
+    def _execution(
+        self, program: programs.Program, call: calls.Call
+    ) -> call_executor.Execution:
+        work_class = self._configuration.current.classes.get(
+            program.work_class
+        )
+        target = (
+            datetime.timedelta(seconds=work_class.target_seconds)
+            if work_class
+            else UNKNOWN_TARGET
+        )
+        execution = call_executor.Execution(
+            program, call, target, self._keeper.epoch(program.key.shard)
+        )
+        self._executions[call.id] = execution
+        return execution
+
+    async def _run(
+        self,
+        execution: call_executor.Execution,
+        sidecar: sidecar_directory.Sidecar,
+    ) -> None:
+        started = self._clock.monotonic()
+        try:
+            outcome = await self._executor.run(execution, sidecar)
+        except errors.MagnoliawoodError as error:
+            outcome = calls.CallOutcome.from_error(error)
+        self._metrics.record(
+            'call_seconds',
+            self._clock.monotonic() - started,
+            work_class=execution.program.work_class,
+        )
+        await self._settle(execution, outcome)
+
+    async def _resume(
+        self, execution: call_executor.Execution, silent: set[str]
+    ) -> None:
+        try:
+            outcome = await self._executor.resume(execution, silent)
+        except errors.MagnoliawoodError as error:
+            outcome = calls.CallOutcome.from_error(error)
+        await self._settle(execution, outcome)
+
+    async def _settle(
+        self,
+        execution: call_executor.Execution,
+        outcome: calls.CallOutcome,
+    ) -> None:
+        program = execution.program
+        call = execution.call
+        self._executions.pop(call.id, None)
+        if self._programs.find(program.key) is not program:
+            lost = call_executor.OwnershipLost()
+            outcome = calls.CallOutcome.from_error(lost)
+        elif outcome.verdict is verdicts.Verdict.NOT_RUN:
+            record = records.Withdrawn(call.id)
+            program.apply(record)
+            await self._writer.append(record)
+        elif outcome.code != errors.ErrorCode.NOT_OWNER:
+            await self._record_outcome(execution, outcome)
+        self._metrics.count('outcomes_total', verdict=str(outcome.verdict))
+        if outcome.code:
+            self._metrics.count('refusals_total', reason=outcome.code)
+        await execution.answer.finish(outcome)
+
+    async def _record_outcome(
+        self,
+        execution: call_executor.Execution,
+        outcome: calls.CallOutcome,
+    ) -> None:
+        call = execution.call
+        record = records.Settled(call.id, outcome)
+        execution.program.apply(record)
+        position = await self._writer.append(record)
+        self._unforgotten.append((position, call.upstream, call.id))
+
+    async def _end_one(self, program: programs.Program, reason: str) -> None:
+        record = records.Ended(program.key, reason)
+        program.apply(record)
+        await self._writer.append(record)
+        self._metrics.count(
+            'programs_ended_total', work_class=program.work_class
+        )
+        self._metrics.record(
+            'program_seconds',
+            self._clock.now() - program.opened.opened_at,
+            work_class=program.work_class,
+        )
+        pending = program.pending
+        if pending is not None:
+            await self.cancel_call(pending.id)
+        await curio.spawn(self._release, program, daemon=True)
+
+    async def _release(self, program: programs.Program) -> None:
+        names = {
+            call.upstream
+            for call in program.calls
+            if isinstance(call.request, calls.ModelRequest)
+        }
+        for name in sorted(names):
+            await self._tell(name, messages.ReleaseProgram(program.key))
+
+    async def _tell(self, name: str, message: messages.ReleaseProgram) -> None:
+        sidecar = self._sidecars.find(name)
+        if sidecar is None:
+            return
+        try:
+            await self._pool.ask(
+                sidecar.host.address,
+                message,
+                sidecar_directory.ANSWER_TIMEOUT,
+            )
+        except errors.MagnoliawoodError:
+            self._metrics.count('releases_failed_total')
+
+    async def _send_forget(
+        self, name: str, found: list[identity.CallId]
+    ) -> None:
+        sidecar = self._sidecars.find(name)
+        if sidecar is None:
+            return
+        try:
+            stream = await self._pool.open_stream(sidecar.host.address)
+            await stream.send(messages.Forget(found))
+            stream.close()
+        except errors.MagnoliawoodError:
+            self._metrics.count('forgets_failed_total')
+
+
+def _status(program: programs.Program) -> messages.ProgramStatus:
+    ledger = program.ledger
+    pending = program.pending
+    return messages.ProgramStatus(
+        program.key,
+        program.work_class,
+        'ended' if program.is_ended else 'open',
+        program.end_reason,
+        program.opened.opened_at,
+        ledger.budget,
+        ledger.tokens_spent,
+        ledger.tokens_left,
+        ledger.calls_made,
+        ledger.calls_left,
+        program.next_sequence,
+        0 if pending is None else pending.id.sequence,
+    )
+
+
+def _check_same_program(
+    program: programs.Program, message: messages.OpenProgram
+) -> None:
+    known = program.opened
+    if (known.work_class, known.budget) != (
+        message.work_class,
+        message.budget,
+    ):
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.PROGRAM_MISMATCH,
+            f'program {program.key.name} was opened with another class '
+            'or budget',
+        )
+
+
+def _check_class_limits(
+    work_class: work_classes.WorkClass, message: messages.OpenProgram
+) -> None:
+    budget = message.budget
+    limits = {
+        'tokens': (budget.tokens, work_class.max_tokens),
+        'calls': (budget.calls, work_class.max_calls),
+        'seconds': (budget.seconds, work_class.max_seconds),
+    }
+    for name, (asked, limit) in limits.items():
+        if asked > limit:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.CLASS_LIMIT,
+                f'a budget of {asked:g} {name} exceeds the limit of '
+                f'{limit:g} of class {work_class.name}',
+            )
+
+
+def _ended(key: identity.ProgramKey) -> errors.MagnoliawoodError:
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.PROGRAM_ENDED, f'program {key.name} has ended'
+    )
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/shard_keeper.py
@@ -0,0 +1,356 @@
+"""Acquires, serves and releases shards."""
+
+import collections.abc
+import datetime
+import logging
+
+import curio
+import pydantic
+
+from magnoliawood import charts
+from magnoliawood.core import errors
+from magnoliawood.ownership import shard_map as shard_maps
+from magnoliawood.ownership import witness as witnesses
+from magnoliawood.platform import store
+from magnoliawood.programs import identity
+from magnoliawood.programs import records
+from magnoliawood.programs import table as tables
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import journal_writer
+from magnoliawood_server.entry import membership as memberships
+from magnoliawood_server.entry import sidecar_directory
+from magnoliawood_server.peer import messages
+from magnoliawood_server.peer import pool as pools
+
+RECONCILE_INTERVAL = datetime.timedelta(milliseconds=200)
+WATCH_WAIT = datetime.timedelta(seconds=2)
+FENCE_TIMEOUT = datetime.timedelta(seconds=1)
+RETRY_AFTER = datetime.timedelta(seconds=1)
+
+_log = logging.getLogger(__name__)
+
+AdoptedCallback = collections.abc.Callable[
+    [list[int], set[str]], collections.abc.Awaitable[None]
+]
+
+
+class ShardKeeper:
+    """Keeps this entry's shards in step with the shard map.
+
+    Explanation
+    ===========
+
+    The map changes only by conditional writes. An owner that lives hands a
+    shard over itself, after its journal covers all records; a dead owner's
+    shards are taken by the entry that rendezvous hashing prefers, which
+    first seals the dead owner's logs. Both raise the epoch, and sidecars
+    refuse orders of lower epochs.
+
+    :param on_adopted: called with the shards that were loaded and the
+        sidecars that did not answer the fence
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        objects: store.ObjectStore,
+        membership: memberships.Membership,
+        sidecars: sidecar_directory.SidecarDirectory,
+        pool: pools.PeerPool,
+        programs: tables.ProgramTable,
+        metrics: registries.Registry,
+        on_adopted: AdoptedCallback,
+    ) -> None:
+        self._entry = entry
+        self._objects = objects
+        self._membership = membership
+        self._sidecars = sidecars
+        self._pool = pool
+        self._programs = programs
+        self._metrics = metrics
+        self._on_adopted = on_adopted
+        self._map = shard_maps.ShardMap.empty()
+        self._chart = charts.load_chart('shard')
+        self._states = [self._chart.initial] * identity.SHARD_COUNT
+        self._writer: journal_writer.JournalWriter | None = None
+
+    @property
+    def map(self) -> shard_maps.ShardMap:
+        """The newest shard map seen."""
+        return self._map
+
+    def set_writer(self, writer: journal_writer.JournalWriter) -> None:
+        """Use another journal from now on."""
+        self._writer = writer
+
+    def serves(self, shard: int) -> bool:
+        """Whether this entry accepts new calls of a shard."""
+        return self._states[shard] == 'serving'
+
+    def epoch(self, shard: int) -> int:
+        """Return the fencing number of a shard."""
+        return self._map.assignments[shard].epoch
+
+    def owner(self, shard: int) -> str:
+        """Return the owner of a shard, empty if there is none."""
+        return self._map.assignments[shard].owner
+
+    async def lose_all(self) -> None:
+        """Forget every shard after the journal was sealed."""
+        for shard in range(identity.SHARD_COUNT):
+            self._lose(shard)
+
+    async def follow_map_forever(self) -> None:
+        """Follow the changes of the shard map."""
+        while True:
+            try:
+                newest = await self._objects.watch(
+                    shard_maps.MAP_NAME, self._map.version, WATCH_WAIT
+                )
+                if newest > self._map.version:
+                    await self.refresh_map()
+            except errors.MagnoliawoodError:
+                await curio.sleep(RECONCILE_INTERVAL.total_seconds())
+
+    async def refresh_map(self) -> None:
+        """Read the shard map from the store."""
+        found = await self._objects.get(shard_maps.MAP_NAME)
+        if found is not None and found.version > self._map.version:
+            self._accept(
+                shard_maps.ShardMap.from_text(found.version, found.value)
+            )
+
+    async def reconcile_forever(self) -> None:
+        """Acquire and release shards as membership changes."""
+        while True:
+            try:
+                await self._reconcile()
+            except errors.MagnoliawoodError as error:
+                _log.debug('reconciling failed', extra={'error': str(error)})
+            except pydantic.ValidationError as error:
+                _log.error('shard map malformed', extra={'error': str(error)})
+            await curio.sleep(RECONCILE_INTERVAL.total_seconds())
+
+    async def release_all(self) -> None:
+        """Hand all shards over before a planned stop."""
+        while any(state != 'foreign' for state in self._states):
+            if not self._membership.staying_entries():
+                return
+            await curio.sleep(RECONCILE_INTERVAL.total_seconds())
+
+    async def _reconcile(self) -> None:
+        if not self._membership.is_ready or self._writer is None:
+            return
+        if self._writer.is_sealed:
+            return
+        entries = self._membership.staying_entries()
+        await self._release_unwanted(entries)
+        await self._claim(entries)
+        await self._adopt_assigned()
+
+    async def _release_unwanted(self, entries: list[str]) -> None:
+        leaving = [
+            shard
+            for shard, state in enumerate(self._states)
+            if state == 'serving' and self._prefers_other(shard, entries)
+        ]
+        if not leaving:
+            return
+        for shard in leaving:
+            self._advance(shard, 'release')
+        try:
+            await self._hand_over(leaving, entries)
+        except errors.MagnoliawoodError:
+            for shard in leaving:
+                if self._states[shard] == 'releasing':
+                    self._advance(shard, 'keep')
+            raise
+
+    def _prefers_other(self, shard: int, entries: list[str]) -> bool:
+        preferred = shard_maps.preferred_owner(shard, entries)
+        return bool(preferred) and preferred != self._entry
+
+    async def _hand_over(self, shards: list[int], entries: list[str]) -> None:
+        position = self._writer.barrier()
+        if not await self._writer.wait_durable(position):
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.STORE_UNAVAILABLE, 'the journal is stalled'
+            )
+        changed = self._map
+        for shard in shards:
+            preferred = shard_maps.preferred_owner(shard, entries)
+            changed = changed.assign([shard], preferred, '')
+        await self._write_map(changed)
+        _log.info('shards handed over', extra={'shards': len(shards)})
+
+    async def _claim(self, entries: list[str]) -> None:
+        wanted = [
+            shard
+            for shard, assignment in enumerate(self._map.assignments)
+            if shard_maps.preferred_owner(shard, entries) == self._entry
+            and not self._membership.is_alive(assignment.owner)
+        ]
+        if wanted:
+            await self._take(wanted)
+
+    async def _adopt_assigned(self) -> None:
+        mine = [
+            shard
+            for shard in self._map.owned_by(self._entry)
+            if self._states[shard] == 'foreign'
+        ]
+        unlogged = [
+            shard
+            for shard in mine
+            if self._writer.log not in self._map.assignments[shard].logs
+        ]
+        if unlogged:
+            await self._take(unlogged)
+            return
+        if mine:
+            await self._load(mine)
+
+    async def _take(self, shards: list[int]) -> None:
+        """Seal the logs of dead owners and write the new assignment."""
+        logs = {
+            log
+            for shard in shards
+            for log in self._map.assignments[shard].logs
+            if self._is_log_of_dead(log)
+        }
+        for log in sorted(logs):
+            await journal_writer.seal_log(self._objects, log)
+        await self._write_map(
+            self._map.assign(shards, self._entry, self._writer.log)
+        )
+        self._metrics.count('shards_taken_total', len(shards))
+        await self._load(shards)
+
+    def _is_log_of_dead(self, log: str) -> bool:
+        owner, _, _ = log.rpartition('~')
+        if owner == self._entry:
+            return log != self._writer.log
+        return not self._membership.is_alive(owner)
+
+    async def _write_map(self, changed: shard_maps.ShardMap) -> None:
+        try:
+            written = await self._objects.put(
+                shard_maps.MAP_NAME, changed.to_text(), self._map.version
+            )
+        except store.VersionConflict:
+            await self.refresh_map()
+            raise
+        self._accept(
+            shard_maps.ShardMap.from_text(written.version, written.value)
+        )
+
+    async def _load(self, shards: list[int]) -> None:
+        """Read journals and witnesses of shards and start serving them."""
+        for shard in shards:
+            self._advance(shard, 'acquire')
+        try:
+            found = await self._read_journals(shards)
+            answers, silent = await self._fence_sidecars(shards)
+        except errors.MagnoliawoodError:
+            for shard in shards:
+                self._lose(shard)
+            raise
+        for record in [*found, *_records_of(answers)]:
+            self._programs.apply(record)
+        await self._journal_snapshots(shards)
+        loaded = [s for s in shards if self._states[s] == 'loading']
+        for shard in loaded:
+            self._advance(shard, 'load')
+        _log.info(
+            'shards acquired',
+            extra={'shards': len(loaded), 'silent': sorted(silent)},
+        )
+        await self._on_adopted(loaded, silent)
+
+    async def _read_journals(self, shards: list[int]) -> list[records.Record]:
+        chosen = set(shards)
+        names = dict.fromkeys(
+            log
+            for shard in shards
+            for log in self._map.assignments[shard].logs
+            if log != self._writer.log
+        )
+        found = []
+        for log in names:
+            content = await journal_writer.read_log(self._objects, log)
+            found += [
+                record
+                for record in content
+                if records.program_of(record).shard in chosen
+            ]
+        return found
+
+    async def _fence_sidecars(
+        self, shards: list[int]
+    ) -> tuple[list[witnesses.WitnessRecord], set[str]]:
+        fence = messages.Fence(
+            [messages.ShardEpoch(shard, self.epoch(shard)) for shard in shards]
+        )
+        found: list[witnesses.WitnessRecord] = []
+        silent: set[str] = set()
+
+        async def ask(sidecar: sidecar_directory.Sidecar) -> None:
+            try:
+                reply = await self._pool.ask(
+                    sidecar.host.address, fence, FENCE_TIMEOUT
+                )
+                found.extend(reply.records)
+            except errors.MagnoliawoodError as error:
+                if error.code == errors.ErrorCode.STALE_EPOCH:
+                    raise
+                silent.add(sidecar.name)
+
+        async with curio.TaskGroup() as group:
+            for sidecar in self._sidecars.all():
+                await group.spawn(ask, sidecar)
+        return found, silent
+
+    async def _journal_snapshots(self, shards: list[int]) -> None:
+        for shard in shards:
+            for program in self._programs.in_shard(shard):
+                for record in program.snapshot():
+                    await self._writer.append(record)
+
+    def _accept(self, new_map: shard_maps.ShardMap) -> None:
+        old = self._map
+        self._map = new_map
+        for shard, assignment in enumerate(new_map.assignments):
+            is_same = assignment.epoch == old.assignments[shard].epoch
+            if assignment.owner != self._entry and not is_same:
+                self._lose(shard)
+
+    def _lose(self, shard: int) -> None:
+        if self._states[shard] != 'foreign':
+            self._advance(shard, 'lose')
+            self._programs.drop_shard(shard)
+
+    def _advance(self, shard: int, trigger: str) -> None:
+        self._states[shard] = self._chart.next_state(
+            self._states[shard], trigger
+        )
+
+
+def _records_of(
+    found: list[witnesses.WitnessRecord],
+) -> list[records.Record]:
+    ordered = sorted(found, key=lambda record: record.call.sequence)
+    result: list[records.Record] = []
+    for record in ordered:
+        result += [record.opened, record.intended]
+        if record.outcome is not None:
+            result.append(records.Settled(record.call, record.outcome))
+    return result
+
+
+def refusal_of_foreign(shard: int) -> errors.MagnoliawoodError:
+    """Return the error for a call that reached the wrong entry."""
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.NOT_OWNER,
+        f'shard {shard} has another owner',
+        retry_after=RETRY_AFTER,
+    )
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/http/client.py
@@ -0,0 +1,188 @@
+"""HTTP client for upstreams and the platform."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import datetime
+import itertools
+import json
+import typing
+
+import curio
+import h11
+
+from magnoliawood_server.http import message as messages
+
+_READ_SIZE_BYTES = 64 * 1024
+_DATA_FIELD = b'data:'
+
+
+class ConnectFailed(ConnectionError):  # noqa: N818
+    """No connection could be made, so the request was never sent."""
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """Head of a response; the body is read from the exchange."""
+
+    status: int
+    headers: dict[str, str]
+
+
+class Exchange:
+    """One request and its response on a connection of its own."""
+
+    def __init__(self, sock: curio.io.Socket) -> None:
+        self._sock = sock
+        self._h11 = h11.Connection(h11.CLIENT)
+
+    async def send(self, request: messages.Request) -> None:
+        """Send the whole request."""
+        headers = {
+            'host': 'upstream',
+            'connection': 'close',
+            **request.headers,
+            'content-length': str(len(request.body)),
+        }
+        data = self._h11.send(
+            h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=[*headers.items()],
+            )
+        )
+        data += self._h11.send(h11.Data(data=request.body))
+        data += self._h11.send(h11.EndOfMessage())
+        await self._sock.sendall(data)
+
+    async def read_head(self) -> Reply:
+        """Read the status and headers."""
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise ConnectionResetError('closed before the response')
+        return Reply(
+            event.status_code,
+            {
+                name.decode('ascii'): value.decode('latin-1')
+                for name, value in event.headers
+            },
+        )
+
+    async def read_parts(self) -> collections.abc.AsyncGenerator[bytes]:
+        """Yield the parts of the body as they arrive."""
+        while isinstance(event := await self._next_event(), h11.Data):
+            yield bytes(event.data)
+        if not isinstance(event, h11.EndOfMessage):
+            raise ConnectionResetError('closed within the response')
+
+    async def read_body(self) -> bytes:
+        """Read the whole body."""
+        body = bytearray()
+        async with contextlib.aclosing(self.read_parts()) as parts:
+            async for part in parts:
+                body += part
+        return bytes(body)
+
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ConnectionResetError(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._h11.receive_data(await self._sock.recv(_READ_SIZE_BYTES))
+
+
+class HttpClient:
+    """Client of one server.
+
+    :param address: IP number and port
+    :param connect_timeout: how long to wait for a connection
+    """
+
+    def __init__(
+        self,
+        address: str,
+        connect_timeout: datetime.timedelta = datetime.timedelta(seconds=2),
+    ) -> None:
+        host, _, port = address.rpartition(':')
+        self._host = host
+        self._port = int(port)
+        self._connect_timeout = connect_timeout
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, request: messages.Request
+    ) -> collections.abc.AsyncIterator[Exchange]:
+        """Send a request and give access to the response.
+
+        :raises ConnectFailed: if no connection could be made
+        :raises OSError: if the connection is lost
+        """
+        sock = await self._connect()
+        async with sock:
+            exchange = Exchange(sock)
+            await exchange.send(request)
+            yield exchange
+
+    async def fetch(
+        self, request: messages.Request, timeout: datetime.timedelta
+    ) -> tuple[Reply, bytes]:
+        """Send a request and read the whole response.
+
+        :raises ConnectFailed: if no connection could be made
+        :raises OSError: if the connection is lost
+        :raises curio.TaskTimeout: if it takes longer than ``timeout``
+        """
+        async with curio.timeout_after(timeout.total_seconds()):
+            async with self.open(request) as exchange:
+                reply = await exchange.read_head()
+                return reply, await exchange.read_body()
+
+    async def _connect(self) -> curio.io.Socket:
+        try:
+            async with curio.timeout_after(
+                self._connect_timeout.total_seconds()
+            ):
+                return await curio.open_connection(self._host, self._port)
+        except (OSError, curio.TaskTimeout) as error:
+            raise ConnectFailed(
+                f'no connection to {self._host}:{self._port}'
+            ) from error
+
+
+def json_request(
+    method: str, target: str, value: typing.Any = None, **headers: str
+) -> messages.Request:
+    """Return a request with a JSON body."""
+    named = {name.replace('_', '-'): text for name, text in headers.items()}
+    body = b'' if value is None else json.dumps(value).encode()
+    return messages.Request(
+        method, target, {'content-type': messages.JSON_TYPE, **named}, body
+    )
+
+
+async def read_events(
+    parts: collections.abc.AsyncGenerator[bytes],
+) -> collections.abc.AsyncGenerator[str]:
+    """Yield the data of each server-sent event."""
+    buffer = b''
+    async with contextlib.aclosing(parts):
+        async for part in parts:
+            buffer += part
+            *events, buffer = buffer.split(b'\n\n')
+            for data in itertools.chain.from_iterable(
+                map(_event_data, events)
+            ):
+                yield data
+
+
+def _event_data(event: bytes) -> list[str]:
+    return [
+        line[len(_DATA_FIELD) :].strip().decode()
+        for line in event.split(b'\n')
+        if line.startswith(_DATA_FIELD)
+    ]
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -0,0 +1,205 @@
+"""Server side of one HTTP connection."""
+
+import collections.abc
+import logging
+
+import curio
+import h11
+
+from magnoliawood.core import errors
+from magnoliawood_server.http import message as messages
+
+BODY_LIMIT_BYTES = 8 * 1024 * 1024
+HEAD_LIMIT_BYTES = 32 * 1024
+_READ_SIZE_BYTES = 64 * 1024
+
+Handler = collections.abc.Callable[
+    [messages.Request],
+    collections.abc.Awaitable[messages.Response],
+]
+
+_log = logging.getLogger(__name__)
+
+
+class _Connection:
+    """h11 state of one connection together with its socket."""
+
+    def __init__(self, sock: curio.io.Socket) -> None:
+        self._sock = sock
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=HEAD_LIMIT_BYTES
+        )
+
+    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            event = self._h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._h11.they_are_waiting_for_100_continue:
+                await self.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            self._h11.receive_data(await self._sock.recv(_READ_SIZE_BYTES))
+
+    async def send(self, event: h11.Event) -> None:
+        data = self._h11.send(event)
+        if data:
+            await self._sock.sendall(data)
+
+    async def wait_for_close(self) -> None:
+        """Read ahead until the peer closes its side."""
+        while data := await self._sock.recv(_READ_SIZE_BYTES):
+            self._h11.receive_data(data)
+        self._h11.receive_data(b'')
+
+    @property
+    def may_respond(self) -> bool:
+        return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
+    def start_next_cycle(self) -> bool:
+        if self._h11.our_state is not h11.DONE:
+            return False
+        if self._h11.their_state is not h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        return True
+
+
+async def serve_connection(sock: curio.io.Socket, handler: Handler) -> None:
+    """Serve requests of one connection until either side closes it."""
+    connection = _Connection(sock)
+    try:
+        while await _serve_request(connection, handler):
+            pass
+    except (OSError, h11.LocalProtocolError):
+        _log.debug('connection lost')
+
+
+async def _serve_request(connection: _Connection, handler: Handler) -> bool:
+    try:
+        request = await _read_request(connection)
+    except h11.RemoteProtocolError as error:
+        await _refuse(
+            connection,
+            errors.MagnoliawoodError(
+                errors.ErrorCode.MALFORMED_REQUEST, str(error)
+            ),
+        )
+        return False
+    except errors.MagnoliawoodError as error:
+        await _refuse(connection, error)
+        return False
+    if request is None:
+        return False
+    response = await _handle(handler, request)
+    await _write_response(connection, response)
+    return connection.start_next_cycle()
+
+
+async def _read_request(connection: _Connection) -> messages.Request | None:
+    head = await connection.next_event()
+    if not isinstance(head, h11.Request):
+        return None
+    body = bytearray()
+    while isinstance(event := await connection.next_event(), h11.Data):
+        body += event.data
+        if len(body) > BODY_LIMIT_BYTES:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.MESSAGE_TOO_LARGE,
+                f'the body exceeds {BODY_LIMIT_BYTES} bytes',
+            )
+    if not isinstance(event, h11.EndOfMessage):
+        return None
+    return messages.Request(
+        head.method.decode('ascii'),
+        head.target.decode('ascii'),
+        {
+            name.decode('ascii'): value.decode('latin-1')
+            for name, value in head.headers
+        },
+        bytes(body),
+    )
+
+
+async def _refuse(
+    connection: _Connection, error: errors.MagnoliawoodError
+) -> None:
+    if connection.may_respond:
+        response = messages.Response.from_error(error)
+        response.headers['connection'] = 'close'
+        await _write_response(connection, response)
+
+
+async def _handle(
+    handler: Handler, request: messages.Request
+) -> messages.Response:
+    try:
+        return await handler(request)
+    except errors.MagnoliawoodError as error:
+        return messages.Response.from_error(error)
+    except ConnectionError:
+        raise
+    except Exception:
+        _log.exception('request handler failed')
+        return messages.Response.from_error(
+            errors.MagnoliawoodError(
+                errors.ErrorCode.INTERNAL,
+                'the request handler failed',
+                errors.verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        )
+
+
+async def _write_response(
+    connection: _Connection, response: messages.Response
+) -> None:
+    if response.parts is None:
+        await _write_whole(connection, response)
+        return
+    watcher = await curio.spawn(_cancel_on_close, connection)
+    try:
+        await _write_parts(connection, response, watcher)
+    finally:
+        await watcher.cancel()
+
+
+async def _write_whole(
+    connection: _Connection, response: messages.Response
+) -> None:
+    headers = {
+        **response.headers,
+        'content-length': str(len(response.body)),
+    }
+    await connection.send(
+        h11.Response(status_code=response.status, headers=[*headers.items()])
+    )
+    await connection.send(h11.Data(data=response.body))
+    await connection.send(h11.EndOfMessage())
+
+
+async def _write_parts(
+    connection: _Connection,
+    response: messages.Response,
+    watcher: curio.Task,
+) -> None:
+    headers = {**response.headers, 'transfer-encoding': 'chunked'}
+    await connection.send(
+        h11.Response(status_code=response.status, headers=[*headers.items()])
+    )
+    parts = response.parts
+    try:
+        async for part in parts:
+            if watcher.terminated:
+                raise ConnectionResetError('the caller closed')
+            await connection.send(h11.Data(data=part))
+    finally:
+        if hasattr(parts, 'aclose'):
+            await parts.aclose()
+    await connection.send(h11.EndOfMessage())
+
+
+async def _cancel_on_close(connection: _Connection) -> None:
+    try:
+        await connection.wait_for_close()
+    except OSError:
+        _log.debug('connection reset')
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/frame.py
@@ -0,0 +1,95 @@
+"""Length-prefixed msgpack frames."""
+
+import dataclasses
+import struct
+import typing
+
+import msgpack
+import pydantic
+
+from magnoliawood.core import errors
+from magnoliawood_server.peer import messages
+
+FRAME_LIMIT_BYTES = 16 * 1024 * 1024
+PROTOCOL_VERSION = 1
+_PREFIX = struct.Struct('>I')
+PREFIX_SIZE_BYTES = _PREFIX.size
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frame:
+    """A message of one stream.
+
+    :param stream: number of the stream on its connection
+    :param opens: whether it is the first message of the stream
+    :param message: one of :data:`messages.MESSAGE_TYPES`
+    """
+
+    stream: int
+    opens: bool
+    message: typing.Any
+
+
+def encode(frame: Frame) -> bytes:
+    """Return the bytes of a frame, its length first.
+
+    :raises MagnoliawoodError: with ``message_too_large``
+    """
+    name = type(frame.message).__name__
+    fields = messages.ADAPTERS[name].dump_python(frame.message)
+    body = msgpack.packb(
+        [PROTOCOL_VERSION, frame.stream, frame.opens, name, fields],
+        datetime=True,
+    )
+    if len(body) > FRAME_LIMIT_BYTES:
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.MESSAGE_TOO_LARGE,
+            f'a frame of {len(body)} bytes exceeds {FRAME_LIMIT_BYTES}',
+        )
+    return _PREFIX.pack(len(body)) + body
+
+
+def body_length(prefix: bytes) -> int:
+    """Return the length that a prefix announces, in bytes.
+
+    :raises MagnoliawoodError: with ``message_too_large``
+    """
+    (length,) = _PREFIX.unpack(prefix)
+    if length > FRAME_LIMIT_BYTES:
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.MESSAGE_TOO_LARGE,
+            f'a frame of {length} bytes exceeds {FRAME_LIMIT_BYTES}',
+        )
+    return length
+
+
+def decode(body: bytes) -> Frame:
+    """Parse the body of a frame.
+
+    :raises MagnoliawoodError: with ``malformed_request``
+
+    Examples
+    ========
+
+    >>> data = encode(Frame(3, True, messages.Hello('entry-1')))
+    >>> decode(data[PREFIX_SIZE_BYTES:])
+    Frame(stream=3, opens=True, message=Hello(sender='entry-1'))
+    """
+    try:
+        version, stream, opens, name, fields = msgpack.unpackb(
+            body, timestamp=3
+        )
+        if version != PROTOCOL_VERSION or not isinstance(stream, int):
+            raise ValueError(f'protocol version {version!r}')
+        message = messages.ADAPTERS[name].validate_python(fields)
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        msgpack.UnpackException,
+        pydantic.ValidationError,
+    ) as error:
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.MALFORMED_REQUEST, f'malformed frame: {error}'
+        ) from error
+    return Frame(stream, bool(opens), message)
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/pool.py
@@ -0,0 +1,74 @@
+"""Long-lived connections to peers, one for each address."""
+
+import datetime
+import typing
+
+import curio
+
+from magnoliawood.core import clock as clocks
+from magnoliawood_server.peer import connection as connections
+
+CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+
+
+class PeerPool:
+    """Opens connections on demand and replaces lost ones."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._connections: dict[str, connections.PeerConnection] = {}
+        self._locks: dict[str, curio.Lock] = {}
+
+    async def open_stream(self, address: str) -> connections.Stream:
+        """Open a stream to a peer, connecting if need be.
+
+        :raises PeerLost: if no connection can be made
+        """
+        connection = self._connections.get(address)
+        if connection is None or connection.is_lost:
+            connection = await self._connect(address)
+        return connection.open_stream()
+
+    async def ask(
+        self,
+        address: str,
+        message: typing.Any,
+        timeout: datetime.timedelta,
+    ) -> typing.Any:
+        """Send one message and return the answer.
+
+        :raises PeerLost: if no answer comes in time
+        """
+        try:
+            async with curio.timeout_after(timeout.total_seconds()):
+                stream = await self.open_stream(address)
+                try:
+                    await stream.send(message)
+                    return await stream.receive()
+                finally:
+                    stream.close()
+        except curio.TaskTimeout:
+            raise connections.PeerLost(f'no answer from {address}') from None
+
+    async def _connect(self, address: str) -> connections.PeerConnection:
+        lock = self._locks.setdefault(address, curio.Lock())
+        async with lock:
+            known = self._connections.get(address)
+            if known is not None and not known.is_lost:
+                return known
+            sock = await _open(address)
+            made = connections.PeerConnection(
+                sock, self._clock, None, is_client=True
+            )
+            self._connections[address] = made
+            await curio.spawn(made.run, daemon=True)
+            return made
+
+
+async def _open(address: str) -> curio.io.Socket:
+    host, _, port = address.rpartition(':')
+    try:
+        async with curio.timeout_after(CONNECT_TIMEOUT.total_seconds()):
+            return await curio.open_connection(host, int(port))
+    except (OSError, curio.TaskTimeout) as error:
+        raise connections.PeerLost(f'no connection to {address}') from error
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_queue.py
@@ -0,0 +1,31 @@
+"""The one queue in front of an upstream."""
+
+import heapq
+import itertools
+
+from magnoliawood_server.sidecar import call_run
+
+
+class CallQueue:
+    """Waiting calls by rank, the lowest first, equal ranks by arrival."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, call_run.CallRun]] = []
+        self._arrivals = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._heap)
+
+    def push(self, run: call_run.CallRun) -> None:
+        """Add a call."""
+        entry = (run.order.rank, next(self._arrivals), run)
+        heapq.heappush(self._heap, entry)
+
+    def pop(self) -> call_run.CallRun | None:
+        """Take the first call, if there is one."""
+        return heapq.heappop(self._heap)[2] if self._heap else None
+
+    def remove(self, run: call_run.CallRun) -> None:
+        """Take a call out of the middle."""
+        self._heap = [entry for entry in self._heap if entry[2] is not run]
+        heapq.heapify(self._heap)
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
@@ -0,0 +1,24 @@
+"""One call that a sidecar accepted."""
+
+import curio
+
+from magnoliawood_server.peer import messages
+from magnoliawood_server.runtime import answer as answers
+
+
+class CallRun:
+    """A call from its acceptance to its outcome.
+
+    :param order: what to run
+    """
+
+    def __init__(self, order: messages.Order) -> None:
+        self.order = order
+        self.answer = answers.AnswerBuffer()
+        self.task: curio.Task | None = None
+        self.is_cancelled = False
+
+    @property
+    def is_started(self) -> bool:
+        """Whether it left the queue."""
+        return self.task is not None
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
@@ -0,0 +1,138 @@
+"""A model engine as an upstream."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import datetime
+import json
+import logging
+
+import curio
+
+from magnoliawood.core import errors
+from magnoliawood.core import verdict as verdicts
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import identity
+from magnoliawood_server.http import client as http_client
+from magnoliawood_server.sidecar import call_run
+
+CONTROL_TIMEOUT = datetime.timedelta(seconds=2)
+PROGRESS_TIMEOUT = datetime.timedelta(seconds=10)
+_END_OF_STREAM = '[DONE]'
+
+_log = logging.getLogger(__name__)
+
+
+class EngineUpstream:
+    """Client of one engine's streaming interface.
+
+    :param address: IP number and port of the engine
+    """
+
+    def __init__(self, address: str) -> None:
+        self._client = http_client.HttpClient(address)
+
+    async def run(self, run: call_run.CallRun) -> calls.CallOutcome:
+        """Run a model turn, resuming after ``run.order.partial``."""
+        try:
+            return await self._stream(run)
+        except http_client.ConnectFailed as error:
+            return _failed(run, str(error), verdicts.Verdict.NOT_RUN)
+        except curio.TaskTimeout:
+            return _failed(run, 'no progress', verdicts.Verdict.MAY_HAVE_RUN)
+        except (OSError, ValueError, KeyError) as error:
+            return _failed(run, str(error), verdicts.Verdict.MAY_HAVE_RUN)
+
+    async def release(self, program: identity.ProgramKey) -> None:
+        """Free the engine's cache of a program."""
+        request = http_client.json_request(
+            'POST', '/cache/release', {'program': str(program)}
+        )
+        try:
+            await self._client.fetch(request, CONTROL_TIMEOUT)
+        except (OSError, curio.TaskTimeout):
+            _log.debug('cache release not delivered')
+
+    async def _stream(self, run: call_run.CallRun) -> calls.CallOutcome:
+        request = http_client.json_request(
+            'POST', '/v1/chat/completions', _body(run)
+        )
+        async with self._client.open(request) as exchange:
+            async with curio.timeout_after(PROGRESS_TIMEOUT.total_seconds()):
+                head = await exchange.read_head()
+            if head.status != 200:
+                return await _refused(run, exchange, head.status)
+            return await _read_answer(run, exchange)
+
+
+def _body(run: call_run.CallRun) -> dict[str, object]:
+    order = run.order
+    request = order.intended.request
+    history = [*order.history, *request.messages]
+    return {
+        'model': request.model,
+        'messages': [dataclasses.asdict(message) for message in history],
+        'max_tokens': request.max_tokens - order.partial_tokens,
+        'stream': True,
+        'priority': order.rank,
+        'request_id': str(order.intended.call),
+        'program': str(order.intended.call.program),
+        'partial': order.partial,
+    }
+
+
+async def _refused(
+    run: call_run.CallRun, exchange: http_client.Exchange, status: int
+) -> calls.CallOutcome:
+    body = await exchange.read_body()
+    return _failed(
+        run,
+        f'the engine answered {status}: {body[:200].decode(errors="replace")}',
+        verdicts.Verdict.NOT_RUN,
+    )
+
+
+async def _read_answer(
+    run: call_run.CallRun, exchange: http_client.Exchange
+) -> calls.CallOutcome:
+    base_tokens = run.order.partial_tokens
+    finish_reason = ''
+    async with contextlib.aclosing(
+        http_client.read_events(exchange.read_parts())
+    ) as events:
+        while (data := await _next_event(events)) != _END_OF_STREAM:
+            chunk = json.loads(data)
+            choice = chunk['choices'][0]
+            tokens = base_tokens + chunk['usage']['completion_tokens']
+            text = choice['delta'].get('content', '')
+            await run.answer.append(text, tokens)
+            finish_reason = choice.get('finish_reason') or finish_reason
+    if not finish_reason:
+        raise ConnectionResetError('the answer broke off')
+    return calls.CallOutcome(
+        verdicts.Verdict.RAN,
+        run.order.partial + run.answer.text,
+        max(base_tokens, run.answer.tokens),
+        finish_reason=finish_reason,
+    )
+
+
+async def _next_event(
+    events: collections.abc.AsyncGenerator[str],
+) -> str:
+    async with curio.timeout_after(PROGRESS_TIMEOUT.total_seconds()):
+        return await anext(events, _END_OF_STREAM)
+
+
+def _failed(
+    run: call_run.CallRun, detail: str, verdict: verdicts.Verdict
+) -> calls.CallOutcome:
+    return calls.CallOutcome(
+        verdict,
+        run.order.partial + run.answer.text,
+        max(run.order.partial_tokens, run.answer.tokens),
+        finish_reason='error',
+        code=str(errors.ErrorCode.UPSTREAM_FAILED),
+        detail=detail,
+        status=502,
+    )
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
@@ -0,0 +1,73 @@
+"""A plain service as an upstream."""
+
+import datetime
+import urllib.parse
+
+import curio
+
+from magnoliawood.core import errors
+from magnoliawood.core import verdict as verdicts
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import identity
+from magnoliawood_server.http import client as http_client
+from magnoliawood_server.http import message as http_message
+from magnoliawood_server.sidecar import call_run
+
+CALL_TIMEOUT = datetime.timedelta(seconds=10)
+
+
+class ServiceUpstream:
+    """Client of one plain service.
+
+    :param address: IP number and port of the service
+    """
+
+    def __init__(self, address: str) -> None:
+        self._client = http_client.HttpClient(address)
+
+    async def run(self, run: call_run.CallRun) -> calls.CallOutcome:
+        """Run a service call once."""
+        try:
+            reply, body = await self._client.fetch(_request(run), CALL_TIMEOUT)
+        except http_client.ConnectFailed as error:
+            return _failed(
+                errors.ErrorCode.UPSTREAM_UNAVAILABLE,
+                str(error),
+                verdicts.Verdict.NOT_RUN,
+            )
+        except (OSError, curio.TaskTimeout):
+            return _failed(
+                errors.ErrorCode.OUTCOME_UNKNOWN,
+                'the service gave no reply',
+                verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        return calls.CallOutcome(
+            verdicts.Verdict.RAN,
+            body.decode(errors='replace'),
+            status=reply.status,
+        )
+
+    async def release(self, program: identity.ProgramKey) -> None:
+        """Do nothing: a plain service holds no cache."""
+
+
+def _request(run: call_run.CallRun) -> http_message.Request:
+    intended = run.order.intended
+    request = intended.request
+    return http_message.Request(
+        'POST',
+        f'/{urllib.parse.quote(request.operation, safe="")}',
+        {
+            'content-type': http_message.JSON_TYPE,
+            'idempotency-key': str(intended.call),
+        },
+        request.body.encode(),
+    )
+
+
+def _failed(
+    code: errors.ErrorCode, detail: str, verdict: verdicts.Verdict
+) -> calls.CallOutcome:
+    return calls.CallOutcome.from_error(
+        errors.MagnoliawoodError(code, detail, verdict)
+    )
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, proxy, cluster and load tool for development."""
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that magnoliawood works with."""
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/control.py
@@ -0,0 +1,56 @@
+"""What all stand-ins share: JSON routes and the command line."""
+
+import collections.abc
+import json
+import typing
+
+import curio
+import pydantic
+
+from magnoliawood.core import errors
+from magnoliawood_server.http import message as http_message
+from magnoliawood_server.runtime import listener
+
+Route = collections.abc.Callable[
+    [http_message.Request],
+    collections.abc.Awaitable[http_message.Response],
+]
+
+
+class Faults(pydantic.BaseModel):
+    """Base of the faults that can be switched while a stand-in runs."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+
+def body_of(request: http_message.Request) -> typing.Any:
+    """Parse a JSON body.
+
+    :raises MagnoliawoodError: with ``malformed_body``
+    """
+    try:
+        return json.loads(request.body or b'{}')
+    except ValueError as error:
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.MALFORMED_BODY, str(error)
+        ) from error
+
+
+def no_route(request: http_message.Request) -> errors.MagnoliawoodError:
+    """Return the error for an unknown page."""
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.NOT_FOUND,
+        f'no operation {request.method} {request.path}',
+    )
+
+
+def updated(faults: Faults, request: http_message.Request) -> Faults:
+    """Return faults changed by a request's body."""
+    return type(faults).model_validate(
+        {**faults.model_dump(), **body_of(request)}
+    )
+
+
+def serve(address: str, handler: Route) -> None:
+    """Serve one stand-in until the process is stopped."""
+    curio.run(listener.serve_http, address, handler)
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/engine.py
@@ -0,0 +1,313 @@
+"""Stand-in of a model engine with continuous batching."""
+
+import argparse
+import collections
+import collections.abc
+import json
+import os
+import time
+
+import curio
+
+from magnoliawood.programs import message as conversation
+from magnoliawood_server.http import message as http_message
+from magnoliawood_testing.standins import control
+from magnoliawood_testing.standins import prefix_cache
+from magnoliawood_testing.standins import reference
+
+CRASH_EXIT_CODE = 70
+
+
+class EngineFaults(control.Faults):
+    """Timing and faults of the engine.
+
+    :param step_seconds: time of one decoding step of the whole batch
+    :param prefill_blocks_per_step: uncached blocks one step can take in
+    :param batch_size: sequences that decode at the same time
+    :param crash_marker: a prompt that contains it ends the process
+    :param checks_fencing: whether orders with old numbers are refused
+    :param load_lag_seconds: age of the load report
+    :param lost_event_period: of so many cache events one is lost, 0: none
+    """
+
+    step_seconds: float = 0.01
+    prefill_blocks_per_step: int = 32
+    batch_size: int = 16
+    crash_marker: str = 'crash-the-engine'
+    checks_fencing: bool = True
+    load_lag_seconds: float = 1.0
+    lost_event_period: int = 0
+
+
+class Sequence:
+    """One request in the engine."""
+
+    def __init__(self, body: dict[str, object]) -> None:
+        self.request_id = str(body['request_id'])
+        self.program = str(body.get('program', ''))
+        self.priority = float(body.get('priority', 0.0))
+        self.messages = [
+            conversation.Message(item['role'], item['content'])
+            for item in body['messages']
+        ]
+        partial = str(body.get('partial', ''))
+        self.digest = conversation.chain_digest('', self.messages)
+        self.position = len(partial.split())
+        limit = self.position + int(body['max_tokens'])
+        self.length = reference.answer_length(self.messages, limit)
+        self.natural_length = reference.answer_length(self.messages, 1 << 30)
+        self.first = self.position
+        self.prefill_left = 0
+        self.is_cancelled = False
+        self.tokens: curio.Queue = curio.Queue()
+
+    @property
+    def is_done(self) -> bool:
+        """Whether nothing is left to generate."""
+        return self.is_cancelled or self.position >= self.length
+
+    @property
+    def finish_reason(self) -> str:
+        """Why the generation ended."""
+        return 'stop' if self.length >= self.natural_length else 'length'
+
+
+class Engine:
+    """Decodes a batch of sequences step by step."""
+
+    def __init__(
+        self, models: list[str], capacity: int, faults: EngineFaults
+    ) -> None:
+        self._models = models
+        self.faults = faults
+        self._cache = prefix_cache.PrefixCache(capacity)
+        self._waiting: list[Sequence] = []
+        self._running: list[Sequence] = []
+        self._arrived = curio.Event()
+        self._fence = 0
+        self._orders: list[object] = []
+        self._events: list[dict[str, object]] = []
+        self._load_reports: collections.deque[tuple[float, int]] = (
+            collections.deque([(0.0, 0)], maxlen=1000)
+        )
+        self._requests: collections.Counter[str] = collections.Counter()
+
+    async def handle(
+        self, request: http_message.Request
+    ) -> http_message.Response:
+        """Serve one request."""
+        match (request.method, request.path):
+            case ('POST', '/v1/chat/completions'):
+                return await self._complete(control.body_of(request))
+            case ('POST', '/cancel'):
+                return self._cancel(control.body_of(request))
+            case ('GET', '/load'):
+                return self._load()
+            case ('GET', '/cache/events'):
+                after = int(request.query.get('after', '0'))
+                return http_message.Response.from_json(
+                    {'events': self._events[after:]}
+                )
+            case ('POST', '/cache/release'):
+                return self._release(control.body_of(request))
+            case ('POST', '/kv/export'):
+                return self._export(control.body_of(request))
+            case ('POST', '/kv/import'):
+                return self._import(control.body_of(request))
+            case ('POST', '/orders'):
+                return self._order(control.body_of(request))
+            case ('GET', '/control/state'):
+                return self._state()
+            case ('POST', '/control/faults'):
+                self.faults = control.updated(self.faults, request)
+                return http_message.Response.from_json({})
+        raise control.no_route(request)
+
+    async def run(self) -> None:
+        """Decode for ever."""
+        while True:
+            self._admit()
+            if not self._running:
+                self._arrived.clear()
+                await self._arrived.wait()
+                continue
+            await curio.sleep(self.faults.step_seconds)
+            await self._step()
+            self._note_load()
+
+    async def _complete(
+        self, body: dict[str, object]
+    ) -> http_message.Response:
+        if body['model'] not in self._models:
+            return http_message.Response.from_json(
+                {'error': 'unknown model'}, status=404
+            )
+        sequence = Sequence(body)
+        marker = self.faults.crash_marker
+        if any(marker in item.content for item in sequence.messages):
+            os._exit(CRASH_EXIT_CODE)
+        self._requests[sequence.request_id] += 1
+        self._waiting.append(sequence)
+        await self._arrived.set()
+        return http_message.Response(
+            200,
+            {'content-type': http_message.EVENT_STREAM_TYPE},
+            parts=self._stream(sequence),
+        )
+
+    async def _stream(
+        self, sequence: Sequence
+    ) -> collections.abc.AsyncIterator[bytes]:
+        try:
+            while True:
+                text, position, is_last = await sequence.tokens.get()
+                yield _chunk(sequence, text, position, is_last)
+                if is_last:
+                    break
+            yield b'data: [DONE]\n\n'
+        finally:
+            sequence.is_cancelled = True
+
+    def _admit(self) -> None:
+        self._waiting.sort(key=lambda sequence: sequence.priority)
+        while self._waiting and len(self._running) < self.faults.batch_size:
+            sequence = self._waiting.pop(0)
+            hashes = prefix_cache.block_hashes(sequence.messages)
+            cached = self._cache.match(hashes)
+            sequence.prefill_left = len(hashes) - cached
+            self._cache.fill(hashes, sequence.program)
+            self._note_event('stored', sequence.program, len(hashes))
+            self._running.append(sequence)
+
+    async def _step(self) -> None:
+        room = self.faults.prefill_blocks_per_step
+        for sequence in list(self._running):
+            taken = min(room, sequence.prefill_left)
+            sequence.prefill_left -= taken
+            room -= taken
+            if sequence.prefill_left == 0:
+                await self._decode(sequence)
+        self._running = [s for s in self._running if not s.is_done]
+
+    async def _decode(self, sequence: Sequence) -> None:
+        if sequence.is_cancelled:
+            return
+        if sequence.position >= sequence.length:
+            await sequence.tokens.put(('', sequence.position, True))
+            return
+        text = reference.answer_token(sequence.digest, sequence.position)
+        sequence.position += 1
+        await sequence.tokens.put((text, sequence.position, sequence.is_done))
+
+    def _cancel(self, body: dict[str, object]) -> http_message.Response:
+        found = [
+            sequence
+            for sequence in [*self._waiting, *self._running]
+            if sequence.request_id == body['request_id']
+        ]
+        for sequence in found:
+            sequence.is_cancelled = True
+        return http_message.Response.from_json({'cancelled': len(found)})
+
+    def _release(self, body: dict[str, object]) -> http_message.Response:
+        freed = self._cache.release(str(body['program']))
+        self._note_event('released', str(body['program']), freed)
+        return http_message.Response.from_json({'blocks': freed})
+
+    def _export(self, body: dict[str, object]) -> http_message.Response:
+        messages = [conversation.Message(**m) for m in body['messages']]
+        hashes = prefix_cache.block_hashes(messages)
+        cached = hashes[: self._cache.match(hashes)]
+        return http_message.Response.from_json({'blocks': cached})
+
+    def _import(self, body: dict[str, object]) -> http_message.Response:
+        self._cache.fill(list(body['blocks']), str(body['program']))
+        return http_message.Response.from_json({})
+
+    def _order(self, body: dict[str, object]) -> http_message.Response:
+        fence = int(body['fence'])
+        if self.faults.checks_fencing and fence < self._fence:
+            return http_message.Response.from_json(
+                {'fence': self._fence}, status=409
+            )
+        self._fence = max(fence, self._fence)
+        self._orders.append(body)
+        return http_message.Response.from_json({'fence': self._fence})
+
+    def _load(self) -> http_message.Response:
+        limit = time.monotonic() - self.faults.load_lag_seconds
+        shown = [load for at, load in self._load_reports if at <= limit]
+        return http_message.Response.from_json(
+            {'sequences': shown[-1] if shown else 0}
+        )
+
+    def _state(self) -> http_message.Response:
+        return http_message.Response.from_json(
+            {
+                'held': dict(self._cache.held),
+                'filled': self._cache.filled,
+                'wasted': self._cache.wasted,
+                'requests': dict(self._requests),
+                'sequences': len(self._waiting) + len(self._running),
+                'orders': self._orders,
+            }
+        )
+
+    def _note_load(self) -> None:
+        load = len(self._waiting) + len(self._running)
+        self._load_reports.append((time.monotonic(), load))
+
+    def _note_event(self, kind: str, program: str, blocks: int) -> None:
+        period = self.faults.lost_event_period
+        number = len(self._events) + 1
+        if period and number % period == 0:
+            kind = 'lost'
+        self._events.append(
+            {
+                'number': number,
+                'kind': kind,
+                'program': program,
+                'blocks': blocks,
+            }
+        )
+
+
+def _chunk(
+    sequence: Sequence, text: str, position: int, is_last: bool
+) -> bytes:
+    document = {
+        'id': sequence.request_id,
+        'object': 'chat.completion.chunk',
+        'choices': [
+            {
+                'index': 0,
+                'delta': {'content': text},
+                'finish_reason': sequence.finish_reason if is_last else None,
+            }
+        ],
+        'usage': {'completion_tokens': position - sequence.first},
+    }
+    return f'data: {json.dumps(document)}\n\n'.encode()
+
+
+async def _run(address: str, engine: Engine) -> None:
+    async with curio.TaskGroup() as group:
+        await group.spawn(engine.run)
+        await group.spawn(control.listener.serve_http, address, engine.handle)
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--listen', required=True)
+    parser.add_argument('--models', default='model-a')
+    parser.add_argument('--cache-blocks', type=int, default=4096)
+    parser.add_argument('--step-seconds', type=float, default=0.01)
+    options = parser.parse_args()
+    faults = EngineFaults(step_seconds=options.step_seconds)
+    engine = Engine(options.models.split(','), options.cache_blocks, faults)
+    curio.run(_run, options.listen, engine)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/proxy.py
@@ -0,0 +1,153 @@
+"""Fault-injecting TCP proxy."""
+
+import argparse
+import typing
+
+import curio
+
+from magnoliawood_server.http import message as http_message
+from magnoliawood_server.runtime import listener
+from magnoliawood_testing.standins import control
+
+_READ_SIZE_BYTES = 64 * 1024
+_FREEZE_POLL_SECONDS = 0.02
+
+Direction = typing.Literal['none', 'to_server', 'to_client', 'both']
+
+
+class ProxyFaults(control.Faults):
+    """Faults of the proxied link.
+
+    :param delay_seconds: added to every part in both directions
+    :param refuse: whether new connections are closed at once
+    :param drop_replies: parts towards the client to drop, after which
+        their connection is cut
+    """
+
+    delay_seconds: float = 0.0
+    refuse: bool = False
+    drop_replies: int = 0
+
+
+class _Link:
+    """One proxied connection."""
+
+    def __init__(
+        self, client: curio.io.Socket, server: curio.io.Socket
+    ) -> None:
+        self.client = client
+        self.server = server
+        self.frozen: Direction = 'none'
+        self.is_cut = False
+
+    def is_frozen(self, direction: str) -> bool:
+        return self.frozen in ('both', direction)
+
+    def cut(self) -> None:
+        self.is_cut = True
+        for sock in (self.client, self.server):
+            try:
+                sock._socket.shutdown(2)
+            except OSError:
+                pass
+
+
+class Proxy:
+    """Forwards connections to one server."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(':')
+        self._host = host
+        self._port = int(port)
+        self._links: set[_Link] = set()
+        self.faults = ProxyFaults()
+
+    async def serve_client(
+        self, client: curio.io.Socket, address: typing.Any
+    ) -> None:
+        """Forward one connection until either side closes it."""
+        if self.faults.refuse:
+            return
+        server = await curio.open_connection(self._host, self._port)
+        async with server:
+            link = _Link(client, server)
+            self._links.add(link)
+            try:
+                async with curio.TaskGroup(wait=any) as group:
+                    await group.spawn(
+                        self._pump, link, client, server, 'to_server'
+                    )
+                    await group.spawn(
+                        self._pump, link, server, client, 'to_client'
+                    )
+            finally:
+                self._links.discard(link)
+
+    async def handle(
+        self, request: http_message.Request
+    ) -> http_message.Response:
+        """Serve the control interface."""
+        match (request.method, request.path):
+            case ('POST', '/control/faults'):
+                self.faults = control.updated(self.faults, request)
+            case ('POST', '/control/freeze'):
+                direction = control.body_of(request)['direction']
+                for link in self._links:
+                    link.frozen = direction
+            case ('POST', '/control/cut'):
+                for link in list(self._links):
+                    link.cut()
+            case _:
+                raise control.no_route(request)
+        return http_message.Response.from_json({'links': len(self._links)})
+
+    async def _pump(
+        self,
+        link: _Link,
+        source: curio.io.Socket,
+        target: curio.io.Socket,
+        direction: str,
+    ) -> None:
+        try:
+            while data := await source.recv(_READ_SIZE_BYTES):
+                if not await self._pass(link, direction):
+                    return
+                await target.sendall(data)
+        except OSError:
+            link.cut()
+        while link.is_frozen(direction) and not link.is_cut:
+            await curio.sleep(_FREEZE_POLL_SECONDS)
+
+    async def _pass(self, link: _Link, direction: str) -> bool:
+        if self.faults.delay_seconds:
+            await curio.sleep(self.faults.delay_seconds)
+        if direction == 'to_client' and self.faults.drop_replies:
+            self.faults.drop_replies -= 1
+            link.cut()
+            return False
+        while link.is_frozen(direction) and not link.is_cut:
+            await curio.sleep(_FREEZE_POLL_SECONDS)
+        return not link.is_cut
+
+
+async def _run(options: argparse.Namespace) -> None:
+    proxy = Proxy(options.target)
+    host, _, port = options.listen.rpartition(':')
+    async with curio.TaskGroup() as group:
+        await group.spawn(
+            curio.tcp_server, host, int(port), proxy.serve_client
+        )
+        await group.spawn(listener.serve_http, options.control, proxy.handle)
+
+
+def main() -> None:
+    """Run the proxy."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--listen', required=True)
+    parser.add_argument('--target', required=True)
+    parser.add_argument('--control', required=True)
+    curio.run(_run, parser.parse_args())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and state of the magnoliawood scheduler, free of sockets."""
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/charts/chart.py
@@ -0,0 +1,95 @@
+"""A state chart read from a JSON file."""
+
+import functools
+import importlib.resources
+
+import pydantic
+import transitions
+
+
+class TransitionModel(pydantic.BaseModel):
+    """One transition of a chart file."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    trigger: str
+    source: str | list[str]
+    dest: str
+
+
+class ChartModel(pydantic.BaseModel):
+    """The content of a chart file."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    states: list[str]
+    initial: str
+    transitions: list[TransitionModel]
+
+
+class Chart:
+    """Transition table of one kind of object.
+
+    Explanation
+    ===========
+
+    The file is checked by :mod:`transitions` when it is loaded. The table is
+    then flattened so that one event costs one dictionary lookup.
+
+    Examples
+    ========
+
+    >>> chart = load_chart('program')
+    >>> chart.initial
+    'open'
+    >>> chart.next_state('open', 'end')
+    'ended'
+    >>> chart.next_state('ended', 'end')
+    Traceback (most recent call last):
+    ...
+    ValueError: no transition 'end' from state 'ended'
+    """
+
+    def __init__(self, model: ChartModel) -> None:
+        machine = transitions.Machine(
+            model=None,
+            states=model.states,
+            initial=model.initial,
+            transitions=[t.model_dump() for t in model.transitions],
+            auto_transitions=False,
+        )
+        self._initial = model.initial
+        self._table = {
+            (source, trigger): step.dest
+            for trigger, event in machine.events.items()
+            for source, steps in event.transitions.items()
+            for step in steps
+        }
+
+    @property
+    def initial(self) -> str:
+        """State in which an object starts."""
+        return self._initial
+
+    def next_state(self, state: str, trigger: str) -> str:
+        """Return the state after an event.
+
+        :raises ValueError: if the chart has no such transition
+        """
+        try:
+            return self._table[state, trigger]
+        except KeyError:
+            raise ValueError(
+                f'no transition {trigger!r} from state {state!r}'
+            ) from None
+
+
+@functools.cache
+def load_chart(name: str) -> Chart:
+    """Load and check the chart file ``name``.json of this package.
+
+    :raises pydantic.ValidationError: if the file is malformed
+    """
+    directory = importlib.resources.files('magnoliawood.charts')
+    text = (directory / f'{name}.json').read_text(encoding='utf-8')
+    return Chart(ChartModel.model_validate_json(text))
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/config/__init__.py
@@ -0,0 +1,8 @@
+"""Configuration that operators set: classes of work and accounts."""
+
+from magnoliawood.config.account import Account
+from magnoliawood.config.account import Role
+from magnoliawood.config.configuration import Configuration
+from magnoliawood.config.work_class import WorkClass
+
+__all__ = ['Account', 'Configuration', 'Role', 'WorkClass']
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/config/work_class.py
@@ -0,0 +1,35 @@
+"""Classes of work and their targets."""
+
+import typing
+
+import pydantic
+
+NAME_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
+
+
+class WorkClass(pydantic.BaseModel):
+    """A class of work: a name, a target and limits on budgets.
+
+    Explanation
+    ===========
+
+    Operators steer by targets alone. Any other field, such as a weight, a
+    server or an address, is refused by name.
+
+    Examples
+    ========
+
+    >>> WorkClass(name='alerts', target_seconds=2).max_calls
+    1000
+    """
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    name: typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+    target_seconds: typing.Annotated[
+        float, pydantic.Field(gt=0, le=7 * 24 * 3600)
+    ]
+    kind: typing.Literal['interactive', 'urgent', 'batch'] = 'interactive'
+    max_tokens: typing.Annotated[int, pydantic.Field(ge=1)] = 1_000_000
+    max_calls: typing.Annotated[int, pydantic.Field(ge=1)] = 1_000
+    max_seconds: typing.Annotated[float, pydantic.Field(gt=0)] = 86_400.0
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/ownership/__init__.py
@@ -0,0 +1,17 @@
+"""Who owns which programs, and how former owners are fenced off."""
+
+from magnoliawood.ownership.fence import FenceTable
+from magnoliawood.ownership.journal import JournalBuffer
+from magnoliawood.ownership.shard_map import Assignment
+from magnoliawood.ownership.shard_map import ShardMap
+from magnoliawood.ownership.witness import WitnessRecord
+from magnoliawood.ownership.witness import WitnessTable
+
+__all__ = [
+    'Assignment',
+    'FenceTable',
+    'JournalBuffer',
+    'ShardMap',
+    'WitnessRecord',
+    'WitnessTable',
+]
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/programs/call.py
@@ -0,0 +1,213 @@
+"""Calls: what a program asks of an upstream."""
+
+import dataclasses
+import hashlib
+import json
+import typing
+
+from magnoliawood import charts
+from magnoliawood.core import errors
+from magnoliawood.core import verdict as verdicts
+from magnoliawood.programs import identity
+from magnoliawood.programs import message as messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelRequest:
+    """A model turn.
+
+    :param model: name of the model
+    :param messages: the new messages of this turn
+    :param max_tokens: the most tokens to generate
+    """
+
+    model: str
+    messages: list[messages.Message]
+    max_tokens: int
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether it may run again after an unknown outcome."""
+        return True
+
+    @property
+    def token_limit(self) -> int:
+        """The most tokens it can spend."""
+        return self.max_tokens
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """A call of a plain service.
+
+    :param service: name of the service
+    :param operation: path segment that names the operation
+    :param body: JSON text of the arguments
+    :param idempotent: whether it may run again
+    """
+
+    service: str
+    operation: str
+    body: str
+    idempotent: bool
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether it may run again after an unknown outcome."""
+        return self.idempotent
+
+    @property
+    def token_limit(self) -> int:
+        """The most tokens it can spend."""
+        return 0
+
+
+Request = ModelRequest | ServiceRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallOutcome:
+    """How a call ended.
+
+    :param verdict: whether the request ran
+    :param content: the whole answer
+    :param tokens: generated tokens
+    :param status: status code of a service's answer, 200 for a model turn
+    :param finish_reason: why a model turn ended
+    :param code: error code where the call failed
+    :param detail: error text where the call failed
+    """
+
+    verdict: verdicts.Verdict
+    content: str = ''
+    tokens: int = 0
+    status: int = 200
+    finish_reason: str = 'stop'
+    code: str = ''
+    detail: str = ''
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the upstream gave a whole answer."""
+        return not self.code
+
+    @classmethod
+    def from_error(cls, error: errors.MagnoliawoodError) -> 'CallOutcome':
+        """Describe a failed call."""
+        return cls(
+            verdict=error.verdict,
+            status=error.status,
+            finish_reason='error',
+            code=str(error.code),
+            detail=error.detail,
+        )
+
+    def to_error(self) -> errors.MagnoliawoodError:
+        """Return the error that a failed call stands for."""
+        return errors.MagnoliawoodError(
+            errors.ErrorCode(self.code), self.detail, self.verdict
+        )
+
+
+def fingerprint(request: Request) -> str:
+    """Return a digest by which equal requests are recognised.
+
+    Examples
+    ========
+
+    >>> one = ServiceRequest('pours', 'book', '{}', False)
+    >>> two = ServiceRequest('pours', 'book', '{}', True)
+    >>> fingerprint(one) == fingerprint(two)
+    False
+    """
+    fields = dataclasses.asdict(typing.cast(typing.Any, request))
+    text = json.dumps(fields, sort_keys=True).encode()
+    return hashlib.blake2b(text, digest_size=16).hexdigest()
+
+
+class Call:
+    """One call of a program and the state it is in.
+
+    :param call_id: program and sequence number
+    :param key: idempotency key that the caller gave
+    :param request: what to run
+    :param reserved: tokens reserved for it
+    """
+
+    def __init__(
+        self,
+        call_id: identity.CallId,
+        key: str,
+        request: Request,
+        reserved: int,
+    ) -> None:
+        self._id = call_id
+        self._key = key
+        self._request = request
+        self._reserved = reserved
+        self._fingerprint = fingerprint(request)
+        self._chart = charts.load_chart('call')
+        self._state = self._chart.initial
+        self._outcome: CallOutcome | None = None
+        self.upstream = ''
+        self.upstream_incarnation = ''
+        self.attempt = 0
+
+    @property
+    def id(self) -> identity.CallId:
+        """Program and sequence number."""
+        return self._id
+
+    @property
+    def key(self) -> str:
+        """Idempotency key."""
+        return self._key
+
+    @property
+    def request(self) -> Request:
+        """What to run."""
+        return self._request
+
+    @property
+    def reserved(self) -> int:
+        """Tokens reserved for it."""
+        return self._reserved
+
+    @property
+    def state(self) -> str:
+        """State in the chart ``call``."""
+        return self._state
+
+    @property
+    def outcome(self) -> CallOutcome | None:
+        """How it ended, once it has."""
+        return self._outcome
+
+    @property
+    def is_done(self) -> bool:
+        """Whether it has an outcome."""
+        return self._outcome is not None
+
+    def matches(self, key: str, request: Request) -> bool:
+        """Whether a repeat is the same call as this one."""
+        return key == self._key and fingerprint(request) == self._fingerprint
+
+    def advance(self, trigger: str) -> None:
+        """Apply an event of the chart.
+
+        :raises ValueError: if the chart forbids it
+        """
+        self._state = self._chart.next_state(self._state, trigger)
+
+    def finish(self, outcome: CallOutcome) -> None:
+        """Set the outcome and the state that goes with it."""
+        self.advance(_trigger_of(outcome))
+        self._outcome = outcome
+
+
+def _trigger_of(outcome: CallOutcome) -> str:
+    if outcome.is_success:
+        return 'finish'
+    if outcome.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+        return 'lose_outcome'
+    return 'fail'
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/programs/program.py
@@ -0,0 +1,210 @@
+"""A program: a chain of dependent calls with one history and budget."""
+
+import datetime
+import itertools
+
+from magnoliawood import charts
+from magnoliawood.core import errors
+from magnoliawood.programs import budget as budgets
+from magnoliawood.programs import call as call_models
+from magnoliawood.programs import identity
+from magnoliawood.programs import message as messages
+from magnoliawood.programs import records
+
+
+class Program:
+    """State of one program, changed only by applying records.
+
+    Explanation
+    ===========
+
+    The owner validates a request, forms a record, applies it here and hands
+    it to the journal. Takeover applies the same records in the same order,
+    so both paths give the same state.
+
+    :param opened: the record that opened the program
+    :param parent: the parent program, whose budget it draws on
+    """
+
+    def __init__(
+        self, opened: records.Opened, parent: 'Program | None' = None
+    ) -> None:
+        self._opened = opened
+        self._parent = parent
+        self._ledger = budgets.BudgetLedger(
+            opened.budget, parent.ledger if parent else None
+        )
+        self._chart = charts.load_chart('program')
+        self._state = self._chart.initial
+        self._end_reason = ''
+        self._calls: list[call_models.Call] = []
+        self._history: list[messages.Message] = []
+        self._digest = ''
+
+    @property
+    def key(self) -> identity.ProgramKey:
+        """Caller and name."""
+        return self._opened.program
+
+    @property
+    def work_class(self) -> str:
+        """Name of the class of work."""
+        return self._opened.work_class
+
+    @property
+    def opened(self) -> records.Opened:
+        """The record that opened it."""
+        return self._opened
+
+    @property
+    def ledger(self) -> budgets.BudgetLedger:
+        """Budget and what was spent of it."""
+        return self._ledger
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether it accepts no more calls."""
+        return self._state == 'ended'
+
+    @property
+    def end_reason(self) -> str:
+        """Why it ended."""
+        return self._end_reason
+
+    @property
+    def history(self) -> list[messages.Message]:
+        """All messages in order."""
+        return self._history
+
+    @property
+    def digest(self) -> str:
+        """Hash chain over the history."""
+        return self._digest
+
+    @property
+    def calls(self) -> list[call_models.Call]:
+        """All calls in order."""
+        return self._calls
+
+    @property
+    def next_sequence(self) -> int:
+        """Sequence number of the next new call, from 1."""
+        return len(self._calls) + 1
+
+    @property
+    def pending(self) -> call_models.Call | None:
+        """The last call, if it has no outcome yet."""
+        if self._calls and not self._calls[-1].is_done:
+            return self._calls[-1]
+        return None
+
+    def call(self, sequence: int) -> call_models.Call:
+        """Return a call by its sequence number.
+
+        :raises MagnoliawoodError: with ``unknown_call``
+        """
+        if not 1 <= sequence <= len(self._calls):
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.UNKNOWN_CALL,
+                f'program {self.key.name} has no call {sequence}',
+            )
+        return self._calls[sequence - 1]
+
+    def check_time(self, now: datetime.datetime) -> None:
+        """Refuse a call once the wall time of the budget is over.
+
+        :raises MagnoliawoodError: with ``budget_exhausted``
+        """
+        limit = datetime.timedelta(seconds=self._opened.budget.seconds)
+        if now - self._opened.opened_at > limit:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.BUDGET_EXHAUSTED,
+                f'the budget of {limit.total_seconds():g} s is over',
+            )
+        if self._parent is not None:
+            self._parent.check_time(now)
+
+    def apply(self, record: records.Record) -> None:
+        """Apply one journal record."""
+        if isinstance(record, records.Intended):
+            self._apply_intended(record)
+        elif isinstance(record, records.Settled):
+            self._apply_settled(record)
+        elif isinstance(record, records.Withdrawn):
+            self._apply_withdrawn(record)
+        elif isinstance(record, records.Ended) and not self.is_ended:
+            self._state = self._chart.next_state(self._state, 'end')
+            self._end_reason = record.reason
+
+    def snapshot(self) -> list[records.Record]:
+        """Return the records that rebuild this state."""
+        return [
+            self._opened,
+            *itertools.chain.from_iterable(map(_call_records, self._calls)),
+            *([records.Ended(self.key, self._end_reason)] * self.is_ended),
+        ]
+
+    def _apply_intended(self, record: records.Intended) -> None:
+        sequence = record.call.sequence
+        if sequence == self.next_sequence:
+            call = call_models.Call(
+                record.call, record.key, record.request, record.reserved
+            )
+            self._ledger.restore(record.reserved)
+            self._calls.append(call)
+        call = self.call(sequence)
+        if call.is_done or record.attempt <= call.attempt:
+            return
+        if call.state == 'accepted':
+            call.advance('record_intent')
+        call.upstream = record.upstream
+        call.upstream_incarnation = record.upstream_incarnation
+        call.attempt = record.attempt
+
+    def _apply_withdrawn(self, record: records.Withdrawn) -> None:
+        pending = self.pending
+        if pending is not None and pending.id == record.call:
+            self._calls.pop()
+            self._ledger.withdraw(pending.reserved)
+
+    def _apply_settled(self, record: records.Settled) -> None:
+        call = self.call(record.call.sequence)
+        if call.is_done:
+            return
+        call.finish(record.outcome)
+        self._ledger.settle(call.reserved, record.outcome.tokens)
+        self._extend_history(call, record.outcome)
+
+    def _extend_history(
+        self, call: call_models.Call, outcome: call_models.CallOutcome
+    ) -> None:
+        if not outcome.is_success:
+            return
+        new = _history_of(call.request, outcome)
+        self._history.extend(new)
+        self._digest = messages.chain_digest(self._digest, new)
+
+
+def _call_records(call: call_models.Call) -> list[records.Record]:
+    intended = records.Intended(
+        call.id,
+        call.key,
+        call.request,
+        call.reserved,
+        call.upstream,
+        call.upstream_incarnation,
+        call.attempt,
+    )
+    if call.outcome is None:
+        return [intended]
+    return [intended, records.Settled(call.id, call.outcome)]
+
+
+def _history_of(
+    request: call_models.Request, outcome: call_models.CallOutcome
+) -> list[messages.Message]:
+    if isinstance(request, call_models.ModelRequest):
+        answer = messages.Message('assistant', outcome.content)
+        return [*request.messages, answer]
+    name = f'{request.service}/{request.operation}'
+    return [messages.Message('tool', f'{name}: {outcome.content}')]
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/programs/records.py
@@ -0,0 +1,67 @@
+"""Journal records from which a program can be rebuilt."""
+
+import dataclasses
+import datetime
+
+from magnoliawood.programs import budget as budgets
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import identity
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """A program was opened."""
+
+    program: identity.ProgramKey
+    work_class: str
+    budget: budgets.Budget
+    opened_at: datetime.datetime
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Intended:
+    """A call is about to be sent to the named upstream.
+
+    :param attempt: number of the order, from 1
+    """
+
+    call: identity.CallId
+    key: str
+    request: calls.ModelRequest | calls.ServiceRequest
+    reserved: int
+    upstream: str
+    upstream_incarnation: str
+    attempt: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settled:
+    """A call has an outcome."""
+
+    call: identity.CallId
+    outcome: calls.CallOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """A call certainly did not run and is taken back."""
+
+    call: identity.CallId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """A program was ended."""
+
+    program: identity.ProgramKey
+    reason: str
+
+
+Record = Opened | Intended | Settled | Withdrawn | Ended
+
+
+def program_of(record: Record) -> identity.ProgramKey:
+    """Return the program that a record belongs to."""
+    if isinstance(record, Opened | Ended):
+        return record.program
+    return record.call.program
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/telemetry/registry.py
@@ -0,0 +1,124 @@
+"""Registry of counters, gauges and latency histograms."""
+
+import collections
+import dataclasses
+import datetime
+
+import hdrh.histogram
+
+_LOWEST_MICROSECONDS = 1
+_HIGHEST_MICROSECONDS = 24 * 3600 * 1_000_000
+_SIGNIFICANT_DIGITS = 2
+_QUANTILES = (0.5, 0.95, 0.99)
+_MICROSECONDS_PER_SECOND = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class _Series:
+    name: str
+    labels: tuple[tuple[str, str], ...]
+
+    def text(self, *extra: tuple[str, str]) -> str:
+        pairs = [f'{key}="{value}"' for key, value in (*self.labels, *extra)]
+        return f'{self.name}{{{",".join(pairs)}}}' if pairs else self.name
+
+
+def _series(name: str, labels: dict[str, str]) -> _Series:
+    return _Series(name, tuple(sorted(labels.items())))
+
+
+class Registry:
+    """Metrics of one process.
+
+    Examples
+    ========
+
+    >>> registry = Registry()
+    >>> registry.count('refusals_total', reason='overloaded')
+    >>> registry.counter('refusals_total', reason='overloaded')
+    1
+    >>> print(registry.exposition())
+    # TYPE refusals_total counter
+    refusals_total{reason="overloaded"} 1
+    <BLANKLINE>
+    """
+
+    def __init__(self) -> None:
+        self._counters: collections.Counter[_Series] = collections.Counter()
+        self._gauges: dict[_Series, float] = {}
+        self._histograms: dict[_Series, hdrh.histogram.HdrHistogram] = {}
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Add to a counter."""
+        self._counters[_series(name, labels)] += amount
+
+    def counter(self, name: str, **labels: str) -> int:
+        """Return the value of a counter."""
+        return self._counters[_series(name, labels)]
+
+    def set_gauge(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge."""
+        self._gauges[_series(name, labels)] = value
+
+    def record(
+        self, name: str, duration: datetime.timedelta, **labels: str
+    ) -> None:
+        """Record a duration in a histogram."""
+        series = _series(name, labels)
+        histogram = self._histograms.get(series)
+        if histogram is None:
+            histogram = hdrh.histogram.HdrHistogram(
+                _LOWEST_MICROSECONDS,
+                _HIGHEST_MICROSECONDS,
+                _SIGNIFICANT_DIGITS,
+            )
+            self._histograms[series] = histogram
+        microseconds = duration // datetime.timedelta(microseconds=1)
+        histogram.record_value(max(_LOWEST_MICROSECONDS, microseconds))
+
+    def exposition(self) -> str:
+        """Return all metrics in the text exposition format."""
+        lines = [
+            *_typed_lines('counter', self._counters),
+            *_typed_lines('gauge', self._gauges),
+        ]
+        for series in sorted(self._histograms):
+            lines += _summary_lines(series, self._histograms[series])
+        return '\n'.join(lines) + '\n'
+
+
+def _typed_lines(kind: str, values: dict[_Series, float]) -> list[str]:
+    lines = []
+    previous = ''
+    for series in sorted(values):
+        if series.name != previous:
+            lines.append(f'# TYPE {series.name} {kind}')
+            previous = series.name
+        lines.append(f'{series.text()} {values[series]}')
+    return lines
+
+
+def _summary_lines(
+    series: _Series, histogram: hdrh.histogram.HdrHistogram
+) -> list[str]:
+    values = [
+        (
+            quantile,
+            histogram.get_value_at_percentile(quantile * 100)
+            / _MICROSECONDS_PER_SECOND,
+        )
+        for quantile in _QUANTILES
+    ]
+    count = histogram.get_total_count()
+    mean = histogram.get_mean_value() / _MICROSECONDS_PER_SECOND
+    count_series = dataclasses.replace(series, name=f'{series.name}_count')
+    sum_series = dataclasses.replace(series, name=f'{series.name}_sum')
+    return [
+        f'# TYPE {series.name} summary',
+        *(
+            f'{series.text(("quantile", str(quantile)))} {value:.6f}'
+            for quantile, value in values
+        ),
+        f'{sum_series.text()} {mean * count:.6f}',
+        f'{count_series.text()} {count}',
+    ]
