Measure the slopes of capacity and project them

make capacity measures state, messages and real processes on one machine and projects them to the size to come.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,7 @@
 format: setup
 	$(BIN)/ruff check --fix-only --quiet packages bin
 	$(BIN)/ruff format packages bin
+
+.PHONY: capacity
+capacity: setup
+	$(BIN)/python -m magnoliawood_testing.capacity
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/capacity/__main__.py
@@ -0,0 +1,29 @@
+"""Measures all slopes and prints them with their projection."""
+
+from magnoliawood_testing.capacity import process_slopes
+from magnoliawood_testing.capacity import projection
+from magnoliawood_testing.capacity import state_slopes
+from magnoliawood_testing.capacity import wire_slopes
+
+
+def main() -> None:
+    """Print two Markdown tables."""
+    measured = [
+        *state_slopes.measure(),
+        *wire_slopes.measure(),
+        *process_slopes.measure(),
+    ]
+    print('| slope | value | unit |\n|---|---:|---|')
+    for slope in measured:
+        print(f'| {slope.name} | {slope.value:.4g} | {slope.unit} |')
+    print('\n| at the size to come | value | unit | from | line |')
+    print('|---|---:|---|---|---|')
+    for line in projection.project(measured):
+        print(
+            f'| {line.name} | {line.value:.4g} | {line.unit} '
+            f'| {line.formula} | {line.verdict} |'
+        )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/capacity/projection.py
@@ -0,0 +1,237 @@
+"""Projection of measured slopes to the size to come."""
+
+import dataclasses
+
+from magnoliawood_testing.capacity import slope as slopes
+
+NODES = 340
+SIDECARS = 3_300
+PROGRAMS = 100_000
+REQUESTS_PER_SECOND = 4_600
+TOKENS_PER_SECOND = 1_900_000
+ACCOUNTS = 16_000
+SHARDS = 4_096
+CHANGES_PER_DAY = 12_000
+STORE_CALLS_PER_SECOND = 2_000
+STORE_WRITES_PER_SECOND = 300
+CONTROL_CORE_PERCENT = 3.2
+CONTROL_MEMORY_MB = 64
+CONTROL_BYTES_PER_SECOND = 4_000
+STORE_VALUE_LIMIT_MB = 1
+_SECONDS_PER_DAY = 86_400
+_TURNS_PER_PROGRAM = 95
+_PROBES_PER_SECOND = 2.5
+_HELLOS_PER_SECOND = 2.0
+_HEARTBEATS_PER_SECOND = 2.0
+_RECONCILES_PER_SECOND = 5.0
+_CHARACTERS_PER_TOKEN = 4
+_MEBIBYTE = 1024**2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One projected figure and the limit that it is judged against.
+
+    :param formula: the slopes and sizes that it is worked out from
+    :param limit: what the size to come allows, 0 where nothing is stated
+    """
+
+    name: str
+    value: float
+    unit: str
+    formula: str
+    limit: float = 0.0
+
+    @property
+    def verdict(self) -> str:
+        """How the figure compares with the limit."""
+        if not self.limit:
+            return 'no line stated'
+        if self.value <= self.limit:
+            return 'holds'
+        return f'misses {self.value / self.limit:.3g} times over'
+
+
+def project(measured: list[slopes.Slope]) -> list[Line]:
+    """Return today's design at the size to come."""
+    value = {slope.name: slope.value for slope in measured}
+    return [
+        *_memory_lines(value),
+        *_processor_lines(value),
+        *_network_lines(value),
+        *_store_lines(value),
+    ]
+
+
+def _memory_lines(value: dict[str, float]) -> list[Line]:
+    programs = PROGRAMS / NODES
+    state = programs * (value['program'] + _TURNS_PER_PROGRAM * value['turn'])
+    accounts = ACCOUNTS * value['account memory']
+    total = value['memory of an entry'] + (state + accounts) / _MEBIBYTE
+    return [
+        Line(
+            'entry: programs',
+            state / _MEBIBYTE,
+            'MB',
+            f'{programs:.0f} programs x {_TURNS_PER_PROGRAM} turns of 200 '
+            'characters',
+        ),
+        Line(
+            'entry: accounts',
+            accounts / _MEBIBYTE,
+            'MB',
+            f'{ACCOUNTS} accounts x account memory',
+        ),
+        Line(
+            'entry: memory',
+            total,
+            'MB',
+            'memory of an entry + programs + accounts',
+            CONTROL_MEMORY_MB,
+        ),
+        Line(
+            'sidecar: memory',
+            value['memory of a sidecar'],
+            'MB',
+            'memory of a sidecar',
+            CONTROL_MEMORY_MB,
+        ),
+    ]
+
+
+def _processor_lines(value: dict[str, float]) -> list[Line]:
+    shards_by_entries = SHARDS * NODES
+    reconcile = (
+        shards_by_entries
+        * value['preferred owner']
+        * _RECONCILES_PER_SECOND
+        / 1e6
+    )
+    tokens = TOKENS_PER_SECOND / NODES
+    parse = (
+        CHANGES_PER_DAY
+        / _SECONDS_PER_DAY
+        * ACCOUNTS
+        * value['account parse']
+        / 1e6
+    )
+    return [
+        Line(
+            'entry: idle',
+            value['idle entry'],
+            '% of a core',
+            'idle entry, 3 entries and 4 sidecars',
+            CONTROL_CORE_PERCENT,
+        ),
+        Line(
+            'entry: ownership',
+            reconcile * 100,
+            '% of a core',
+            f'{SHARDS} shards x {NODES} entries x preferred owner x '
+            f'{_RECONCILES_PER_SECOND:g}/s',
+            CONTROL_CORE_PERCENT,
+        ),
+        Line(
+            'entry: configuration',
+            parse * 100,
+            '% of a core',
+            f'{CHANGES_PER_DAY} changes a day x {ACCOUNTS} accounts x '
+            'account parse',
+            CONTROL_CORE_PERCENT,
+        ),
+        Line(
+            'entry: answers',
+            tokens * value['entry path'] / 1e4,
+            '% of a core',
+            f'{tokens:.0f} tokens/s x entry path',
+        ),
+        Line(
+            'sidecar: idle',
+            value['idle sidecar'],
+            '% of a core',
+            'idle sidecar',
+            CONTROL_CORE_PERCENT,
+        ),
+        Line(
+            'sidecar: answers',
+            TOKENS_PER_SECOND / SIDECARS * value['sidecar path'] / 1e4,
+            '% of a core',
+            f'{TOKENS_PER_SECOND / SIDECARS:.0f} tokens/s x sidecar path',
+        ),
+    ]
+
+
+def _network_lines(value: dict[str, float]) -> list[Line]:
+    probes = (NODES - 1) * _PROBES_PER_SECOND * value['probe']
+    hellos = SIDECARS * _HELLOS_PER_SECOND * value['hello']
+    links = NODES - 1 + SIDECARS
+    beats = links * _HEARTBEATS_PER_SECOND * 2 * value['heartbeat']
+    changes = CHANGES_PER_DAY / _SECONDS_PER_DAY
+    configuration = changes * ACCOUNTS * value['account bytes']
+    return [
+        Line(
+            'entry: probes',
+            probes,
+            'B/s',
+            f'{NODES - 1} peers x {_PROBES_PER_SECOND:g}/s x probe',
+            CONTROL_BYTES_PER_SECOND,
+        ),
+        Line(
+            'entry: sidecar polls',
+            hellos,
+            'B/s',
+            f'{SIDECARS} sidecars x {_HELLOS_PER_SECOND:g}/s x hello',
+            CONTROL_BYTES_PER_SECOND,
+        ),
+        Line(
+            'entry: heartbeats',
+            beats,
+            'B/s',
+            f'{links} connections x 2 ways x '
+            f'{_HEARTBEATS_PER_SECOND:g}/s x heartbeat',
+            CONTROL_BYTES_PER_SECOND,
+        ),
+        Line(
+            'entry: configuration',
+            configuration,
+            'B/s',
+            f'{changes:.3f} changes/s x {ACCOUNTS} accounts x account bytes',
+            CONTROL_BYTES_PER_SECOND,
+        ),
+    ]
+
+
+def _store_lines(value: dict[str, float]) -> list[Line]:
+    turn_bytes = value['journal bytes']
+    turns = REQUESTS_PER_SECOND
+    answer_bytes = TOKENS_PER_SECOND * _CHARACTERS_PER_TOKEN
+    map_bytes = SHARDS * value['shard map bytes']
+    return [
+        Line(
+            'store: calls of idle entries',
+            NODES * value['idle store calls'],
+            'calls/s',
+            f'{NODES} entries x idle store calls',
+            STORE_CALLS_PER_SECOND,
+        ),
+        Line(
+            'store: journal bytes',
+            (turns * turn_bytes + answer_bytes) / _MEBIBYTE,
+            'MB/s',
+            f'{turns} turns/s x journal bytes + {TOKENS_PER_SECOND} '
+            f'tokens/s x {_CHARACTERS_PER_TOKEN} B',
+        ),
+        Line(
+            'store: journal interval for all entries',
+            NODES / STORE_WRITES_PER_SECOND,
+            's',
+            f'{NODES} owners within {STORE_WRITES_PER_SECOND} writes/s',
+        ),
+        Line(
+            'store: shard map',
+            map_bytes / _MEBIBYTE,
+            'MB',
+            f'{SHARDS} shards x shard map bytes',
+            STORE_VALUE_LIMIT_MB,
+        ),
+    ]
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/capacity/tests/test_projection.py
@@ -0,0 +1,31 @@
+from magnoliawood_testing.capacity import projection
+from magnoliawood_testing.capacity import state_slopes
+from magnoliawood_testing.capacity import wire_slopes
+
+PROCESS_SLOPES = {
+    'memory of an entry': 40.0,
+    'memory of a sidecar': 40.0,
+    'idle entry': 1.0,
+    'idle sidecar': 1.0,
+    'entry path': 50.0,
+    'sidecar path': 50.0,
+    'idle store calls': 3.0,
+}
+
+
+def test_every_slope_is_positive_and_projected():
+    measured = [*state_slopes.measure(), *wire_slopes.measure()]
+    assert all(slope.value > 0 for slope in measured)
+    measured += [
+        projection.slopes.Slope(name, value, '')
+        for name, value in PROCESS_SLOPES.items()
+    ]
+    lines = projection.project(measured)
+    assert all(line.value > 0 for line in lines)
+
+
+def test_figure_is_judged_against_its_line():
+    held = projection.Line('a', 3.0, 'MB', '', 4.0)
+    missed = projection.Line('a', 8.0, 'MB', '', 4.0)
+    assert held.verdict == 'holds'
+    assert missed.verdict == 'misses 2 times over'
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/caller.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/caller.py
@@ -75,6 +75,20 @@
         path = f'/v1/programs/{program}/calls/{sequence}'
         return await self.request('PUT', path, body)
 
+    async def call_text(
+        self, program: str, sequence: int, body: typing.Any
+    ) -> str:
+        """Run a call once and return the text of its answer."""
+        request = http_client.json_request(
+            'PUT',
+            f'/v1/programs/{program}/calls/{sequence}',
+            body,
+            authorization=f'Bearer {self._token}',
+        )
+        client = http_client.HttpClient(next(self._addresses))
+        _, data = await client.fetch(request, CALL_TIMEOUT)
+        return data.decode()
+
     async def request(
         self, method: str, path: str, body: typing.Any = None
     ) -> typing.Any:
