Place the fault proxy on any link of a deployment

The deployment takes pairs of client and server and starts a proxy between them, so that a test can freeze, cut or slow one link while others work.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -11,6 +11,7 @@
 import time
 import typing
 
+from magnoliawood_testing.cluster import link as links_of
 from magnoliawood_testing.cluster import process as processes
 
 OPERATOR_TOKEN = 'operator-token-of-the-deployment'
@@ -80,6 +81,8 @@
     :param engines: number of model engines
     :param services: names of plain services, one process each
     :param entries: number of entries
+    :param links: pairs of client and server with a proxy between them, as
+        in :class:`~magnoliawood_testing.cluster.link.LinkName`
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         folder: pathlib.Path | None = None,
         entry_settings: dict[str, object] | None = None,
         sidecar_settings: dict[str, object] | None = None,
+        links: tuple[tuple[str, str], ...] = (),
     ) -> None:
         self._temporary = None
         if folder is None:
@@ -103,6 +107,7 @@
         self._entry_settings = entry_settings or {}
         self._sidecar_settings = sidecar_settings or {}
         self._centres = itertools.cycle(_DATA_CENTRES)
+        self.links = links_of.Links(links, self._process)
         self.upstreams: dict[str, Node] = {}
         self.sidecars: dict[str, Node] = {}
         self.entries: dict[str, Node] = {}
@@ -131,6 +136,10 @@
         self.platform.process.start()
         wait_until(lambda: _answers(self.platform.http), 'platform')
         self.publish_hosts()
+        for link in self.links.all():
+            link.process.start()
+        for link in self.links.all():
+            wait_until(lambda at=link.control: _answers(at), 'proxy')
         for node in self.nodes():
             if node is not self.platform:
                 node.process.start()
@@ -139,7 +148,7 @@
 
     def stop(self) -> None:
         """Kill everything."""
-        for node in self.nodes():
+        for node in [*self.nodes(), *self.links.all()]:
             node.process.kill()
         if self._temporary is not None:
             self._temporary.cleanup()
@@ -167,7 +176,9 @@
             {
                 'name': node.name,
                 'role': node.role,
-                'address': node.peer,
+                'address': self.links.address(
+                    links_of.ENTRIES, node.name, node.peer
+                ),
                 'data_centre': node.data_centre,
                 'leaving': node.is_leaving,
             }
@@ -310,14 +321,17 @@
         settings = {
             'name': sidecar,
             'data_centre': centre,
-            'platform': self.platform.http,
+            'platform': self.links.place(
+                sidecar, 'platform', self.platform.http
+            ),
             'peer_listen': peer,
             'http_listen': http_address,
-            'upstream': address,
+            'upstream': self.links.place(sidecar, name, address),
             'kind': kind,
             'serves': serves,
             **self._sidecar_settings,
         }
+        self.links.place(links_of.ENTRIES, sidecar, peer)
         self.sidecars[sidecar] = Node(
             sidecar,
             'sidecar',
@@ -335,7 +349,7 @@
         settings = {
             'name': name,
             'data_centre': centre,
-            'platform': self.platform.http,
+            'platform': self.links.place(name, 'platform', self.platform.http),
             'peer_listen': peer,
             'http_listen': http_address,
             'operator_token_hash': hashlib.sha256(
@@ -343,6 +357,8 @@
             ).hexdigest(),
             **self._entry_settings,
         }
+        self.links.place(links_of.ENTRIES, name, peer)
+        self.links.place(links_of.CALLERS, name, http_address)
         self.entries[name] = Node(
             name,
             'entry',
