Add a load and experiment tool and policies by name

The engine stand-in now evicts the end of a prompt before its start, prefills in the order of priorities and counts blocks still unused.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 format: setup
 	$(BIN)/ruff check --fix-only --quiet packages bin
 	$(BIN)/ruff format packages bin
+
+bench: setup
+	$(BIN)/python -m magnoliawood_testing.load.bench
--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -11,8 +11,7 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.programs import table as tables
-from magnoliawood.scheduling import priority as priorities
-from magnoliawood.scheduling import routing
+from magnoliawood.scheduling import policies
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import admin_api
 from magnoliawood_server.entry import call_executor
@@ -119,13 +118,14 @@
             self._metrics,
             self._service.adopt,
         )
+        policy = policies.make_policy(self._settings.policy)
         executor = call_executor.CallExecutor(
             self._sidecars,
             self._pool,
             self._clock,
             self._metrics,
-            routing.StayOrLeastLoaded(),
-            priorities.EarliestProgramDeadline(),
+            policy.router,
+            policy.priority,
             self._service.journal,
             self._service.wait_durable,
         )
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -6,6 +6,8 @@
 import pydantic
 import pydantic_settings
 
+from magnoliawood.scheduling import policies
+
 ENVIRONMENT_PREFIX = 'MAGNOLIAWOOD_'
 _ADDRESS = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
 _NAME = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
@@ -64,6 +66,10 @@
         le=60,
         description='silence after which another entry counts as dead',
     )
+    policy: typing.Literal[policies.NAMES] = pydantic.Field(
+        default=policies.STANDARD,
+        description='decisions to use, meant for experiments only',
+    )
 
 
 class SidecarSettings(CommonSettings):
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -92,6 +92,7 @@
         folder: pathlib.Path | None = None,
         entry_settings: dict[str, object] | None = None,
         sidecar_settings: dict[str, object] | None = None,
+        engine_settings: dict[str, object] | None = None,
     ) -> None:
         self._temporary = None
         if folder is None:
@@ -102,6 +103,7 @@
         self._step_seconds = step_seconds
         self._entry_settings = entry_settings or {}
         self._sidecar_settings = sidecar_settings or {}
+        self._engine_settings = engine_settings or {}
         self._centres = itertools.cycle(_DATA_CENTRES)
         self.upstreams: dict[str, Node] = {}
         self.sidecars: dict[str, Node] = {}
@@ -279,6 +281,7 @@
                 'listen': address,
                 'models': self.models,
                 'step_seconds': self._step_seconds,
+                **self._engine_settings,
             },
         )
         self._add_upstream(name, process, address, 'engine', self.models)
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/load/experiment.py
@@ -0,0 +1,172 @@
+"""One run of a workload against a deployment of real processes."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import os
+import threading
+
+import curio
+
+from magnoliawood_testing.cluster import deployment as deployments
+from magnoliawood_testing.load import capacity
+from magnoliawood_testing.load import driver as drivers
+from magnoliawood_testing.load import faults
+from magnoliawood_testing.load import workload as workloads
+
+_ENTRIES = 3
+_CALLER = 'callers'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Experiment:
+    """Parameters of a run.
+
+    :param load: arrivals as a multiple of the computed capacity
+    :param scale: scaled seconds for each unscaled second
+    :param seconds: time in which programs arrive, scaled
+    :param drain_seconds: time for the rest, scaled
+    :param fault: name of a fault, or empty
+    """
+
+    workload: str
+    policy: str
+    load: float
+    seed: int
+    scale: float = 0.25
+    seconds: float = 15.0
+    drain_seconds: float = 20.0
+    fault: str = ''
+    engine: capacity.EngineModel = dataclasses.field(
+        default_factory=capacity.EngineModel
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class CacheUse:
+    """Blocks cached by all engines.
+
+    :param filled: blocks that were cached
+    :param wasted: blocks that left the cache unused or lie there unused
+    """
+
+    filled: int = 0
+    wasted: int = 0
+
+    @property
+    def wasted_ratio(self) -> float:
+        """Wasted blocks in proportion to the cached ones."""
+        return self.wasted / self.filled if self.filled else 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Measured:
+    """What a run gave.
+
+    :param capacity: computed capacity in programs a second, scaled
+    :param lateness_seconds: the latest that a program was started
+    :param load_average: of the machine over the last minute, at the end
+    """
+
+    experiment: Experiment
+    capacity: float
+    results: list[drivers.ProgramResult]
+    answers: collections.Counter[str]
+    retries: collections.Counter[str]
+    cache: CacheUse
+    lateness_seconds: float
+    load_average: float
+
+
+def run_experiment(experiment: Experiment) -> Measured:
+    """Start a deployment, run the workload and collect the figures."""
+    workload = workloads.WORKLOADS[experiment.workload]
+    engine = experiment.engine
+    rate = capacity.programs_per_second(workload, engine)
+    plans = workload.plans(
+        experiment.seed,
+        rate * experiment.load,
+        experiment.seconds / experiment.scale,
+    )
+    with _make_deployment(experiment, workload) as deployment:
+        token = _configure(deployment, workload, experiment.scale)
+        driver = drivers.Driver(
+            [node.http for node in deployment.entries.values()],
+            token,
+            experiment.scale,
+        )
+        with _fault_at(deployment, experiment):
+            curio.run(driver.run, plans, experiment.drain_seconds)
+        cache = _cache_use(deployment)
+    return Measured(
+        experiment,
+        rate / experiment.scale,
+        driver.results,
+        driver.answers,
+        driver.retries,
+        cache,
+        driver.lateness_seconds,
+        os.getloadavg()[0],
+    )
+
+
+def _make_deployment(
+    experiment: Experiment, workload: workloads.Workload
+) -> deployments.Deployment:
+    engine = experiment.engine
+    return deployments.Deployment(
+        engines=engine.engines,
+        services=workload.services,
+        entries=_ENTRIES,
+        step_seconds=engine.step_seconds * experiment.scale,
+        entry_settings={'policy': experiment.policy},
+        sidecar_settings={'concurrency': engine.batch_size},
+        engine_settings={
+            'cache_blocks': engine.cache_blocks,
+            'batch_size': engine.batch_size,
+            'prefill_blocks': engine.prefill_blocks,
+        },
+    )
+
+
+def _configure(
+    deployment: deployments.Deployment,
+    workload: workloads.Workload,
+    scale: float,
+) -> str:
+    for item in workload.classes:
+        deployment.create_class(item.name, item.target_seconds * scale)
+    token = deployment.create_account(_CALLER)
+    deployment.wait_for_configuration()
+    return token
+
+
+@contextlib.contextmanager
+def _fault_at(
+    deployment: deployments.Deployment, experiment: Experiment
+) -> collections.abc.Iterator[None]:
+    """Cause the fault of an experiment at a third of the run."""
+    if not experiment.fault:
+        yield
+        return
+    timer = threading.Timer(
+        experiment.seconds / 3,
+        faults.FAULTS[experiment.fault],
+        [deployment, experiment.engine.step_seconds * experiment.scale],
+    )
+    timer.start()
+    try:
+        yield
+    finally:
+        timer.cancel()
+        timer.join()
+
+
+def _cache_use(deployment: deployments.Deployment) -> CacheUse:
+    use = CacheUse()
+    for name, node in deployment.upstreams.items():
+        if name.startswith('engine-') and node.process.is_running:
+            state = deployment.engine_state(name)
+            use.filled += state['filled']
+            use.wasted += state['wasted'] + state['unused']
+    return use
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/load/faults.py
@@ -0,0 +1,78 @@
+"""Faults that an experiment can cause while it runs."""
+
+import collections.abc
+
+from magnoliawood_testing.cluster import deployment as deployments
+
+_FROZEN_SECONDS = 3_600.0
+_SLOW_FACTOR = 3.0
+_HANG_SECONDS = 3_600.0
+
+CauseFault = collections.abc.Callable[[deployments.Deployment, float], None]
+
+
+def kill_engine(deployment: deployments.Deployment, step: float) -> None:
+    """Kill one engine and its sidecar, as the loss of a host does."""
+    deployment.upstreams['engine-1'].process.kill()
+    deployment.sidecars['engine-1-sidecar'].process.kill()
+
+
+def slow_engine(deployment: deployments.Deployment, step: float) -> None:
+    """Let one engine run at a third of its speed."""
+    node = deployment.upstreams['engine-1']
+    deployment.set_faults(node, step_seconds=step * _SLOW_FACTOR)
+
+
+def freeze_load_reports(
+    deployment: deployments.Deployment, step: float
+) -> None:
+    """Let all engines report an old load for ever."""
+    for node in _engines(deployment):
+        deployment.set_faults(node, load_lag_seconds=_FROZEN_SECONDS)
+
+
+def lose_cache_events(deployment: deployments.Deployment, step: float) -> None:
+    """Lose every cache event of all engines."""
+    for node in _engines(deployment):
+        deployment.set_faults(node, lost_event_period=1)
+
+
+def stop_store(deployment: deployments.Deployment, step: float) -> None:
+    """Let the platform's store refuse everything."""
+    deployment.set_faults(deployment.platform, outage=True)
+
+
+def kill_entry(deployment: deployments.Deployment, step: float) -> None:
+    """Kill one entry."""
+    deployment.entries['entry-1'].process.kill()
+
+
+def hang_service(deployment: deployments.Deployment, step: float) -> None:
+    """Let the first plain service take no request to its end."""
+    node = next(
+        node
+        for name, node in deployment.upstreams.items()
+        if not name.startswith('engine-')
+    )
+    deployment.set_faults(node, delay_seconds=_HANG_SECONDS)
+
+
+def _engines(
+    deployment: deployments.Deployment,
+) -> list[deployments.Node]:
+    return [
+        node
+        for name, node in deployment.upstreams.items()
+        if name.startswith('engine-')
+    ]
+
+
+FAULTS: dict[str, CauseFault] = {
+    'engine-killed': kill_engine,
+    'engine-slow': slow_engine,
+    'load-frozen': freeze_load_reports,
+    'events-lost': lose_cache_events,
+    'store-outage': stop_store,
+    'entry-killed': kill_entry,
+    'service-hangs': hang_service,
+}
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/engine.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/engine.py
@@ -169,7 +169,7 @@
             sequence.is_cancelled = True
 
     def _admit(self) -> None:
-        self._waiting.sort(key=lambda sequence: sequence.priority)
+        self._waiting.sort(key=_priority)
         while self._waiting and len(self._running) < self.faults.batch_size:
             sequence = self._waiting.pop(0)
             hashes = prefix_cache.block_hashes(sequence.messages)
@@ -181,7 +181,7 @@
 
     async def _step(self) -> None:
         room = self.faults.prefill_blocks_per_step
-        for sequence in list(self._running):
+        for sequence in sorted(self._running, key=_priority):
             taken = min(room, sequence.prefill_left)
             sequence.prefill_left -= taken
             room -= taken
@@ -247,6 +247,7 @@
                 'held': dict(self._cache.held),
                 'filled': self._cache.filled,
                 'wasted': self._cache.wasted,
+                'unused': self._cache.unused,
                 'requests': dict(self._requests),
                 'sequences': len(self._waiting) + len(self._running),
                 'orders': self._orders,
@@ -272,6 +273,10 @@
         )
 
 
+def _priority(sequence: Sequence) -> float:
+    return sequence.priority
+
+
 def _chunk(
     sequence: Sequence, text: str, position: int, is_last: bool
 ) -> bytes:
@@ -303,8 +308,14 @@
     parser.add_argument('--models', default='model-a')
     parser.add_argument('--cache-blocks', type=int, default=4096)
     parser.add_argument('--step-seconds', type=float, default=0.01)
+    parser.add_argument('--batch-size', type=int, default=16)
+    parser.add_argument('--prefill-blocks', type=int, default=32)
     options = parser.parse_args()
-    faults = EngineFaults(step_seconds=options.step_seconds)
+    faults = EngineFaults(
+        step_seconds=options.step_seconds,
+        batch_size=options.batch_size,
+        prefill_blocks_per_step=options.prefill_blocks,
+    )
     engine = Engine(options.models.split(','), options.cache_blocks, faults)
     curio.run(_run, options.listen, engine)
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/prefix_cache.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/prefix_cache.py
@@ -24,6 +24,12 @@
 class PrefixCache:
     """Blocks by the hash chain up to their end, least recently used out.
 
+    Explanation
+    ===========
+
+    Of the blocks of one prompt the last ones go first, since a block is of
+    no use without those before it.
+
     :param capacity: blocks that fit
     """
 
@@ -44,17 +50,22 @@
             )
         )
 
+    @property
+    def unused(self) -> int:
+        """Blocks in the cache that no later prompt found."""
+        return sum(not block.uses for block in self._blocks.values())
+
     def match(self, hashes: list[str]) -> int:
         """Return how many leading blocks are cached and mark their use."""
         found = list(itertools.takewhile(self._blocks.__contains__, hashes))
-        for name in found:
+        for name in reversed(found):
             self._blocks[name].uses += 1
             self._blocks.move_to_end(name)
         return len(found)
 
     def fill(self, hashes: list[str], program: str) -> None:
         """Add the blocks of a prompt."""
-        for name in hashes:
+        for name in reversed(hashes):
             block = self._blocks.get(name)
             if block is None:
                 block = Block(set())
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/scheduling/policies.py
@@ -0,0 +1,52 @@
+"""Named combinations of decisions, for experiments."""
+
+import dataclasses
+
+from magnoliawood.scheduling import priority as priorities
+from magnoliawood.scheduling import routing
+
+STANDARD = 'standard'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """The decisions of one entry."""
+
+    router: routing.Router
+    priority: priorities.Priority
+
+
+def make_policy(name: str) -> Policy:
+    """Return a policy by its name.
+
+    Examples
+    ========
+
+    >>> type(make_policy('fcfs-hash').router).__name__
+    'HashAffinity'
+
+    :raises KeyError: if there is none of this name
+    """
+    return _MAKERS[name]()
+
+
+def _standard() -> Policy:
+    return Policy(
+        routing.StayOrLeastLoaded(), priorities.EarliestProgramDeadline()
+    )
+
+
+def _fcfs_least_loaded() -> Policy:
+    return Policy(routing.LeastLoaded(), priorities.FirstComeFirstServed())
+
+
+def _fcfs_hash() -> Policy:
+    return Policy(routing.HashAffinity(), priorities.FirstComeFirstServed())
+
+
+_MAKERS = {
+    STANDARD: _standard,
+    'fcfs-least-loaded': _fcfs_least_loaded,
+    'fcfs-hash': _fcfs_hash,
+}
+NAMES = tuple(_MAKERS)
