--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 .PHONY: capacity
 capacity: setup
 	$(BIN)/python -m magnoliawood_testing.capacity
+
+bench: setup
+	$(BIN)/python -m magnoliawood_testing.load.bench
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -96,6 +96,7 @@
         entry_settings: dict[str, object] | None = None,
         sidecar_settings: dict[str, object] | None = None,
         links: tuple[tuple[str, str], ...] = (),
+        engine_settings: dict[str, object] | None = None,
     ) -> None:
         self._temporary = None
         if folder is None:
@@ -106,6 +107,7 @@
         self._step_seconds = step_seconds
         self._entry_settings = entry_settings or {}
         self._sidecar_settings = sidecar_settings or {}
+        self._engine_settings = engine_settings or {}
         self._centres = itertools.cycle(_DATA_CENTRES)
         self.links = links_of.Links(links, self._process)
         self.upstreams: dict[str, Node] = {}
@@ -290,6 +292,7 @@
                 'listen': address,
                 'models': self.models,
                 'step_seconds': self._step_seconds,
+                **self._engine_settings,
             },
         )
         self._add_upstream(name, process, address, 'engine', self.models)
