Refuse peers that don't prove the shared secret

Cause: any process that reached a peer port could give orders or read histories. Each new connection now starts with an HMAC-SHA256 challenge-response in both directions (peer/handshake.py), before PeerConnection exists; peer/connection.py is not changed.

Values of secret settings are no longer printed when they are refused.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -27,6 +27,7 @@
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.peer import connection as connections
+from magnoliawood_server.peer import handshake as handshakes
 from magnoliawood_server.peer import messages
 from magnoliawood_server.peer import pool as pools
 from magnoliawood_server.platform import http_store
@@ -50,7 +51,10 @@
         self._log_generation = 0
         self._metrics = registries.Registry()
         self._objects = http_store.HttpObjectStore(settings.platform)
-        self._pool = pools.PeerPool(clock)
+        self._handshake = handshakes.Handshake(
+            handshakes.PeerSecrets(settings.peer_secrets()), self._metrics
+        )
+        self._pool = pools.PeerPool(clock, self._handshake)
         self._programs = tables.ProgramTable()
         self._make_state()
         self._make_service()
@@ -76,6 +80,7 @@
                 settings.peer_listen,
                 self._clock,
                 self._handle_peer,
+                self._handshake,
             )
             await group.spawn(
                 listener.serve_http, settings.http_listen, self._handle_http
--- a/packages/magnoliawood-server/magnoliawood_server/main.py
+++ b/packages/magnoliawood-server/magnoliawood_server/main.py
@@ -63,6 +63,8 @@
     variable = f'{settings_models.ENVIRONMENT_PREFIX}{name.upper()}'
     if item['type'] == 'missing':
         return f'setting {flag} ({variable}) is missing'
+    if name in settings_models.SECRET_NAMES:
+        return f'setting {flag} ({variable}): {item["msg"]}'
     return (
         f'setting {flag} ({variable}): value {item["input"]!r}: {item["msg"]}'
     )
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -18,6 +18,34 @@
     """Heartbeat."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Challenge:
+    """Opens a connection.
+
+    :param nonce: random bytes that the proofs cover
+    :param key_ids: public names of the secrets that the sender knows
+    """
+
+    nonce: bytes
+    key_ids: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChallengeReply:
+    """The listener's nonce, the secret that it chose and its proof."""
+
+    nonce: bytes
+    key_id: str
+    proof: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """Proof of the process that connected."""
+
+    proof: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello:
     """Asks a sidecar what it stands beside."""
@@ -275,6 +303,9 @@
 
 MESSAGE_TYPES = (
     Ping,
+    Challenge,
+    ChallengeReply,
+    Proof,
     Hello,
     HelloReply,
     Order,
--- a/packages/magnoliawood-server/magnoliawood_server/peer/pool.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/pool.py
@@ -6,16 +6,24 @@
 import curio
 
 from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
 from magnoliawood_server.peer import connection as connections
+from magnoliawood_server.peer import handshake as handshakes
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 
 
 class PeerPool:
-    """Opens connections on demand and replaces lost ones."""
+    """Opens connections on demand and replaces lost ones.
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    :param handshake: proves the shared secret on each new connection
+    """
+
+    def __init__(
+        self, clock: clocks.Clock, handshake: handshakes.Handshake
+    ) -> None:
         self._clock = clock
+        self._handshake = handshake
         self._connections: dict[str, connections.PeerConnection] = {}
         self._locks: dict[str, curio.Lock] = {}
 
@@ -56,7 +64,7 @@
             known = self._connections.get(address)
             if known is not None and not known.is_lost:
                 return known
-            sock = await _open(address)
+            sock = await self._open(address)
             made = connections.PeerConnection(
                 sock, self._clock, None, is_client=True
             )
@@ -64,8 +72,20 @@
             await curio.spawn(made.run, daemon=True)
             return made
 
+    async def _open(self, address: str) -> curio.io.Socket:
+        sock = await _connect_socket(address)
+        try:
+            await self._handshake.as_client(sock)
+        except errors.MagnoliawoodError as error:
+            await sock.close()
+            raise connections.PeerLost(f'{address}: {error}') from error
+        except curio.CancelledError:
+            await sock.close()
+            raise
+        return sock
+
 
-async def _open(address: str) -> curio.io.Socket:
+async def _connect_socket(address: str) -> curio.io.Socket:
     host, _, port = address.rpartition(':')
     try:
         async with curio.timeout_after(CONNECT_TIMEOUT.total_seconds()):
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/tests/test_handshake.py
@@ -0,0 +1,115 @@
+import curio
+from curio import socket
+import pytest
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.peer import connection as connections
+from magnoliawood_server.peer import frame as frames
+from magnoliawood_server.peer import handshake as handshakes
+from magnoliawood_server.peer import messages
+from magnoliawood_server.peer import pool as pools
+from magnoliawood_server.runtime import listener
+from magnoliawood_testing.cluster import process as processes
+
+OLD = 'old-shared-secret'
+NEW = 'new-shared-secret'
+
+
+def made(*secrets):
+    metrics = registries.Registry()
+    peer_secrets = handshakes.PeerSecrets(secrets)
+    return handshakes.Handshake(peer_secrets, metrics), metrics
+
+
+async def echo(stream, message):
+    await stream.send(message)
+
+
+async def ask(client, server):
+    """Ask a listener from a pool, each with its own secrets."""
+    clock = clocks.SystemClock()
+    address = processes.free_address()
+    task = await curio.spawn(
+        listener.serve_peers, address, clock, echo, server, daemon=True
+    )
+    pool = pools.PeerPool(clock, client)
+    try:
+        return await pool.ask(
+            address,
+            messages.Hello('entry-1'),
+            handshakes.HANDSHAKE_TIMEOUT,
+        )
+    finally:
+        await task.cancel()
+
+
+@pytest.mark.parametrize(
+    'client, server',
+    [((OLD,), (OLD,)), ((OLD,), (NEW, OLD)), ((NEW, OLD), (NEW,))],
+)
+def test_peers_with_a_common_secret_meet(client, server):
+    answer = curio.run(ask, made(*client)[0], made(*server)[0])
+    assert answer == messages.Hello('entry-1')
+
+
+def test_peer_with_another_secret_is_refused_and_counted():
+    server, metrics = made(NEW)
+    with pytest.raises(connections.PeerLost):
+        curio.run(ask, made(OLD)[0], server)
+    assert metrics.counter('peers_refused_total') == 1
+
+
+async def exchange(*sent):
+    """Send frames to a server in place of a handshake."""
+    left, right = socket.socketpair()
+    server, metrics = made(OLD)
+    task = await curio.spawn(server.as_server, right)
+    for message in sent:
+        await left.sendall(frames.encode(frames.Frame(1, True, message)))
+    await left.shutdown(socket.SHUT_WR)
+    try:
+        await task.join()
+    except curio.TaskError as error:
+        return error.__cause__
+    return None
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        [],
+        [messages.Hello('entry-1')],
+        [messages.Challenge(b'n' * 32, ['unknown'])],
+        [messages.Challenge(b'n' * 5000, ['unknown'])],
+        [
+            messages.Challenge(
+                b'n' * 32, handshakes.PeerSecrets([OLD]).key_ids
+            ),
+            messages.Proof(b'p' * 32),
+        ],
+    ],
+)
+def test_anything_but_the_proof_is_refused(sent):
+    error = curio.run(exchange, *sent)
+    assert error.code == errors.ErrorCode.UNAUTHENTICATED
+
+
+def test_listener_without_the_secret_gets_no_proof():
+    async def main():
+        left, right = socket.socketpair()
+        client, _ = made(OLD)
+        task = await curio.spawn(client.as_client, left)
+        await right.recv(4096)
+        (key_id,) = handshakes.PeerSecrets([OLD]).key_ids
+        forged = messages.ChallengeReply(b'n' * 32, key_id, b'p' * 32)
+        await right.sendall(frames.encode(frames.Frame(0, True, forged)))
+        with pytest.raises(curio.TaskError) as caught:
+            await task.join()
+        await left.close()
+        return caught.value.__cause__, await right.recv(4096)
+
+    error, received = curio.run(main)
+    assert error.code == errors.ErrorCode.UNAUTHENTICATED
+    assert received == b''
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -10,10 +10,24 @@
 _ADDRESS = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
 _NAME = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
 
+# Values of these never reach a message or a log.
+SECRET_NAMES = frozenset({'peer_secret', 'operator_token_hash'})
+
+SHORTEST_SECRET_CHARACTERS = 16
+
 Address = typing.Annotated[str, pydantic.Field(pattern=_ADDRESS)]
 Name = typing.Annotated[str, pydantic.Field(pattern=_NAME)]
 
 
+def _check_secrets(value: pydantic.SecretStr) -> pydantic.SecretStr:
+    secrets = value.get_secret_value().split(',')
+    if min(map(len, secrets)) < SHORTEST_SECRET_CHARACTERS:
+        raise ValueError(
+            f'each secret has {SHORTEST_SECRET_CHARACTERS} characters or more'
+        )
+    return value
+
+
 class CommonSettings(pydantic_settings.BaseSettings):
     """Settings of every process."""
 
@@ -34,10 +48,20 @@
     http_listen: Address = pydantic.Field(
         description='IP number and port for HTTP'
     )
+    peer_secret: typing.Annotated[
+        pydantic.SecretStr, pydantic.AfterValidator(_check_secrets)
+    ] = pydantic.Field(
+        description='secret that all processes of the deployment share; '
+        'several, separated by commas, while it is being replaced',
+    )
     data_folder: pathlib.Path | None = pydantic.Field(
         default=None, description='folder for bulk data, if there is a disk'
     )
 
+    def peer_secrets(self) -> list[str]:
+        """Return the shared secrets."""
+        return self.peer_secret.get_secret_value().split(',')
+
 
 class EntrySettings(CommonSettings):
     """Settings of an entry."""
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -12,6 +12,7 @@
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.peer import connection as connections
+from magnoliawood_server.peer import handshake as handshakes
 from magnoliawood_server.peer import messages
 from magnoliawood_server.runtime import answer as answers
 from magnoliawood_server.runtime import listener
@@ -35,6 +36,9 @@
         self._clock = clock
         self._incarnation = uuid.uuid4().hex[:12]
         self._metrics = registries.Registry()
+        self._handshake = handshakes.Handshake(
+            handshakes.PeerSecrets(settings.peer_secrets()), self._metrics
+        )
         self._fences = fences.FenceTable()
         self._is_leaving = False
         self._runner = runners.CallRunner(
@@ -63,6 +67,7 @@
                 settings.peer_listen,
                 self._clock,
                 self._handle,
+                self._handshake,
             )
             await group.spawn(
                 listener.serve_http, settings.http_listen, self._handle_http
--- a/packages/magnoliawood-server/magnoliawood_server/tests/test_main.py
+++ b/packages/magnoliawood-server/magnoliawood_server/tests/test_main.py
@@ -9,6 +9,7 @@
     'platform': '127.0.0.1:9000',
     'peer_listen': '127.0.0.1:9001',
     'http_listen': '127.0.0.1:9002',
+    'peer_secret': 'a-secret-of-the-test',
 }
 
 
@@ -38,6 +39,16 @@
     assert 'greater than 0' in line
 
 
+def test_bad_secret_is_not_printed(capsys):
+    bad = {'peer_secret': 'too-short', 'operator_token_hash': 'not-a-hash'}
+    with pytest.raises(SystemExit):
+        main.load_settings(settings.EntrySettings, {**GOOD, **bad})
+    printed = capsys.readouterr().err
+    assert '--peer-secret' in printed
+    assert '--operator-token-hash' in printed
+    assert not any(value in printed for value in bad.values())
+
+
 def test_missing_value_is_named(capsys):
     flags = {name: text for name, text in GOOD.items() if name != 'platform'}
     with pytest.raises(SystemExit):
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -13,6 +13,7 @@
 
 from magnoliawood_testing.cluster import process as processes
 
+PEER_SECRET = 'peer-secret-of-the-deployment'
 OPERATOR_TOKEN = 'operator-token-of-the-deployment'
 READY_TIMEOUT_SECONDS = 30.0
 _POLL_SECONDS = 0.05
@@ -356,7 +357,11 @@
         self, name: str, role: str, settings: dict[str, object]
     ) -> processes.Process:
         return processes.Process(
-            name, 'magnoliawood_server.main', settings, self.folder, role
+            name,
+            'magnoliawood_server.main',
+            {'peer_secret': PEER_SECRET, **settings},
+            self.folder,
+            role,
         )
 
     def _process(
