--- a/packages/magnoliawood-testing/magnoliawood_testing/capacity/__main__.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/capacity/__main__.py
@@ -1,5 +1,6 @@
 """Measures all slopes and prints them with their projection."""
 
+from magnoliawood_testing.capacity import chart_slopes
 from magnoliawood_testing.capacity import process_slopes
 from magnoliawood_testing.capacity import projection
 from magnoliawood_testing.capacity import state_slopes
@@ -9,6 +10,7 @@
 def main() -> None:
     """Print two Markdown tables."""
     measured = [
+        *chart_slopes.measure(),
         *state_slopes.measure(),
         *wire_slopes.measure(),
         *process_slopes.measure(),
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/capacity/chart_slopes.py
@@ -0,0 +1,44 @@
+"""Slopes of state charts."""
+
+import transitions
+
+from magnoliawood import charts
+from magnoliawood_testing.capacity import slope as slopes
+
+_REPEATS = 5_000
+
+
+def measure() -> list[slopes.Slope]:
+    """Return the cost of one event, by our table and by the library."""
+    chart = charts.load_chart('call')
+    table = slopes.seconds_for_each(
+        lambda: chart.next_state('accepted', 'record_intent'), _REPEATS
+    )
+    library = slopes.seconds_for_each(_library_model().toggle, _REPEATS)
+    return [
+        slopes.Slope('chart event', table * 1e6, 'us/event'),
+        slopes.Slope('chart event in the library', library * 1e6, 'us/event'),
+    ]
+
+
+class _Model:
+    """Object whose state the library keeps."""
+
+    def toggle(self) -> None:
+        """Go to the other state; set by the library."""
+
+
+def _library_model() -> _Model:
+    model = _Model()
+    transitions.Machine(
+        model=model,
+        states=['one', 'two'],
+        initial='one',
+        transitions=[
+            {'trigger': 'toggle', 'source': 'one', 'dest': 'two'},
+            {'trigger': 'toggle', 'source': 'two', 'dest': 'one'},
+        ],
+        auto_transitions=False,
+        model_override=True,
+    )
+    return model
--- a/packages/magnoliawood-testing/magnoliawood_testing/capacity/tests/test_projection.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/capacity/tests/test_projection.py
@@ -1,3 +1,4 @@
+from magnoliawood_testing.capacity import chart_slopes
 from magnoliawood_testing.capacity import projection
 from magnoliawood_testing.capacity import state_slopes
 from magnoliawood_testing.capacity import wire_slopes
@@ -16,7 +17,11 @@
 
 
 def test_every_slope_is_positive_and_projected():
-    measured = [*state_slopes.measure(), *wire_slopes.measure()]
+    measured = [
+        *chart_slopes.measure(),
+        *state_slopes.measure(),
+        *wire_slopes.measure(),
+    ]
     assert all(slope.value > 0 for slope in measured)
     measured += [
         projection.slopes.Slope(name, value, '')
