--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	$(BIN)/ruff format --check packages bin
 	$(BIN)/ruff check packages bin
 	$(BIN)/flake8 packages bin
+	$(BIN)/mypy
 	$(BIN)/python bin/check_imports.py
 
 format: setup
--- a/packages/magnoliawood/magnoliawood/charts/chart.py
+++ b/packages/magnoliawood/magnoliawood/charts/chart.py
@@ -59,11 +59,12 @@
             auto_transitions=False,
         )
         self._initial = model.initial
-        self._table = {
+        self._table: dict[tuple[str, str], str] = {
             (source, trigger): step.dest
             for trigger, event in machine.events.items()
             for source, steps in event.transitions.items()
             for step in steps
+            if step.dest is not None
         }
 
     @property
--- a/packages/magnoliawood/magnoliawood/telemetry/registry.py
+++ b/packages/magnoliawood/magnoliawood/telemetry/registry.py
@@ -1,6 +1,7 @@
 """Registry of counters, gauges and latency histograms."""
 
 import collections
+import collections.abc
 import dataclasses
 import datetime
 
@@ -87,7 +88,9 @@
         return '\n'.join(lines) + '\n'
 
 
-def _typed_lines(kind: str, values: dict[_Series, float]) -> list[str]:
+def _typed_lines(
+    kind: str, values: collections.abc.Mapping[_Series, float]
+) -> list[str]:
     lines = []
     previous = ''
     for series in sorted(values):
