Add experiments with random faults that check the promises

Seeded schedules of kills, freezes and store faults apply to a real deployment while programs of two callers run; at the end the checks compare what callers were told with what upstreams counted. Seen: an entry that has just started answers 404 unknown_model or 401 before it has heard of upstreams or read the configuration, and after a takeover a call that was answered can be missing while the sidecar that ran it is silent.

--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/chaos/experiment.py
@@ -0,0 +1,120 @@
+"""One experiment: programs, faults and the checks at the end."""
+
+import collections
+import dataclasses
+import itertools
+
+import curio
+
+from magnoliawood_testing.chaos import checker as checkers
+from magnoliawood_testing.chaos import injector as injectors
+from magnoliawood_testing.chaos import schedule as schedules
+from magnoliawood_testing.chaos import workload
+from magnoliawood_testing.cluster import deployment as deployments
+
+SERVICES = {'red-clay': 'pours', 'kessick': 'lifts'}
+FINISH_LIMIT_SECONDS = 120.0
+_WORK_CLASS = 'chaos'
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """What an experiment showed.
+
+    :param problems: a line for each broken promise
+    :param verdicts: how often each verdict was given
+    :param waits_seconds: time to the final answer of each call
+    """
+
+    seed: int
+    faults: list[schedules.Fault]
+    problems: list[str]
+    verdicts: collections.Counter[str]
+    waits_seconds: list[float]
+
+
+class Experiment:
+    """Runs programs of both callers while a schedule of faults applies.
+
+    :param seed: decides the faults and the programs
+    :param fault_count: number of faults
+    :param programs: programs of each caller
+    :param calls: calls of each program
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        fault_count: int = 8,
+        programs: int = 6,
+        calls: int = 60,
+        kinds: tuple[schedules.FaultKind, ...] = tuple(schedules.FaultKind),
+    ) -> None:
+        self._seed = seed
+        self._faults = schedules.make_schedule(seed, fault_count, kinds)
+        self._programs = programs
+        self._calls = calls
+
+    def run(self) -> Report:
+        """Start a deployment, run everything and check the promises."""
+        with deployments.Deployment(
+            engines=3, services=tuple(SERVICES.values()), entries=3
+        ) as deployment:
+            deployment.create_class(_WORK_CLASS, 30)
+            tokens = {
+                caller: deployment.create_account(caller)
+                for caller in SERVICES
+            }
+            deployment.wait_for_configuration()
+            journeys = self._make_journeys()
+            curio.run(self._run_all, deployment, tokens, journeys)
+            deployments.wait_until(deployment.is_ready, 'ready entries')
+            checker = checkers.Checker(deployment, tokens, SERVICES)
+            problems = checker.check(journeys)
+            if problems:
+                print(deployment.logs())
+        return self._report(journeys, problems)
+
+    def _make_journeys(self) -> list[workload.Journey]:
+        return [
+            workload.Journey(caller, f'program-{number}')
+            for caller, number in itertools.product(
+                SERVICES, range(self._programs)
+            )
+        ]
+
+    async def _run_all(
+        self,
+        deployment: deployments.Deployment,
+        tokens: dict[str, str],
+        journeys: list[workload.Journey],
+    ) -> None:
+        addresses = [node.http for node in deployment.entries.values()]
+        injector = injectors.Injector(deployment)
+        faults = await curio.spawn(injector.run, self._faults)
+        async with curio.ignore_after(FINISH_LIMIT_SECONDS):
+            async with curio.TaskGroup(wait=all) as group:
+                for number, journey in enumerate(journeys):
+                    runner = workload.ProgramRunner(
+                        journey,
+                        addresses,
+                        tokens[journey.caller],
+                        SERVICES[journey.caller],
+                        _WORK_CLASS,
+                        self._seed * 1_000 + number,
+                    )
+                    await group.spawn(runner.run, self._calls)
+        await faults.join()
+
+    def _report(
+        self, journeys: list[workload.Journey], problems: list[str]
+    ) -> Report:
+        verdicts = sum(
+            (journey.verdicts for journey in journeys), collections.Counter()
+        )
+        waits = itertools.chain.from_iterable(
+            journey.waits_seconds for journey in journeys
+        )
+        return Report(
+            self._seed, self._faults, problems, verdicts, sorted(waits)
+        )
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/chaos/schedule.py
@@ -0,0 +1,61 @@
+"""Seeded schedules of faults."""
+
+import dataclasses
+import enum
+import random
+
+
+class FaultKind(enum.StrEnum):
+    """Kinds of faults."""
+
+    KILL_ENTRY = 'kill_entry'
+    FREEZE_ENTRY = 'freeze_entry'
+    KILL_SIDECAR = 'kill_sidecar'
+    FREEZE_SIDECAR = 'freeze_sidecar'
+    KILL_ENGINE = 'kill_engine'
+    STORE_OUTAGE = 'store_outage'
+    STORE_SLOW = 'store_slow'
+    STORE_LOSES_REPLIES = 'store_loses_replies'
+    SERVICE_LOSES_REPLY = 'service_loses_reply'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of a schedule.
+
+    :param at_seconds: when it starts
+    :param lasts_seconds: when it is undone after that
+    :param target: which of the possible targets it hits, from 0 to 1
+    """
+
+    at_seconds: float
+    lasts_seconds: float
+    kind: FaultKind
+    target: float
+
+
+def make_schedule(
+    seed: int, count: int, kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+) -> list[Fault]:
+    """Return ``count`` faults, some of them at the same time.
+
+    Examples
+    ========
+
+    >>> make_schedule(1, 3) == make_schedule(1, 3)
+    True
+    """
+    generator = random.Random(seed)
+    faults = []
+    at_seconds = 0.5
+    for _ in range(count):
+        faults.append(
+            Fault(
+                at_seconds,
+                generator.uniform(0.5, 5.0),
+                generator.choice(kinds),
+                generator.random(),
+            )
+        )
+        at_seconds += generator.choice((0.0, 0.3, 1.0, 3.0))
+    return faults
