--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -16,6 +16,7 @@
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import admin_api
 from magnoliawood_server.entry import call_executor
+from magnoliawood_server.entry import call_recorder
 from magnoliawood_server.entry import caller_api
 from magnoliawood_server.entry import chat_api
 from magnoliawood_server.entry import configuration_keeper
@@ -23,6 +24,7 @@
 from magnoliawood_server.entry import journal_writer
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import owner_service
+from magnoliawood_server.entry import record_holder
 from magnoliawood_server.entry import shard_keeper
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
@@ -52,6 +54,7 @@
         self._objects = http_store.HttpObjectStore(settings.platform)
         self._pool = pools.PeerPool(clock)
         self._programs = tables.ProgramTable()
+        self._held = record_holder.HeldRecordService()
         self._make_state()
         self._make_service()
         self._make_apis()
@@ -68,7 +71,7 @@
                 self._configuration.watch_forever,
                 self._keeper.follow_map_forever,
                 self._keeper.reconcile_forever,
-                self._service.forget_forever,
+                self._recorder.forget_forever,
             ):
                 await group.spawn(background)
             await group.spawn(
@@ -100,6 +103,10 @@
             datetime.timedelta(seconds=settings.suspicion_seconds),
         )
 
+        self._holder = record_holder.RecordHolder(
+            settings.data_centre, self._membership, self._pool, self._metrics
+        )
+
     def _make_service(self) -> None:
         self._service = owner_service.OwnerService(
             self._programs,
@@ -118,6 +125,14 @@
             self._programs,
             self._metrics,
             self._service.adopt,
+            self._held,
+        )
+        self._recorder = call_recorder.CallRecorder(
+            self._programs,
+            self._keeper,
+            self._sidecars,
+            self._pool,
+            self._metrics,
         )
         executor = call_executor.CallExecutor(
             self._sidecars,
@@ -126,10 +141,9 @@
             self._metrics,
             routing.StayOrLeastLoaded(),
             priorities.EarliestProgramDeadline(),
-            self._service.journal,
-            self._service.wait_durable,
+            self._recorder.record_intent,
         )
-        self._service.connect(self._keeper, executor)
+        self._service.connect(self._keeper, executor, self._recorder)
         self._gateway = gateways.Gateway(
             self._settings.name,
             self._service,
@@ -166,8 +180,9 @@
             ),
             self._metrics,
             self._replace_sealed_journal,
+            self._holder,
         )
-        self._service.set_writer(writer)
+        self._recorder.set_writer(writer)
         self._keeper.set_writer(writer)
         await curio.spawn(writer.run, daemon=True)
 
@@ -181,6 +196,8 @@
     ) -> None:
         if isinstance(message, messages.Probe):
             await stream.send(self._probe_reply())
+        elif self._held.handles(message):
+            await self._held.handle_peer(stream, message)
         elif self._gateway.handles(message):
             await self._gateway.handle_peer(stream, message)
         else:
@@ -254,6 +271,7 @@
 
     def _metrics_page(self) -> http_message.Response:
         gauge = self._metrics.set_gauge
+        gauge('records_held_for_peers', len(self._held.held))
         gauge('programs', len(self._programs))
         gauge('calls_under_way', self._service.calls_under_way)
         gauge('map_version', self._keeper.map.version)
--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -10,12 +10,14 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
+from magnoliawood.ownership import takeover
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import program as programs
 from magnoliawood.programs import records
 from magnoliawood.scheduling import priority as priorities
 from magnoliawood.scheduling import routing
 from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import call_recorder
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import messages
@@ -29,10 +31,9 @@
 
 _log = logging.getLogger(__name__)
 
-Journal = collections.abc.Callable[
-    [records.Record], collections.abc.Awaitable[int]
+RecordIntent = collections.abc.Callable[
+    [records.Intended, int], collections.abc.Awaitable[None]
 ]
-WaitDurable = collections.abc.Callable[[int], collections.abc.Awaitable[bool]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,34 +41,24 @@
     """A call under way at its owner.
 
     :param epoch: fencing number under which it runs
+    :param tries: orders that this owner sent
     """
 
     program: programs.Program
     call: calls.Call
     target: datetime.timedelta
     epoch: int
+    tries: int = 0
     answer: answers.AnswerBuffer = dataclasses.field(
         default_factory=answers.AnswerBuffer
     )
     excluded: set[str] = dataclasses.field(default_factory=set)
 
 
-class OwnershipLost(errors.MagnoliawoodError):  # noqa: N818
-    """Another entry owns the program now and settles the call."""
-
-    def __init__(self) -> None:
-        super().__init__(
-            errors.ErrorCode.NOT_OWNER,
-            'the program has another owner now',
-            verdicts.Verdict.MAY_HAVE_RUN,
-        )
-
-
 class CallExecutor:
     """Routes calls, sends orders and settles lost connections.
 
-    :param journal: appends a record
-    :param wait_durable: waits until a record is stored
+    :param record_intent: records an order and its epoch before it is sent
     """
 
     def __init__(
@@ -78,8 +69,7 @@
         metrics: registries.Registry,
         router: routing.Router,
         priority: priorities.Priority,
-        journal: Journal,
-        wait_durable: WaitDurable,
+        record_intent: RecordIntent,
     ) -> None:
         self._sidecars = sidecars
         self._pool = pool
@@ -87,8 +77,7 @@
         self._metrics = metrics
         self._router = router
         self._priority = priority
-        self._journal = journal
-        self._wait_durable = wait_durable
+        self._record_intent = record_intent
 
     def choose(
         self,
@@ -118,7 +107,10 @@
         :raises OwnershipLost: if another entry settles the call
         """
         while True:
-            await self._journal_intent(execution)
+            await self._record_intent(
+                _intent_of(execution.call), execution.epoch
+            )
+            execution.tries += 1
             outcome = await self._order(execution, sidecar)
             if not self._may_retry(execution, outcome):
                 return outcome
@@ -139,13 +131,28 @@
         """
         call = execution.call
         sidecar = self._sidecars.find(call.upstream)
-        outcome = _unknown_outcome(execution)
+        outcome = unknown_outcome(execution)
         if sidecar is not None and call.upstream not in silent:
             outcome = await self._settle_lost(execution, sidecar)
         if not self._may_retry(execution, outcome):
             return outcome
+        if not call.request.is_idempotent:
+            # It never ran. A caller that waits is sent on to call again.
+            return calls.CallOutcome.from_error(_withdrawn())
         self._metrics.count('retries_total', reason='takeover')
-        return await self.run(execution, self._intend_again(execution))
+        lost_tokens = 0
+        if outcome.code == errors.ErrorCode.OUTCOME_UNKNOWN:
+            lost_tokens = call.reserved
+            self._metrics.count('tokens_charged_lost_total', lost_tokens)
+        try:
+            sidecar = self._intend_again(execution, lost_tokens)
+        except errors.MagnoliawoodError as error:
+            return dataclasses.replace(
+                calls.CallOutcome.from_error(error),
+                verdict=outcome.verdict,
+                tokens=lost_tokens,
+            )
+        return await self.run(execution, sidecar)
 
     async def cancel(self, execution: Execution) -> None:
         """Ask the sidecar to stop a call."""
@@ -161,17 +168,22 @@
     def _may_retry(
         self, execution: Execution, outcome: calls.CallOutcome
     ) -> bool:
-        if outcome.is_success or execution.call.attempt >= MAX_ATTEMPTS:
+        if execution.tries >= MAX_ATTEMPTS:
             return False
         if outcome.code == errors.ErrorCode.CANCELLED:
             return False
-        return (
-            outcome.verdict.is_safe_to_repeat
-            or execution.call.request.is_idempotent
-        )
+        return takeover.may_send_again(execution.call.request, outcome)
 
-    def _intend_again(self, execution: Execution) -> sidecar_directory.Sidecar:
+    def _intend_again(
+        self, execution: Execution, lost_tokens: int = 0
+    ) -> sidecar_directory.Sidecar:
         call = execution.call
+        # What the lost order may have spent came out of the reservation,
+        # so the next order gets no more than what is left beside it.
+        reserved = call.reserved
+        if lost_tokens:
+            reserved = min(reserved, execution.program.ledger.tokens_left)
+            execution.program.ledger.check(max(1, reserved), calls=0)
         sidecar = self.choose(
             execution.program, call.request, execution.excluded
         )
@@ -180,19 +192,14 @@
                 call.id,
                 call.key,
                 call.request,
-                call.reserved,
+                reserved,
                 sidecar,
                 call.attempt + 1,
+                call.wasted + lost_tokens,
             )
         )
         return sidecar
 
-    async def _journal_intent(self, execution: Execution) -> None:
-        call = execution.call
-        position = await self._journal(_intent_of(call))
-        if not call.request.is_idempotent:
-            await self._wait_durable(position)
-
     async def _order(
         self, execution: Execution, sidecar: sidecar_directory.Sidecar
     ) -> calls.CallOutcome:
@@ -247,7 +254,7 @@
                 await curio.sleep(SETTLE_INTERVAL.total_seconds())
             except errors.MagnoliawoodError as error:
                 return _outcome_of_refusal(error)
-        return _unknown_outcome(execution)
+        return unknown_outcome(execution)
 
     async def _attach(
         self, execution: Execution, sidecar: sidecar_directory.Sidecar
@@ -257,7 +264,7 @@
         if not sidecar.is_reachable:
             raise connections.PeerLost('the sidecar does not answer')
         if sidecar.reply.incarnation != call.upstream_incarnation:
-            return _unknown_outcome(execution)
+            return unknown_outcome(execution)
         stream = await self._pool.open_stream(sidecar.host.address)
         try:
             await stream.send(
@@ -296,6 +303,12 @@
         )
 
 
+def _withdrawn() -> errors.MagnoliawoodError:
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.NOT_OWNER, 'the former owner never sent the call'
+    )
+
+
 def intent(
     call: calls.identity.CallId,
     key: str,
@@ -303,6 +316,7 @@
     reserved: int,
     sidecar: sidecar_directory.Sidecar,
     attempt: int,
+    wasted: int = 0,
 ) -> records.Intended:
     """Return the record of an order to a sidecar."""
     return records.Intended(
@@ -313,6 +327,7 @@
         sidecar.name,
         sidecar.reply.incarnation,
         attempt,
+        wasted,
     )
 
 
@@ -325,6 +340,7 @@
         call.upstream,
         call.upstream_incarnation,
         call.attempt,
+        call.wasted,
     )
 
 
@@ -344,7 +360,7 @@
     error: errors.MagnoliawoodError,
 ) -> calls.CallOutcome:
     if error.code == errors.ErrorCode.STALE_EPOCH:
-        raise OwnershipLost
+        raise call_recorder.OwnershipLost
     if error.code == errors.ErrorCode.UNKNOWN_CALL:
         error = errors.MagnoliawoodError(
             errors.ErrorCode.UPSTREAM_UNAVAILABLE,
@@ -354,7 +370,8 @@
     return calls.CallOutcome.from_error(error)
 
 
-def _unknown_outcome(execution: Execution) -> calls.CallOutcome:
+def unknown_outcome(execution: Execution) -> calls.CallOutcome:
+    """Return the outcome of a call whose traces are lost."""
     return calls.CallOutcome(
         verdicts.Verdict.MAY_HAVE_RUN,
         execution.answer.text,
--- a/packages/magnoliawood-server/magnoliawood_server/entry/journal_writer.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/journal_writer.py
@@ -1,6 +1,7 @@
 """Writes the owner's journal to the platform's store."""
 
 import collections.abc
+import dataclasses
 import datetime
 import logging
 
@@ -11,7 +12,10 @@
 from magnoliawood.platform import store
 from magnoliawood.programs import records
 from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import record_holder
 
+COVER_PATIENCE = datetime.timedelta(milliseconds=250)
+BACKLOG_LIMIT_BYTES = 16 * 1024 * 1024
 _RETRY_INTERVAL = datetime.timedelta(milliseconds=200)
 
 _log = logging.getLogger(__name__)
@@ -19,6 +23,18 @@
 SealedCallback = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """The place of a record in one log."""
+
+    writer: 'JournalWriter'
+    position: int
+
+    async def cover(self) -> bool:
+        """Wait until the record outlives this process."""
+        return await self.writer.cover(self.position)
+
+
 class JournalWriter:
     """Appends to one log by group commit, one write in flight.
 
@@ -32,6 +48,7 @@
     :param log: name of the log
     :param interval: shortest time between two writes
     :param on_sealed: called once another entry has sealed the log
+    :param holder: has a peer hold what the store does not take
     """
 
     def __init__(
@@ -41,12 +58,14 @@
         interval: datetime.timedelta,
         metrics: registries.Registry,
         on_sealed: SealedCallback,
+        holder: record_holder.RecordHolder,
     ) -> None:
         self._objects = objects
         self._log = log
         self._interval = interval
         self._metrics = metrics
         self._on_sealed = on_sealed
+        self._holder = holder
         self._buffer = journal.JournalBuffer()
         self._next_segment = 1
         self._appended = curio.Event()
@@ -79,11 +98,41 @@
         """Number of records that are not stored yet."""
         return self._buffer.backlog
 
-    async def append(self, record: records.Record) -> int:
-        """Add a record and return its position."""
+    @property
+    def is_full(self) -> bool:
+        """Whether the backlog leaves no room for new work."""
+        return self._buffer.backlog_bytes > BACKLOG_LIMIT_BYTES
+
+    async def append(self, record: records.Record) -> 'Ticket':
+        """Add a record and return its place in the log."""
         position = self._buffer.append(record)
         await self._appended.set()
-        return position
+        return Ticket(self, position)
+
+    async def cover(self, position: int) -> bool:
+        """Wait until a record outlives this process.
+
+        Explanation
+        ===========
+
+        That is so once it is stored or, if the store is late, once a peer
+        holds it. The new owner of a shard finds it in either place.
+
+        :returns: false if the log was sealed or nothing can take it
+        """
+        async with curio.ignore_after(COVER_PATIENCE.total_seconds()):
+            await self.wait_durable(position)
+        if self._buffer.durable >= position:
+            return True
+        if self._is_sealed:
+            return False
+        try:
+            is_held = await self._holder.hold(
+                self._log, self._buffer, position
+            )
+        except errors.MagnoliawoodError:
+            return False
+        return is_held or await self.wait_durable(position)
 
     def barrier(self) -> int:
         """Return the position of the last record."""
@@ -150,6 +199,9 @@
             self._is_stalled = False
             _log.info('journal writes again')
         await self._notify()
+        await curio.spawn(
+            self._holder.trim, self._log, self._buffer, daemon=True
+        )
 
     async def _stall(self, error: errors.MagnoliawoodError) -> None:
         self._metrics.count('journal_failures_total')
@@ -157,6 +209,12 @@
             self._is_stalled = True
             _log.warning('journal stalled', extra={'error': str(error)})
             await self._notify()
+        try:
+            await self._holder.hold(
+                self._log, self._buffer, self._buffer.appended
+            )
+        except errors.MagnoliawoodError:
+            _log.warning('log sealed at a peer', extra={'log': self._log})
         await curio.sleep(_RETRY_INTERVAL.total_seconds())
 
     async def _notify(self) -> None:
--- a/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
@@ -67,6 +67,10 @@
         state = self._entries.get(entry)
         return state.host.address if state else ''
 
+    def peers(self) -> list[store.Host]:
+        """Return the other entries of the host list, dead ones too."""
+        return [state.host for state in self._entries.values()]
+
     def is_alive(self, entry: str) -> bool:
         """Whether an entry was heard of lately."""
         if entry == self._entry:
--- a/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
@@ -1,5 +1,6 @@
 """Operations on the programs that this entry owns."""
 
+import dataclasses
 import datetime
 import itertools
 import logging
@@ -17,10 +18,11 @@
 from magnoliawood.programs import table as tables
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import call_executor
+from magnoliawood_server.entry import call_recorder
 from magnoliawood_server.entry import configuration_keeper
-from magnoliawood_server.entry import journal_writer
 from magnoliawood_server.entry import shard_keeper
 from magnoliawood_server.entry import sidecar_directory
+from magnoliawood_server.entry import takeover_reader
 from magnoliawood_server.peer import messages
 from magnoliawood_server.peer import pool as pools
 from magnoliawood_server.runtime import answer as answers
@@ -50,38 +52,27 @@
         self._clock = clock
         self._metrics = metrics
         self._executions: dict[identity.CallId, call_executor.Execution] = {}
-        self._unforgotten: list[tuple[int, str, identity.CallId]] = []
         self._keeper: shard_keeper.ShardKeeper | None = None
         self._executor: call_executor.CallExecutor | None = None
-        self._writer: journal_writer.JournalWriter | None = None
+        self._adopted_next: dict[identity.ProgramKey, int] = {}
+        self._recorder: call_recorder.CallRecorder | None = None
 
     def connect(
         self,
         keeper: shard_keeper.ShardKeeper,
         executor: call_executor.CallExecutor,
+        recorder: call_recorder.CallRecorder,
     ) -> None:
         """Set the parts that refer back to this service."""
         self._keeper = keeper
         self._executor = executor
-
-    def set_writer(self, writer: journal_writer.JournalWriter) -> None:
-        """Use another journal from now on."""
-        self._writer = writer
-        self._unforgotten = []
+        self._recorder = recorder
 
     @property
     def calls_under_way(self) -> int:
         """Calls of this entry that have no outcome yet."""
         return len(self._executions)
 
-    async def journal(self, record: records.Record) -> int:
-        """Append a record to the journal and return its position."""
-        return await self._writer.append(record)
-
-    async def wait_durable(self, position: int) -> bool:
-        """Wait until a record is stored, unless the store fails."""
-        return await self._writer.wait_durable(position)
-
     async def open(
         self, message: messages.OpenProgram
     ) -> messages.ProgramStatus:
@@ -90,18 +81,16 @@
         known = self._programs.find(message.program)
         if known is not None:
             _check_same_program(known, message)
+            await self._recorder.cover_all()
             return _status(known)
+        self._recorder.check_room()
         opened = self._opened(message)
         self._programs.apply(opened)
         self._metrics.count(
             'programs_opened_total', work_class=message.work_class
         )
         program = self._programs.get(message.program)
-        position = await self._writer.append(opened)
-        is_durable = await self._writer.wait_durable(position)
-        if not is_durable:
-            # A sealed log means that the record may be lost.
-            self._check_owner(message.program)
+        await self._recorder.cover(await self._recorder.append(opened))
         return _status(program)
 
     async def run_call(
@@ -117,7 +106,7 @@
             if pending is None:
                 return await self._start(program, message)
             self._check_sequence(program, message.call.sequence)
-            await self._executions[pending.id].answer.wait()
+            await self._execution_of(pending).answer.wait()
 
     def read_call(self, call: identity.CallId) -> answers.AnswerBuffer:
         """Return the answer of a known call."""
@@ -154,35 +143,31 @@
                 await self._end_one(member, reason)
         return _status(program)
 
-    async def adopt(self, shards: list[int], silent: set[str]) -> None:
+    async def adopt(
+        self, shards: list[int], found: takeover_reader.Found
+    ) -> None:
         """Carry on the calls of shards that were just loaded.
 
-        :param silent: sidecars that did not answer the fence
+        :param found: what is known of the shards from others
         """
-        found = itertools.chain.from_iterable(
+        await self._recorder.adopt(found.known_at)
+        members = itertools.chain.from_iterable(
             self._programs.in_shard(shard) for shard in shards
         )
-        for program in found:
-            if program.pending is not None:
-                execution = self._execution(program, program.pending)
-                await curio.spawn(self._resume, execution, silent, daemon=True)
+        for program in members:
+            if self._keeper.uncovered_by(program.key.shard):
+                self._adopted_next[program.key] = program.next_sequence
+            pending = program.pending
+            if pending is not None and not self._is_under_way(pending):
+                execution = self._execution(program, pending)
+                await curio.spawn(
+                    self._resume, execution, found.silent, daemon=True
+                )
 
-    async def forget_forever(self) -> None:
-        """Tell sidecars which outcomes the journal covers."""
-        while True:
-            await self._writer.wait_progress()
-            durable = self._writer.durable
-            covered = [
-                item for item in self._unforgotten if item[0] <= durable
-            ]
-            self._unforgotten = [
-                item for item in self._unforgotten if item[0] > durable
-            ]
-            by_sidecar: dict[str, list[identity.CallId]] = {}
-            for _, name, call in covered:
-                by_sidecar.setdefault(name, []).append(call)
-            for name, found in by_sidecar.items():
-                await self._send_forget(name, found)
+    def _is_under_way(self, call: calls.Call) -> bool:
+        """Whether this owner runs the call since it got the shard."""
+        execution = self._executions.get(call.id)
+        return execution is not None and execution.call is call
 
     def _opened(self, message: messages.OpenProgram) -> records.Opened:
         work_class = self._configuration.current.work_class(message.work_class)
@@ -215,9 +200,16 @@
         return self._answer_of(call)
 
     def _answer_of(self, call: calls.Call) -> answers.AnswerBuffer:
-        if call.outcome is not None:
-            return answers.finished_answer(call.outcome)
-        return self._executions[call.id].answer
+        if call.id in self._executions or call.outcome is None:
+            return self._execution_of(call).answer
+        return answers.finished_answer(call.outcome)
+
+    def _execution_of(self, call: calls.Call) -> call_executor.Execution:
+        found = self._executions.get(call.id)
+        if found is None:
+            # A sidecar refused its order: another entry has the shard.
+            raise shard_keeper.refusal_of_foreign(call.id.program.shard)
+        return found
 
     def _check_sequence(
         self, program: programs.Program, sequence: int
@@ -235,6 +227,9 @@
         if program.is_ended:
             raise _ended(program.key)
         program.check_time(self._clock.now())
+        self._recorder.check_room()
+        if self._may_be_unrecorded(program, message):
+            return await self._refuse_unrecorded(program, message)
         reserved = self._reservation(program, message.request)
         sidecar = self._executor.choose(program, message.request, set())
         program.apply(
@@ -244,13 +239,51 @@
                 message.request,
                 reserved,
                 sidecar,
-                1,
+                program.next_attempt,
             )
         )
         execution = self._execution(program, program.pending)
         await curio.spawn(self._run, execution, sidecar, daemon=True)
         return execution.answer
 
+    def _may_be_unrecorded(
+        self, program: programs.Program, message: messages.RunCall
+    ) -> bool:
+        """Whether a silent sidecar may have run this call already."""
+        request = message.request
+        if request.is_idempotent:
+            return False
+        if self._adopted_next.get(program.key) != message.call.sequence:
+            return False
+        names = self._keeper.uncovered_by(program.key.shard)
+        return any(self._may_serve(name, request.service) for name in names)
+
+    def _may_serve(self, name: str, service: str) -> bool:
+        sidecar = self._sidecars.find(name)
+        if sidecar is None:
+            return False
+        return sidecar.reply is None or sidecar.serves('service', service)
+
+    async def _refuse_unrecorded(
+        self, program: programs.Program, message: messages.RunCall
+    ) -> answers.AnswerBuffer:
+        """Settle a call that may have run before the takeover."""
+        program.apply(
+            records.Intended(
+                message.call,
+                message.key,
+                message.request,
+                0,
+                '',
+                '',
+                program.next_attempt,
+            )
+        )
+        execution = self._execution(program, program.pending)
+        self._metrics.count('calls_unrecorded_total')
+        await self._settle(execution, call_executor.unknown_outcome(execution))
+        return execution.answer
+
     def _reservation(
         self, program: programs.Program, request: calls.Request
     ) -> int:
@@ -313,36 +346,56 @@
     ) -> None:
         program = execution.program
         call = execution.call
-        self._executions.pop(call.id, None)
         if self._programs.find(program.key) is not program:
-            lost = call_executor.OwnershipLost()
-            outcome = calls.CallOutcome.from_error(lost)
+            outcome = _lost()
         elif outcome.verdict is verdicts.Verdict.NOT_RUN:
             record = records.Withdrawn(call.id)
             program.apply(record)
-            await self._writer.append(record)
+            outcome = await self._record_withdrawal(record, outcome)
         elif outcome.code != errors.ErrorCode.NOT_OWNER:
-            await self._record_outcome(execution, outcome)
+            outcome = await self._record_outcome(execution, outcome)
+        if self._executions.get(call.id) is execution:
+            del self._executions[call.id]
         self._metrics.count('outcomes_total', verdict=str(outcome.verdict))
         if outcome.code:
             self._metrics.count('refusals_total', reason=outcome.code)
         await execution.answer.finish(outcome)
 
+    async def _record_withdrawal(
+        self, record: records.Withdrawn, outcome: calls.CallOutcome
+    ) -> calls.CallOutcome:
+        ticket = await self._recorder.append(record)
+        try:
+            await self._recorder.cover(ticket)
+        except call_recorder.OwnershipLost:
+            return _lost()
+        except errors.MagnoliawoodError:
+            # A new owner asks the sidecar and finds that it never ran.
+            self._metrics.count('answers_uncovered_total')
+        return outcome
+
     async def _record_outcome(
         self,
         execution: call_executor.Execution,
         outcome: calls.CallOutcome,
-    ) -> None:
+    ) -> calls.CallOutcome:
+        """Record an outcome and return what the caller is told."""
         call = execution.call
-        record = records.Settled(call.id, outcome)
-        execution.program.apply(record)
-        position = await self._writer.append(record)
-        self._unforgotten.append((position, call.upstream, call.id))
+        program = execution.program
+        settled = records.Settled(call.id, outcome, call.attempt)
+        program.apply(settled)
+        try:
+            await self._recorder.record_outcome(
+                dataclasses.replace(settled, digest=program.digest)
+            )
+        except call_recorder.OwnershipLost:
+            return _lost()
+        return outcome
 
     async def _end_one(self, program: programs.Program, reason: str) -> None:
         record = records.Ended(program.key, reason)
         program.apply(record)
-        await self._writer.append(record)
+        await self._recorder.append(record)
         self._metrics.count(
             'programs_ended_total', work_class=program.work_class
         )
@@ -378,19 +431,6 @@
         except errors.MagnoliawoodError:
             self._metrics.count('releases_failed_total')
 
-    async def _send_forget(
-        self, name: str, found: list[identity.CallId]
-    ) -> None:
-        sidecar = self._sidecars.find(name)
-        if sidecar is None:
-            return
-        try:
-            stream = await self._pool.open_stream(sidecar.host.address)
-            await stream.send(messages.Forget(found))
-            stream.close()
-        except errors.MagnoliawoodError:
-            self._metrics.count('forgets_failed_total')
-
 
 def _status(program: programs.Program) -> messages.ProgramStatus:
     ledger = program.ledger
@@ -444,6 +484,10 @@
             )
 
 
+def _lost() -> calls.CallOutcome:
+    return calls.CallOutcome.from_error(call_recorder.OwnershipLost())
+
+
 def _ended(key: identity.ProgramKey) -> errors.MagnoliawoodError:
     return errors.MagnoliawoodError(
         errors.ErrorCode.PROGRAM_ENDED, f'program {key.name} has ended'
--- a/packages/magnoliawood-server/magnoliawood_server/entry/shard_keeper.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/shard_keeper.py
@@ -10,7 +10,6 @@
 from magnoliawood import charts
 from magnoliawood.core import errors
 from magnoliawood.ownership import shard_map as shard_maps
-from magnoliawood.ownership import witness as witnesses
 from magnoliawood.platform import store
 from magnoliawood.programs import identity
 from magnoliawood.programs import records
@@ -18,19 +17,20 @@
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import journal_writer
 from magnoliawood_server.entry import membership as memberships
+from magnoliawood_server.entry import record_holder
 from magnoliawood_server.entry import sidecar_directory
+from magnoliawood_server.entry import takeover_reader
 from magnoliawood_server.peer import messages
 from magnoliawood_server.peer import pool as pools
 
 RECONCILE_INTERVAL = datetime.timedelta(milliseconds=200)
 WATCH_WAIT = datetime.timedelta(seconds=2)
-FENCE_TIMEOUT = datetime.timedelta(seconds=1)
 RETRY_AFTER = datetime.timedelta(seconds=1)
 
 _log = logging.getLogger(__name__)
 
 AdoptedCallback = collections.abc.Callable[
-    [list[int], set[str]], collections.abc.Awaitable[None]
+    [list[int], takeover_reader.Found], collections.abc.Awaitable[None]
 ]
 
 
@@ -46,8 +46,8 @@
     first seals the dead owner's logs. Both raise the epoch, and sidecars
     refuse orders of lower epochs.
 
-    :param on_adopted: called with the shards that were loaded and the
-        sidecars that did not answer the fence
+    :param on_adopted: called with the shards that were loaded and what
+        was found of them
     """
 
     def __init__(
@@ -60,17 +60,23 @@
         programs: tables.ProgramTable,
         metrics: registries.Registry,
         on_adopted: AdoptedCallback,
+        held: record_holder.HeldRecordService,
     ) -> None:
         self._entry = entry
         self._objects = objects
         self._membership = membership
         self._sidecars = sidecars
-        self._pool = pool
+        self._reader = takeover_reader.TakeoverReader(
+            objects, membership, sidecars, pool, held
+        )
         self._programs = programs
         self._metrics = metrics
         self._on_adopted = on_adopted
         self._map = shard_maps.ShardMap.empty()
         self._chart = charts.load_chart('shard')
+        self._sealed: set[str] = set()
+        self._uncovered: dict[int, set[str]] = {}
+        self._fenced: dict[str, str] = {}
         self._states = [self._chart.initial] * identity.SHARD_COUNT
         self._writer: journal_writer.JournalWriter | None = None
 
@@ -87,6 +93,18 @@
         """Whether this entry accepts new calls of a shard."""
         return self._states[shard] == 'serving'
 
+    def is_releasing(self, shard: int) -> bool:
+        """Whether a shard is being handed over."""
+        return self._states[shard] == 'releasing'
+
+    def uncovered_by(self, shard: int) -> set[str]:
+        """Return the sidecars that may know unrecorded calls of a shard.
+
+        These did not answer the fence while an entry that may have held
+        intents of the former owner did not answer either.
+        """
+        return self._uncovered.get(shard, set())
+
     def epoch(self, shard: int) -> int:
         """Return the fencing number of a shard."""
         return self._map.assignments[shard].epoch
@@ -147,6 +165,7 @@
         await self._release_unwanted(entries)
         await self._claim(entries)
         await self._adopt_assigned()
+        await self._fence_again()
 
     async def _release_unwanted(self, entries: list[str]) -> None:
         leaving = [
@@ -220,6 +239,7 @@
         }
         for log in sorted(logs):
             await journal_writer.seal_log(self._objects, log)
+            self._sealed.add(log)
         await self._write_map(
             self._map.assign(shards, self._entry, self._writer.log)
         )
@@ -248,67 +268,120 @@
         """Read journals and witnesses of shards and start serving them."""
         for shard in shards:
             self._advance(shard, 'acquire')
+        logs = self._foreign_logs(shards)
+        sealed = [log for log in logs if log in self._sealed]
         try:
-            found = await self._read_journals(shards)
-            answers, silent = await self._fence_sidecars(shards)
+            found = await self._reader.collect(
+                logs, sealed, self._epochs(shards)
+            )
         except errors.MagnoliawoodError:
             for shard in shards:
                 self._lose(shard)
             raise
-        for record in [*found, *_records_of(answers)]:
+        for record in found.all_records():
             self._programs.apply(record)
+        await self._end_damaged(shards)
         await self._journal_snapshots(shards)
         loaded = [s for s in shards if self._states[s] == 'loading']
         for shard in loaded:
             self._advance(shard, 'load')
+            if found.unheard - _owners_of(sealed):
+                self._uncovered[shard] = set(found.silent)
+        for name in found.silent:
+            self._fenced.pop(name, None)
         _log.info(
             'shards acquired',
-            extra={'shards': len(loaded), 'silent': sorted(silent)},
+            extra={
+                'shards': len(loaded),
+                'silent': sorted(found.silent),
+                'unheard': sorted(found.unheard),
+            },
         )
-        await self._on_adopted(loaded, silent)
+        await self._on_adopted(loaded, found)
+        if sealed:
+            await curio.spawn(self._release_held, sealed, loaded, daemon=True)
 
-    async def _read_journals(self, shards: list[int]) -> list[records.Record]:
-        chosen = set(shards)
+    def _foreign_logs(self, shards: list[int]) -> list[str]:
         names = dict.fromkeys(
             log
             for shard in shards
             for log in self._map.assignments[shard].logs
             if log != self._writer.log
         )
-        found = []
-        for log in names:
-            content = await journal_writer.read_log(self._objects, log)
-            found += [
-                record
-                for record in content
-                if records.program_of(record).shard in chosen
-            ]
-        return found
-
-    async def _fence_sidecars(
-        self, shards: list[int]
-    ) -> tuple[list[witnesses.WitnessRecord], set[str]]:
-        fence = messages.Fence(
-            [messages.ShardEpoch(shard, self.epoch(shard)) for shard in shards]
-        )
-        found: list[witnesses.WitnessRecord] = []
-        silent: set[str] = set()
+        return list(names)
 
-        async def ask(sidecar: sidecar_directory.Sidecar) -> None:
-            try:
-                reply = await self._pool.ask(
-                    sidecar.host.address, fence, FENCE_TIMEOUT
-                )
-                found.extend(reply.records)
-            except errors.MagnoliawoodError as error:
-                if error.code == errors.ErrorCode.STALE_EPOCH:
-                    raise
-                silent.add(sidecar.name)
+    def _epochs(self, shards: list[int]) -> list[messages.ShardEpoch]:
+        return [
+            messages.ShardEpoch(shard, self.epoch(shard)) for shard in shards
+        ]
 
-        async with curio.TaskGroup() as group:
-            for sidecar in self._sidecars.all():
-                await group.spawn(ask, sidecar)
-        return found, silent
+    async def _release_held(
+        self, sealed: list[str], shards: list[int]
+    ) -> None:
+        """Drop held records once the snapshots are stored."""
+        writer = self._writer
+        position = writer.barrier()
+        while not await writer.wait_durable(position):
+            if writer.is_sealed:
+                return
+            await curio.sleep(RECONCILE_INTERVAL.total_seconds())
+        await self._reader.release(sealed, shards)
+
+    async def _fence_again(self) -> None:
+        """Fence sidecars that were silent or have restarted.
+
+        Explanation
+        ===========
+
+        A sidecar that starts knows no epochs. It accepts only orders for
+        its own incarnation, and no intent for such an order survives the
+        sealing of a former owner's log; this makes it refuse all others.
+        """
+        serving = [s for s in range(identity.SHARD_COUNT) if self.serves(s)]
+        for sidecar in self._sidecars.all():
+            reply = sidecar.reply
+            if not (serving and sidecar.is_reachable and reply is not None):
+                continue
+            if self._fenced.get(sidecar.name) == reply.incarnation:
+                continue
+            found = takeover_reader.Found()
+            await self._reader.fence(sidecar, self._epochs(serving), found)
+            found.check_epochs()
+            if sidecar.name not in found.silent:
+                self._fenced[sidecar.name] = reply.incarnation
+                await self._learn_late(sidecar.name, found)
+
+    async def _learn_late(
+        self, name: str, found: takeover_reader.Found
+    ) -> None:
+        """Take over what a sidecar that was silent knows."""
+        late = [s for s, silent in self._uncovered.items() if name in silent]
+        found.witnessed = [
+            record
+            for record in found.witnessed
+            if record.call.program.shard in late
+        ]
+        for record in found.all_records():
+            self._programs.apply(record)
+            await self._writer.append(record)
+        for shard in late:
+            self._uncovered[shard].discard(name)
+        if found.witnessed:
+            await self._on_adopted(late, found)
+
+    async def _end_damaged(self, shards: list[int]) -> None:
+        """End programs whose history is not the one recorded."""
+        for shard in shards:
+            for program in self._programs.in_shard(shard):
+                if program.is_damaged and not program.is_ended:
+                    self._metrics.count('histories_damaged_total')
+                    _log.error(
+                        'history differs from its digest',
+                        extra={'program': str(program.key)},
+                    )
+                    program.apply(
+                        records.Ended(program.key, 'the history is damaged')
+                    )
 
     async def _journal_snapshots(self, shards: list[int]) -> None:
         for shard in shards:
@@ -327,6 +400,7 @@
     def _lose(self, shard: int) -> None:
         if self._states[shard] != 'foreign':
             self._advance(shard, 'lose')
+            self._uncovered.pop(shard, None)
             self._programs.drop_shard(shard)
 
     def _advance(self, shard: int, trigger: str) -> None:
@@ -335,16 +409,8 @@
         )
 
 
-def _records_of(
-    found: list[witnesses.WitnessRecord],
-) -> list[records.Record]:
-    ordered = sorted(found, key=lambda record: record.call.sequence)
-    result: list[records.Record] = []
-    for record in ordered:
-        result += [record.opened, record.intended]
-        if record.outcome is not None:
-            result.append(records.Settled(record.call, record.outcome))
-    return result
+def _owners_of(logs: list[str]) -> set[str]:
+    return {log.rpartition('~')[0] for log in logs}
 
 
 def refusal_of_foreign(shard: int) -> errors.MagnoliawoodError:
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -154,6 +154,53 @@
     calls: list[identity.CallId]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldRecords:
+    """Asks an entry to hold journal records that the store lacks.
+
+    :param log: log that the records belong to
+    :param first: position of the first record in the log
+    :param durable: position up to which held records may be dropped
+    """
+
+    log: str
+    first: int
+    records: list[records.Record]
+    durable: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SealHeld:
+    """Asks an entry to take no more records of logs and return its own."""
+
+    logs: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldUpTo:
+    """Answer to :class:`HoldRecords`.
+
+    :param position: position up to which no record is missing
+    """
+
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """Records that an entry held, in the order of their logs."""
+
+    records: list[records.Record]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseHeld:
+    """Sealed logs whose records the new owner of shards has stored."""
+
+    logs: list[str]
+    shards: list[int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReleaseProgram:
     """Frees the cache of a program that ended."""
@@ -286,6 +333,11 @@
     Fence,
     Witnesses,
     Forget,
+    HoldRecords,
+    HeldUpTo,
+    SealHeld,
+    Held,
+    ReleaseHeld,
     ReleaseProgram,
     Done,
     Probe,
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -80,6 +80,8 @@
     :param engines: number of model engines
     :param services: names of plain services, one process each
     :param entries: number of entries
+    :param service_pool: processes that serve each service; those after
+        the first are named ``NAME-2``, ``NAME-3``
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         folder: pathlib.Path | None = None,
         entry_settings: dict[str, object] | None = None,
         sidecar_settings: dict[str, object] | None = None,
+        service_pool: int = 1,
     ) -> None:
         self._temporary = None
         if folder is None:
@@ -110,7 +113,9 @@
         for number in range(1, engines + 1):
             self._add_engine(f'engine-{number}')
         for name in services:
-            self._add_service(name)
+            self._add_service(name, name)
+            for number in range(2, service_pool + 1):
+                self._add_service(f'{name}-{number}', name)
         for number in range(1, entries + 1):
             self._add_entry(f'entry-{number}')
 
@@ -283,14 +288,14 @@
         )
         self._add_upstream(name, process, address, 'engine', self.models)
 
-    def _add_service(self, name: str) -> None:
+    def _add_service(self, name: str, serves: str) -> None:
         address = processes.free_address()
         process = self._process(
             name,
             'magnoliawood_testing.standins.service',
             {'listen': address},
         )
-        self._add_upstream(name, process, address, 'service', name)
+        self._add_upstream(name, process, address, 'service', serves)
 
     def _add_upstream(
         self,
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios that check the promises under failure."""
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/scenario.py
@@ -0,0 +1,294 @@
+"""Steps that the scenarios of the promises share."""
+
+import concurrent.futures
+import dataclasses
+import http.client
+import itertools
+import signal
+import time
+import typing
+
+from magnoliawood.ownership import shard_map as shard_maps
+from magnoliawood.programs import identity
+from magnoliawood.programs import message as conversation
+from magnoliawood_testing.cluster import deployment as deployments
+
+CALLER = 'red-clay'
+OTHER_CALLER = 'kessick'
+SERVICE = 'pours'
+FINAL_TIMEOUT_SECONDS = 40.0
+_RETRY_SECONDS = 0.05
+_BUDGET = {'tokens': 4000, 'calls': 200, 'seconds': 600}
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """The final answer of a call and what came before it.
+
+    :param verdicts: verdict of each answer with one, the final one last
+    :param seconds: time from the first request to the final answer
+    :param false_verdicts: answers of ``not_run`` to calls that had run
+    """
+
+    status: int = 0
+    body: typing.Any = None
+    verdicts: list[str] = dataclasses.field(default_factory=list)
+    seconds: float = 0.0
+    false_verdicts: int = 0
+
+    @property
+    def verdict(self) -> str:
+        """Verdict of the final answer."""
+        return self.verdicts[-1]
+
+
+class Scenario:
+    """One deployment on which faults are caused one after another."""
+
+    def __init__(self, deployment: deployments.Deployment) -> None:
+        self.deployment = deployment
+        self._names = itertools.count(1)
+        self._threads = concurrent.futures.ThreadPoolExecutor(32)
+        self._prefix = f'{time.monotonic_ns():x}'
+
+    def prepare(self) -> None:
+        """Create the class and the account that the scenarios use."""
+        self.deployment.create_class('booking', 30)
+        self.deployment.create_account(CALLER)
+        self.deployment.create_account(OTHER_CALLER)
+        self.deployment.wait_for_configuration()
+
+    def heal(self) -> None:
+        """End all faults, start what was killed and wait for readiness."""
+        for node in self.deployment.nodes():
+            node.process.send_signal(signal.SIGCONT)
+            if not node.process.is_running:
+                node.process.start()
+        self.deployment.set_faults(
+            self.deployment.platform,
+            outage=False,
+            delay_seconds=0.0,
+            lost_reply_rate=0.0,
+        )
+        for node in self.services():
+            deployments.wait_until(
+                lambda address=node.upstream: _listens(address), node.name
+            )
+            self.deployment.set_faults(
+                node,
+                delay_seconds=0.005,
+                reply_delay_seconds=0.0,
+                lost_replies=0,
+            )
+        self.set_step(0.005)
+        deployments.wait_until(self.deployment.is_ready, 'ready entries')
+        deployments.wait_until(self._owners_live, 'live owners')
+
+    def set_step(self, seconds: float) -> None:
+        """Set the time that an engine takes for a token."""
+        for name, node in self.deployment.upstreams.items():
+            if name.startswith('engine'):
+                self.deployment.set_faults(node, step_seconds=seconds)
+
+    def services(self) -> list[deployments.Node]:
+        """Return the processes of the service's pool."""
+        return [
+            node
+            for name, node in self.deployment.upstreams.items()
+            if name.startswith(SERVICE)
+        ]
+
+    def sidecar_of(self, upstream: str) -> deployments.Node:
+        """Return the sidecar beside an upstream."""
+        return self.deployment.sidecars[f'{upstream}-sidecar']
+
+    def live_entries(self) -> list[deployments.Node]:
+        """Return the entries whose process runs."""
+        return [
+            node
+            for node in self.deployment.entries.values()
+            if node.process.is_running
+        ]
+
+    def open(self, name: str = '', caller: str = CALLER, **limits: int) -> str:
+        """Open a program and return its name.
+
+        :param limits: parts of the budget that differ from the usual one
+        """
+        name = name or f'p-{self._prefix}-{next(self._names)}'
+        body = {'class': 'booking', 'budget': {**_BUDGET, **limits}}
+        answer = self.ask('PUT', name, body, caller=caller)
+        assert answer.status == 201, answer
+        return name
+
+    def status(self, name: str) -> typing.Any:
+        """Return the status of a program."""
+        return self.ask('GET', name).body
+
+    def history(
+        self, name: str, caller: str = CALLER
+    ) -> list[conversation.Message]:
+        """Return the history of a program and check its digest."""
+        kept = self.ask('GET', f'{name}/history', caller=caller).body
+        found = [conversation.Message(**item) for item in kept['messages']]
+        assert kept['digest'] == conversation.chain_digest('', found)
+        return found
+
+    def owner_of(self, name: str) -> deployments.Node:
+        """Return the entry that owns a program by the stored map."""
+        shard = identity.ProgramKey(CALLER, name).shard
+        owner = self._map().assignments[shard].owner
+        return self.deployment.entries[owner]
+
+    def runs(self, name: str, sequence: int) -> int:
+        """Return how often a call ran by the services' own counts."""
+        key = f'{CALLER}/{name}/{sequence}'
+        return sum(
+            deployments.call(node.upstream, 'GET', '/control/runs')[1].get(
+                key, 0
+            )
+            for node in self.services()
+        )
+
+    def runner_of(self, name: str, sequence: int) -> deployments.Node:
+        """Return the service process that ran a call."""
+        key = f'{CALLER}/{name}/{sequence}'
+        return next(
+            node
+            for node in self.services()
+            if key
+            in deployments.call(node.upstream, 'GET', '/control/runs')[1]
+        )
+
+    def start_booking(
+        self,
+        name: str,
+        sequence: int,
+        entries: list[deployments.Node] | None = None,
+    ) -> concurrent.futures.Future[Answer]:
+        """Book in the background, repeating until there is an answer."""
+        return self._threads.submit(self.book, name, sequence, entries)
+
+    def book(
+        self,
+        name: str,
+        sequence: int,
+        entries: list[deployments.Node] | None = None,
+    ) -> Answer:
+        """Book once, repeating the request until it has a final answer."""
+        body = {'kind': 'service', 'service': SERVICE, 'operation': 'book'}
+        path = f'{name}/calls/{sequence}'
+        return self.ask('PUT', path, body, entries, (name, sequence))
+
+    def turn(
+        self,
+        name: str,
+        sequence: int,
+        text: str,
+        max_tokens: int = 40,
+        caller: str = CALLER,
+    ) -> Answer:
+        """Run a model turn."""
+        body = {
+            'kind': 'model',
+            'model': 'model-a',
+            'messages': [{'role': 'user', 'content': text}],
+            'max_tokens': max_tokens,
+        }
+        path = f'{name}/calls/{sequence}'
+        return self.ask('PUT', path, body, caller=caller)
+
+    def start_turn(
+        self,
+        name: str,
+        sequence: int,
+        text: str,
+        max_tokens: int = 40,
+        caller: str = CALLER,
+    ) -> concurrent.futures.Future[Answer]:
+        """Run a model turn in the background."""
+        return self._threads.submit(
+            self.turn, name, sequence, text, max_tokens, caller
+        )
+
+    def busy_engine(self) -> deployments.Node | None:
+        """Return the engine's sidecar that has a call under way."""
+        for sidecar in self.deployment.sidecars.values():
+            if not sidecar.name.startswith('engine'):
+                continue
+            if self.deployment.metric(sidecar, 'waiting_calls'):
+                return sidecar
+        return None
+
+    def ask(
+        self,
+        method: str,
+        path: str,
+        body: typing.Any = None,
+        entries: list[deployments.Node] | None = None,
+        booking: tuple[str, int] | None = None,
+        caller: str = CALLER,
+    ) -> Answer:
+        """Send a request through the entries in turn until it is final.
+
+        :param booking: program and number of a call whose ``not_run`` is
+            checked against the services' counts
+        """
+        answer = Answer()
+        started = time.monotonic()
+        limit = started + FINAL_TIMEOUT_SECONDS
+        for number in itertools.count():
+            nodes = entries or self.live_entries()
+            node = nodes[number % len(nodes)]
+            if self._attempt(answer, node, method, path, body, caller):
+                break
+            if booking and answer.verdicts[-1:] == ['not_run']:
+                answer.false_verdicts += self.runs(*booking) > 0
+            assert time.monotonic() < limit, answer
+            time.sleep(_RETRY_SECONDS)
+        answer.seconds = time.monotonic() - started
+        return answer
+
+    def _attempt(
+        self,
+        answer: Answer,
+        node: deployments.Node,
+        method: str,
+        path: str,
+        body: typing.Any,
+        caller: str,
+    ) -> bool:
+        headers = {'authorization': f'Bearer token-of-{caller}'}
+        try:
+            answer.status, answer.body = deployments.call(
+                node.http, method, f'/v1/programs/{path}', body, headers
+            )
+        except (OSError, http.client.HTTPException):
+            # The request may have arrived, as the balancer can't know.
+            answer.verdicts.append('no answer')
+            return False
+        verdict = answer.body.get('verdict', '')
+        answer.verdicts.append(verdict)
+        return answer.status not in (429, 503)
+
+    def _map(self) -> shard_maps.ShardMap:
+        _, stored = deployments.call(
+            self.deployment.platform.http,
+            'GET',
+            f'/v1/objects/{shard_maps.MAP_NAME}',
+        )
+        return shard_maps.ShardMap.from_text(
+            stored['version'], stored['value']
+        )
+
+    def _owners_live(self) -> bool:
+        owners = {item.owner for item in self._map().assignments}
+        return owners <= {node.name for node in self.live_entries()}
+
+
+def _listens(address: str) -> bool:
+    try:
+        deployments.call(address, 'GET', '/control/runs')
+    except (OSError, http.client.HTTPException):
+        return False
+    return True
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/conftest.py
@@ -0,0 +1,25 @@
+import pytest
+
+from magnoliawood_testing import cluster
+from magnoliawood_testing.promises import scenario as scenarios
+
+
+@pytest.fixture(scope='module')
+def shared_scenario():
+    """Three entries, two engines and two processes of one service."""
+    with cluster.Deployment(
+        engines=2,
+        entries=3,
+        service_pool=2,
+        entry_settings={'suspicion_seconds': 1.0},
+    ) as started:
+        scenario = scenarios.Scenario(started)
+        scenario.prepare()
+        yield scenario
+
+
+@pytest.fixture
+def scenario(shared_scenario):
+    """The shared deployment, healed after each test."""
+    yield shared_scenario
+    shared_scenario.heal()
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_at_most_once.py
@@ -0,0 +1,194 @@
+import random
+import signal
+import time
+
+import pytest
+
+from magnoliawood_testing.cluster import deployment as deployments
+
+
+def slow_down(scenario, seconds):
+    for node in scenario.services():
+        scenario.deployment.set_faults(node, delay_seconds=seconds)
+
+
+def wait_for_witness(scenario):
+    """Wait until a sidecar of the service has accepted a call."""
+    sidecars = [scenario.sidecar_of(node.name) for node in scenario.services()]
+
+    def accepted():
+        waiting = {
+            node.name: scenario.deployment.metric(node, 'waiting_calls')
+            for node in sidecars
+        }
+        return [name for name, count in waiting.items() if count]
+
+    deployments.wait_until(accepted, 'an accepted booking')
+    name = accepted()[0]
+    return scenario.deployment.sidecars[name]
+
+
+def check(scenario, name, sequence, answer):
+    """Compare the verdict with the services' own counts."""
+    runs = scenario.runs(name, sequence)
+    assert runs <= 1, (runs, answer)
+    assert answer.false_verdicts == 0, answer
+    if answer.verdict == 'ran':
+        assert runs == 1
+    else:
+        assert answer.verdict == 'may_have_run'
+    again = scenario.book(name, sequence)
+    assert again.verdict == answer.verdict
+    assert scenario.runs(name, sequence) == runs
+    following = scenario.book(name, sequence + 1)
+    assert following.verdict == 'ran'
+    assert scenario.runs(name, sequence + 1) == 1
+
+
+def test_lost_reply_is_not_sent_again(scenario):
+    name = scenario.open()
+    for node in scenario.services():
+        scenario.deployment.set_faults(node, lost_replies=1)
+    answer = scenario.book(name, 1)
+    for node in scenario.services():
+        scenario.deployment.set_faults(node, lost_replies=0)
+    assert answer.verdict == 'may_have_run'
+    check(scenario, name, 1, answer)
+
+
+def test_owner_killed_after_its_order(scenario):
+    name = scenario.open()
+    slow_down(scenario, 3.0)
+    booking = scenario.start_booking(name, 1)
+    wait_for_witness(scenario)
+    scenario.owner_of(name).process.kill()
+    slow_down(scenario, 0.005)
+    answer = booking.result()
+    assert answer.verdict == 'ran'
+    check(scenario, name, 1, answer)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_owner_killed_at_any_moment(scenario, seed):
+    chance = random.Random(seed)
+    name = scenario.open()
+    booking = scenario.start_booking(name, 1)
+    time.sleep(chance.uniform(0, 0.06))
+    scenario.owner_of(name).process.kill()
+    check(scenario, name, 1, booking.result())
+
+
+def test_sidecar_killed_with_the_call(scenario):
+    name = scenario.open()
+    slow_down(scenario, 1.0)
+    booking = scenario.start_booking(name, 1)
+    sidecar = wait_for_witness(scenario)
+    sidecar.process.kill()
+    sidecar.process.start()
+    answer = booking.result()
+    slow_down(scenario, 0.005)
+    assert answer.verdict == 'may_have_run'
+    check(scenario, name, 1, answer)
+
+
+def test_owner_and_sidecar_killed_together(scenario):
+    name = scenario.open()
+    slow_down(scenario, 1.0)
+    booking = scenario.start_booking(name, 1)
+    sidecar = wait_for_witness(scenario)
+    scenario.owner_of(name).process.kill()
+    sidecar.process.kill()
+    sidecar.process.start()
+    slow_down(scenario, 0.005)
+    answer = booking.result()
+    assert answer.verdict == 'may_have_run'
+    check(scenario, name, 1, answer)
+
+
+def test_owner_and_sidecar_killed_in_a_store_outage(scenario):
+    name = scenario.open()
+    owner = scenario.owner_of(name)
+    platform = scenario.deployment.platform
+    scenario.deployment.set_faults(platform, outage=True)
+    for node in scenario.services():
+        scenario.deployment.set_faults(node, reply_delay_seconds=5.0)
+    booking = scenario.start_booking(name, 1, [owner])
+    sidecar = wait_for_witness(scenario)
+    runner = scenario.deployment.upstreams[
+        sidecar.name.removesuffix('-sidecar')
+    ]
+    deployments.wait_until(
+        lambda: scenario.runs(name, 1) == 1, 'the run at the service'
+    )
+    owner.process.kill()
+    sidecar.process.kill()
+    assert scenario.runner_of(name, 1) is runner
+    sidecar.process.start()
+    scenario.deployment.set_faults(platform, outage=False)
+    answer = scenario.book(name, 1, _others(scenario, owner))
+    for node in scenario.services():
+        scenario.deployment.set_faults(node, reply_delay_seconds=0.0)
+    booking.cancel()
+    assert answer.verdict == 'may_have_run'
+    check(scenario, name, 1, answer)
+
+
+def test_store_down_throughout(scenario):
+    name = scenario.open()
+    platform = scenario.deployment.platform
+    scenario.deployment.set_faults(platform, outage=True)
+    answer = scenario.book(name, 1)
+    assert answer.verdict == 'ran'
+    check(scenario, name, 1, answer)
+
+
+def test_frozen_owner_wakes_with_the_order_still_to_send(scenario):
+    name = scenario.open()
+    owner = scenario.owner_of(name)
+    platform = scenario.deployment.platform
+    # The intent waits for the store, then the owner is frozen.
+    scenario.deployment.set_faults(platform, delay_seconds=0.2)
+    booking = scenario.start_booking(name, 1, [owner])
+    time.sleep(0.1)
+    owner.process.send_signal(signal.SIGSTOP)
+    scenario.deployment.set_faults(platform, delay_seconds=0.0)
+    deployments.wait_until(
+        lambda: scenario.owner_of(name) is not owner, 'takeover'
+    )
+    others = _others(scenario, owner)
+    answers = [scenario.start_booking(name, 1, others) for _ in range(2)]
+    owner.process.send_signal(signal.SIGCONT)
+    found = [answer.result() for answer in [booking, *answers]]
+    assert len({answer.verdict for answer in found}) == 1
+    check(scenario, name, 1, found[0])
+
+
+def test_repeats_through_all_entries_at_once(scenario):
+    name = scenario.open()
+    slow_down(scenario, 0.2)
+    entries = scenario.live_entries()
+    bookings = [
+        scenario.start_booking(name, 1, [entries[number % len(entries)]])
+        for number in range(9)
+    ]
+    answers = [booking.result() for booking in bookings]
+    assert {answer.verdict for answer in answers} == {'ran'}
+    assert len({answer.body['content'] for answer in answers}) == 1
+    check(scenario, name, 1, answers[0])
+
+
+def test_balancer_repeats_after_losing_the_first_entry(scenario):
+    name = scenario.open()
+    owner = scenario.owner_of(name)
+    first = _others(scenario, owner)[0]
+    slow_down(scenario, 0.5)
+    booking = scenario.start_booking(name, 1, [first, owner])
+    wait_for_witness(scenario)
+    first.process.kill()
+    answer = booking.result()
+    assert answer.verdict == 'ran'
+    check(scenario, name, 1, answer)
+
+
+def _others(scenario, owner):
+    return [node for node in scenario.live_entries() if node is not owner]
--- a/packages/magnoliawood/magnoliawood/ownership/__init__.py
+++ b/packages/magnoliawood/magnoliawood/ownership/__init__.py
@@ -1,6 +1,7 @@
 """Who owns which programs, and how former owners are fenced off."""
 
 from magnoliawood.ownership.fence import FenceTable
+from magnoliawood.ownership.held_records import HeldRecords
 from magnoliawood.ownership.journal import JournalBuffer
 from magnoliawood.ownership.shard_map import Assignment
 from magnoliawood.ownership.shard_map import ShardMap
@@ -10,6 +11,7 @@
 __all__ = [
     'Assignment',
     'FenceTable',
+    'HeldRecords',
     'JournalBuffer',
     'ShardMap',
     'WitnessRecord',
--- a/packages/magnoliawood/magnoliawood/ownership/journal.py
+++ b/packages/magnoliawood/magnoliawood/ownership/journal.py
@@ -89,6 +89,11 @@
         """Approximate size of the waiting records in bytes."""
         return sum(self._waiting_sizes)
 
+    def after(self, position: int) -> list[records.Record]:
+        """Return the records after a position that are not stored yet."""
+        unstored = [*self._in_flight, *self._waiting]
+        return unstored[max(0, position - self._durable) :]
+
     def append(self, record: records.Record) -> int:
         """Add a record and return its position."""
         self._waiting.append(record)
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/ownership/takeover.py
@@ -0,0 +1,66 @@
+"""What a new owner makes of the records it finds."""
+
+from magnoliawood.core import verdict as verdicts
+from magnoliawood.ownership import witness as witnesses
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import records
+
+
+def records_of_witnesses(
+    found: list[witnesses.WitnessRecord],
+) -> list[records.Record]:
+    """Return the records that sidecars kept, in an order to apply them.
+
+    Explanation
+    ===========
+
+    Parents come before children, calls by number and orders by attempt. An
+    outcome after which the call is to be sent again is left out; the call
+    then stays pending and its new owner asks the sidecar.
+    """
+    ordered = sorted(found, key=_place)
+    result: list[records.Record] = [
+        record.opened
+        for record in sorted(
+            ordered, key=lambda item: item.opened.program.name
+        )
+    ]
+    for record in ordered:
+        result.append(record.intended)
+        if _is_final(record):
+            result.append(
+                records.Settled(
+                    record.call, record.outcome, record.intended.attempt
+                )
+            )
+    return result
+
+
+def may_send_again(request: calls.Request, outcome: calls.CallOutcome) -> bool:
+    """Whether a call may be sent again after an outcome.
+
+    Examples
+    ========
+
+    >>> booking = calls.ServiceRequest('pours', 'book', '{}', False)
+    >>> lost = calls.CallOutcome(
+    ...     verdicts.Verdict.MAY_HAVE_RUN, code='outcome_unknown'
+    ... )
+    >>> may_send_again(booking, lost)
+    False
+    """
+    if outcome.is_success:
+        return False
+    return outcome.verdict.is_safe_to_repeat or request.is_idempotent
+
+
+def _place(record: witnesses.WitnessRecord) -> tuple[str, int, int]:
+    call = record.call
+    return (call.program.name, call.sequence, record.intended.attempt)
+
+
+def _is_final(record: witnesses.WitnessRecord) -> bool:
+    outcome = record.outcome
+    if outcome is None or outcome.verdict is verdicts.Verdict.NOT_RUN:
+        return False
+    return not may_send_again(record.intended.request, outcome)
--- a/packages/magnoliawood/magnoliawood/programs/budget.py
+++ b/packages/magnoliawood/magnoliawood/programs/budget.py
@@ -90,12 +90,13 @@
         self.check(tokens)
         self.restore(tokens)
 
-    def check(self, tokens: int) -> None:
-        """Check that a call of at most ``tokens`` tokens fits.
+    def check(self, tokens: int, calls: int = 1) -> None:
+        """Check that calls of at most ``tokens`` tokens fit.
 
+        :param calls: number of calls; 0 if they are counted already
         :raises MagnoliawoodError: with ``budget_exhausted``
         """
-        if self.calls_left < 1:
+        if self.calls_left < calls:
             raise _exhausted('calls', self._budget.calls)
         if tokens > self.tokens_left:
             raise _exhausted('tokens', self._budget.tokens)
@@ -112,6 +113,11 @@
             ledger._tokens_reserved -= reserved
             ledger._tokens_spent += spent
 
+    def reserve_again(self, tokens: int) -> None:
+        """Reserve tokens for another order of a call already counted."""
+        for ledger in self._lineage():
+            ledger._tokens_reserved += tokens
+
     def withdraw(self, reserved: int) -> None:
         """Give back the reservation of a call that did not run."""
         for ledger in self._lineage():
--- a/packages/magnoliawood/magnoliawood/programs/call.py
+++ b/packages/magnoliawood/magnoliawood/programs/call.py
@@ -152,6 +152,7 @@
         self.upstream = ''
         self.upstream_incarnation = ''
         self.attempt = 0
+        self._wasted = 0
 
     @property
     def id(self) -> identity.CallId:
@@ -173,6 +174,11 @@
         """Tokens reserved for it."""
         return self._reserved
 
+    @property
+    def wasted(self) -> int:
+        """Tokens that lost orders of the call may have spent."""
+        return self._wasted
+
     @property
     def state(self) -> str:
         """State in the chart ``call``."""
@@ -192,6 +198,14 @@
         """Whether a repeat is the same call as this one."""
         return key == self._key and fingerprint(request) == self._fingerprint
 
+    def renew(self, reserved: int, wasted: int) -> None:
+        """Set what the next order reserves and the lost ones may have spent.
+
+        :param wasted: tokens of all lost orders together
+        """
+        self._reserved = reserved
+        self._wasted = wasted
+
     def advance(self, trigger: str) -> None:
         """Apply an event of the chart.
 
--- a/packages/magnoliawood/magnoliawood/programs/program.py
+++ b/packages/magnoliawood/magnoliawood/programs/program.py
@@ -38,8 +38,10 @@
         self._state = self._chart.initial
         self._end_reason = ''
         self._calls: list[call_models.Call] = []
+        self._withdrawn: call_models.Call | None = None
         self._history: list[messages.Message] = []
         self._digest = ''
+        self._is_damaged = False
 
     @property
     def key(self) -> identity.ProgramKey:
@@ -81,6 +83,11 @@
         """Hash chain over the history."""
         return self._digest
 
+    @property
+    def is_damaged(self) -> bool:
+        """Whether the history differs from the one that was recorded."""
+        return self._is_damaged
+
     @property
     def calls(self) -> list[call_models.Call]:
         """All calls in order."""
@@ -91,6 +98,15 @@
         """Sequence number of the next new call, from 1."""
         return len(self._calls) + 1
 
+    @property
+    def next_attempt(self) -> int:
+        """Number of the first order of the next new call.
+
+        A withdrawn call's numbers are not used again, so that a sidecar
+        can't take a new order for one that it refused or barred.
+        """
+        return 1 if self._withdrawn is None else self._withdrawn.attempt + 1
+
     @property
     def pending(self) -> call_models.Call | None:
         """The last call, if it has no outcome yet."""
@@ -141,39 +157,62 @@
         return [
             self._opened,
             *itertools.chain.from_iterable(map(_call_records, self._calls)),
+            *_withdrawn_records(self._withdrawn),
             *([records.Ended(self.key, self._end_reason)] * self.is_ended),
         ]
 
     def _apply_intended(self, record: records.Intended) -> None:
         sequence = record.call.sequence
         if sequence == self.next_sequence:
-            call = call_models.Call(
-                record.call, record.key, record.request, record.reserved
-            )
-            self._ledger.restore(record.reserved)
-            self._calls.append(call)
+            if record.attempt < self.next_attempt:
+                return
+            self._add_call(record)
         call = self.call(sequence)
         if call.is_done or record.attempt <= call.attempt:
             return
+        if not call.matches(record.key, record.request):
+            call = self._replace_call(record)
+        self._ledger.settle(call.reserved, record.wasted - call.wasted)
+        self._ledger.reserve_again(record.reserved)
+        call.renew(record.reserved, record.wasted)
         if call.state == 'accepted':
             call.advance('record_intent')
         call.upstream = record.upstream
         call.upstream_incarnation = record.upstream_incarnation
         call.attempt = record.attempt
 
+    def _add_call(self, record: records.Intended) -> None:
+        call = call_models.Call(
+            record.call, record.key, record.request, record.reserved
+        )
+        self._ledger.restore(record.reserved)
+        self._calls.append(call)
+        self._withdrawn = None
+
+    def _replace_call(self, record: records.Intended) -> call_models.Call:
+        """Put a new call in place of one whose withdrawal was not stored."""
+        replaced = self._calls.pop()
+        self._ledger.withdraw(replaced.reserved)
+        self._add_call(record)
+        return self._calls[-1]
+
     def _apply_withdrawn(self, record: records.Withdrawn) -> None:
         pending = self.pending
         if pending is not None and pending.id == record.call:
-            self._calls.pop()
+            self._withdrawn = self._calls.pop()
             self._ledger.withdraw(pending.reserved)
 
     def _apply_settled(self, record: records.Settled) -> None:
+        if record.call.sequence >= self.next_sequence:
+            return
         call = self.call(record.call.sequence)
-        if call.is_done:
+        if call.is_done or record.attempt not in (0, call.attempt):
             return
         call.finish(record.outcome)
         self._ledger.settle(call.reserved, record.outcome.tokens)
         self._extend_history(call, record.outcome)
+        if record.digest and record.digest != self._digest:
+            self._is_damaged = True
 
     def _extend_history(
         self, call: call_models.Call, outcome: call_models.CallOutcome
@@ -194,12 +233,21 @@
         call.upstream,
         call.upstream_incarnation,
         call.attempt,
+        call.wasted,
     )
     if call.outcome is None:
         return [intended]
     return [intended, records.Settled(call.id, call.outcome)]
 
 
+def _withdrawn_records(
+    call: call_models.Call | None,
+) -> list[records.Record]:
+    if call is None:
+        return []
+    return [*_call_records(call), records.Withdrawn(call.id)]
+
+
 def _history_of(
     request: call_models.Request, outcome: call_models.CallOutcome
 ) -> list[messages.Message]:
--- a/packages/magnoliawood/magnoliawood/programs/records.py
+++ b/packages/magnoliawood/magnoliawood/programs/records.py
@@ -22,7 +22,8 @@
 class Intended:
     """A call is about to be sent to the named upstream.
 
-    :param attempt: number of the order, from 1
+    :param attempt: number of the order, from 1; rises over withdrawals too
+    :param wasted: tokens that lost orders of the call may have spent
     """
 
     call: identity.CallId
@@ -32,14 +33,22 @@
     upstream: str
     upstream_incarnation: str
     attempt: int = 1
+    wasted: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settled:
-    """A call has an outcome."""
+    """A call has an outcome.
+
+    :param attempt: number of the order that ended so; 0 stands for any
+    :param digest: hash chain over the history up to here, empty if the
+        writer did not know it
+    """
 
     call: identity.CallId
     outcome: calls.CallOutcome
+    attempt: int = 0
+    digest: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
