--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -15,6 +15,7 @@
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import admin_api
 from magnoliawood_server.entry import call_executor
+from magnoliawood_server.entry import call_recorder
 from magnoliawood_server.entry import caller_api
 from magnoliawood_server.entry import chat_api
 from magnoliawood_server.entry import configuration_keeper
@@ -22,6 +23,7 @@
 from magnoliawood_server.entry import journal_writer
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import owner_service
+from magnoliawood_server.entry import record_holder
 from magnoliawood_server.entry import shard_keeper
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
@@ -55,6 +57,7 @@
         )
         self._pool = pools.PeerPool(clock, self._handshake)
         self._programs = tables.ProgramTable()
+        self._held = record_holder.HeldRecordService()
         self._make_state()
         self._make_service()
         self._make_apis()
@@ -71,7 +74,7 @@
                 self._configuration.watch_forever,
                 self._keeper.follow_map_forever,
                 self._keeper.reconcile_forever,
-                self._service.forget_forever,
+                self._recorder.forget_forever,
             ):
                 await group.spawn(background)
             await group.spawn(
@@ -104,6 +107,10 @@
             datetime.timedelta(seconds=settings.suspicion_seconds),
         )
 
+        self._holder = record_holder.RecordHolder(
+            settings.data_centre, self._membership, self._pool, self._metrics
+        )
+
     def _make_service(self) -> None:
         self._service = owner_service.OwnerService(
             self._programs,
@@ -122,6 +129,14 @@
             self._programs,
             self._metrics,
             self._service.adopt,
+            self._held,
+        )
+        self._recorder = call_recorder.CallRecorder(
+            self._programs,
+            self._keeper,
+            self._sidecars,
+            self._pool,
+            self._metrics,
         )
         policy = policies.make_policy(self._settings.policy)
         executor = call_executor.CallExecutor(
@@ -131,10 +146,9 @@
             self._metrics,
             policy.router,
             policy.priority,
-            self._service.journal,
-            self._service.wait_durable,
+            self._recorder.record_intent,
         )
-        self._service.connect(self._keeper, executor)
+        self._service.connect(self._keeper, executor, self._recorder)
         self._gateway = gateways.Gateway(
             self._settings.name,
             self._service,
@@ -171,8 +185,9 @@
             ),
             self._metrics,
             self._replace_sealed_journal,
+            self._holder,
         )
-        self._service.set_writer(writer)
+        self._recorder.set_writer(writer)
         self._keeper.set_writer(writer)
         await curio.spawn(writer.run, daemon=True)
 
@@ -186,6 +201,8 @@
     ) -> None:
         if isinstance(message, messages.Probe):
             await stream.send(self._probe_reply())
+        elif self._held.handles(message):
+            await self._held.handle_peer(stream, message)
         elif self._gateway.handles(message):
             await self._gateway.handle_peer(stream, message)
         else:
@@ -259,6 +276,7 @@
 
     def _metrics_page(self) -> http_message.Response:
         gauge = self._metrics.set_gauge
+        gauge('records_held_for_peers', len(self._held.held))
         gauge('programs', len(self._programs))
         gauge('calls_under_way', self._service.calls_under_way)
         gauge('map_version', self._keeper.map.version)
