Stop entries and sidecars without cutting what they accepted

Cause: nothing handled SIGTERM, so the process ended at once and every stream through it broke.

A second signal or a limit ends the wait with exit code 1. A crashed background task now ends the process with its error instead of exit code 0.

Shown failing: with the signal handlers removed and the host list's mark ignored all 6 tests failed (ended by the signal, broken streams, engine-1 still got work); with them all 6 passed in 26 s.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -26,12 +26,14 @@
 from magnoliawood_server.entry import shard_keeper
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
+from magnoliawood_server.http import server as http_server
 from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import messages
 from magnoliawood_server.peer import pool as pools
 from magnoliawood_server.platform import http_store
 from magnoliawood_server.runtime import listener
 from magnoliawood_server.runtime import settings as settings_models
+from magnoliawood_server.runtime import stop
 
 _BEARER = 'bearer '
 
@@ -55,10 +57,11 @@
         self._make_state()
         self._make_service()
         self._make_apis()
+        self._make_listeners()
 
-    async def run(self) -> None:
-        """Serve until the process is stopped."""
-        settings = self._settings
+    async def run(self) -> stop.ExitCode:
+        """Serve until a signal asks for a stop and the rest has ended."""
+        signals = stop.StopSignals()
         await self._open_journal()
         async with curio.TaskGroup(wait=any) as group:
             for background in (
@@ -71,17 +74,16 @@
                 self._service.forget_forever,
             ):
                 await group.spawn(background)
+            await group.spawn(self._peer_listener.run)
+            await group.spawn(self._http_listener.run)
             await group.spawn(
-                listener.serve_peers,
-                settings.peer_listen,
-                self._clock,
-                self._handle_peer,
-            )
-            await group.spawn(
-                listener.serve_http, settings.http_listen, self._handle_http
+                stop.drain,
+                signals,
+                self._leave,
+                datetime.timedelta(seconds=self._settings.stop_limit_seconds),
             )
             _log.info('entry started')
-            await group.join()
+        return group.result
 
     def _make_state(self) -> None:
         settings = self._settings
@@ -152,6 +154,45 @@
             self._objects, self._configuration
         )
 
+    def _make_listeners(self) -> None:
+        self._activity = http_server.Activity()
+        self._peer_requests = 0
+        self._peer_listener = listener.peer_listener(
+            self._settings.peer_listen, self._clock, self._handle_peer
+        )
+        self._http_listener = listener.http_listener(
+            self._settings.http_listen, self._handle_http, self._activity
+        )
+
+    async def _leave(self) -> None:
+        """Hand everything over and wait until nothing is under way."""
+        self._membership.is_leaving = True
+        self._activity.is_closing = True
+        await curio.sleep(self._settings.stop_notice_seconds)
+        await self._http_listener.stop()
+        while True:
+            await self._keeper.release_all()
+            if not self._is_busy():
+                break
+            await curio.sleep(stop.POLL_INTERVAL.total_seconds())
+        await self._flush_journal()
+
+    def _is_busy(self) -> bool:
+        # The calls of shards that were handed over go on elsewhere.
+        owns_shards = bool(self._keeper.map.owned_by(self._settings.name))
+        return bool(
+            self._activity.requests
+            or self._peer_requests
+            or (owns_shards and self._service.calls_under_way)
+        )
+
+    async def _flush_journal(self) -> None:
+        writer = self._writer
+        while not (
+            writer.is_sealed or await writer.wait_durable(writer.barrier())
+        ):
+            await curio.sleep(stop.POLL_INTERVAL.total_seconds())
+
     async def _open_journal(self) -> None:
         """Start a new log and write to it from now on."""
         self._log_generation += 1
@@ -167,6 +208,7 @@
             self._metrics,
             self._replace_sealed_journal,
         )
+        self._writer = writer
         self._service.set_writer(writer)
         self._keeper.set_writer(writer)
         await curio.spawn(writer.run, daemon=True)
@@ -182,7 +224,11 @@
         if isinstance(message, messages.Probe):
             await stream.send(self._probe_reply())
         elif self._gateway.handles(message):
-            await self._gateway.handle_peer(stream, message)
+            self._peer_requests += 1
+            try:
+                await self._gateway.handle_peer(stream, message)
+            finally:
+                self._peer_requests -= 1
         else:
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.MALFORMED_REQUEST,
@@ -256,6 +302,7 @@
         gauge = self._metrics.set_gauge
         gauge('programs', len(self._programs))
         gauge('calls_under_way', self._service.calls_under_way)
+        gauge('sidecars_leaving', self._sidecars.leaving)
         gauge('map_version', self._keeper.map.version)
         gauge('configuration_version', self._configuration.current.version)
         return http_message.Response(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
@@ -24,12 +24,14 @@
 class Sidecar:
     """One sidecar as last heard of.
 
+    :param is_followed: whether it will say at once that it is leaving
     :param orders: orders of this entry that are under way there
     """
 
     host: store.Host
     reply: messages.HelloReply | None = None
     is_reachable: bool = False
+    is_followed: bool = False
     orders: int = 0
 
     @property
@@ -42,9 +44,15 @@
         """Whether it may receive new work."""
         return (
             self.is_reachable
-            and not self.host.leaving
             and self.reply is not None
-            and not self.reply.leaving
+            and not self.is_leaving
+        )
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether its host list line or the sidecar itself says so."""
+        return self.host.leaving or (
+            self.reply is not None and self.reply.leaving
         )
 
     def serves(self, kind: str, name: str) -> bool:
@@ -68,6 +76,11 @@
         """Return all known sidecars."""
         return list(self._sidecars.values())
 
+    @property
+    def leaving(self) -> int:
+        """Sidecars that get no new work because they are leaving."""
+        return sum(sidecar.is_leaving for sidecar in self.all())
+
     def find(self, name: str) -> Sidecar | None:
         """Return a sidecar by host name."""
         return self._sidecars.get(name)
@@ -132,6 +145,9 @@
             is_reachable = True
         except errors.MagnoliawoodError:
             is_reachable = False
+        if is_reachable and not (sidecar.is_followed or sidecar.reply.leaving):
+            sidecar.is_followed = True
+            await curio.spawn(self._follow_leaving, sidecar, daemon=True)
         if is_reachable != sidecar.is_reachable:
             sidecar.is_reachable = is_reachable
             _log.info(
@@ -139,6 +155,21 @@
                 extra={'sidecar': sidecar.name, 'reachable': is_reachable},
             )
 
+    async def _follow_leaving(self, sidecar: Sidecar) -> None:
+        """Note at once when a sidecar begins to leave."""
+        try:
+            stream = await self._pool.open_stream(sidecar.host.address)
+            try:
+                await stream.send(messages.AwaitLeaving())
+                sidecar.reply = await stream.receive()
+                _log.info('sidecar leaves', extra={'sidecar': sidecar.name})
+            finally:
+                stream.close()
+        except errors.MagnoliawoodError:
+            _log.debug('sidecar lost', extra={'sidecar': sidecar.name})
+        finally:
+            sidecar.is_followed = False
+
 
 def view_of(sidecar: Sidecar) -> routing.UpstreamView:
     """Return what routing needs to know of a sidecar."""
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -1,6 +1,7 @@
 """Server side of one HTTP connection."""
 
 import collections.abc
+import dataclasses
 import logging
 
 import curio
@@ -21,6 +22,18 @@
 _log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(slots=True)
+class Activity:
+    """Requests of all connections of a listener.
+
+    :param requests: requests whose response is not sent yet
+    :param is_closing: whether each connection ends with its next response
+    """
+
+    requests: int = 0
+    is_closing: bool = False
+
+
 class _Connection:
     """h11 state of one connection together with its socket."""
 
@@ -65,17 +78,21 @@
         return True
 
 
-async def serve_connection(sock: curio.io.Socket, handler: Handler) -> None:
+async def serve_connection(
+    sock: curio.io.Socket, handler: Handler, activity: Activity
+) -> None:
     """Serve requests of one connection until either side closes it."""
     connection = _Connection(sock)
     try:
-        while await _serve_request(connection, handler):
+        while await _serve_request(connection, handler, activity):
             pass
     except (OSError, h11.LocalProtocolError):
         _log.debug('connection lost')
 
 
-async def _serve_request(connection: _Connection, handler: Handler) -> bool:
+async def _serve_request(
+    connection: _Connection, handler: Handler, activity: Activity
+) -> bool:
     try:
         request = await _read_request(connection)
     except h11.RemoteProtocolError as error:
@@ -91,8 +108,14 @@
         return False
     if request is None:
         return False
-    response = await _handle(handler, request)
-    await _write_response(connection, response)
+    activity.requests += 1
+    try:
+        response = await _handle(handler, request)
+        if activity.is_closing:
+            response.headers['connection'] = 'close'
+        await _write_response(connection, response)
+    finally:
+        activity.requests -= 1
     return connection.start_next_cycle()
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
@@ -23,7 +23,9 @@
 
     async def main():
         client, peer = socket.socketpair()
-        task = await curio.spawn(server.serve_connection, peer, handler)
+        task = await curio.spawn(
+            server.serve_connection, peer, handler, server.Activity()
+        )
         await client.sendall(data)
         await client.shutdown(socket.SHUT_WR)
         await task.join()
--- a/packages/magnoliawood-server/magnoliawood_server/main.py
+++ b/packages/magnoliawood-server/magnoliawood_server/main.py
@@ -33,12 +33,14 @@
 
 def _run_entry(settings: settings_models.EntrySettings) -> None:
     logs.configure('entry', settings.name)
-    curio.run(entry_app.EntryApp(settings, clocks.SystemClock()).run)
+    app = entry_app.EntryApp(settings, clocks.SystemClock())
+    raise SystemExit(int(curio.run(app.run)))
 
 
 def _run_sidecar(settings: settings_models.SidecarSettings) -> None:
     logs.configure('sidecar', settings.name)
-    curio.run(sidecar_app.SidecarApp(settings, clocks.SystemClock()).run)
+    app = sidecar_app.SidecarApp(settings, clocks.SystemClock())
+    raise SystemExit(int(curio.run(app.run)))
 
 
 def load_settings(
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -25,6 +25,11 @@
     sender: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AwaitLeaving:
+    """Asks a sidecar for a :class:`HelloReply` once it is leaving."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HelloReply:
     """What a sidecar stands beside.
@@ -276,6 +281,7 @@
 MESSAGE_TYPES = (
     Ping,
     Hello,
+    AwaitLeaving,
     HelloReply,
     Order,
     Attach,
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/listener.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/listener.py
@@ -1,6 +1,8 @@
 """Listeners for HTTP and for peers."""
 
-import functools
+import collections.abc
+import datetime
+import logging
 
 import curio
 
@@ -9,47 +11,102 @@
 from magnoliawood_server.peer import connection as connections
 
 _BACKLOG = 512
+_ACCEPT_RETRY = datetime.timedelta(milliseconds=100)
 
+_log = logging.getLogger(__name__)
 
-async def serve_http(address: str, handler: http_server.Handler) -> None:
-    """Serve HTTP connections for ever."""
-    await _serve(
-        address, functools.partial(_serve_http_client, handler=handler)
-    )
+ClientTask = collections.abc.Callable[
+    [curio.io.Socket], collections.abc.Awaitable[None]
+]
 
 
-async def serve_peers(
+class Listener:
+    """Accepts connections; those accepted outlive it.
+
+    :param address: IP number and port
+    :param serve_client: serves one connection
+    """
+
+    def __init__(self, address: str, serve_client: ClientTask) -> None:
+        host, _, port = address.rpartition(':')
+        self._host = host
+        self._port = int(port)
+        self._serve_client = serve_client
+        self._task: curio.Task | None = None
+
+    async def run(self) -> None:
+        """Accept until stopped, then wait to be cancelled."""
+        sock = curio.tcp_server_socket(
+            self._host, self._port, backlog=_BACKLOG
+        )
+        self._task = await curio.spawn(self._accept_forever, sock)
+        try:
+            await curio.Event().wait()
+        finally:
+            await self._task.cancel()
+
+    async def stop(self) -> None:
+        """Accept no more connections."""
+        if self._task is not None:
+            await self._task.cancel()
+
+    async def _accept_forever(self, sock: curio.io.Socket) -> None:
+        async with sock:
+            while True:
+                try:
+                    client, _ = await sock.accept()
+                except OSError as error:
+                    _log.warning('accept failed', extra={'error': str(error)})
+                    await curio.sleep(_ACCEPT_RETRY.total_seconds())
+                    continue
+                await curio.spawn(self._serve, client, daemon=True)
+
+    async def _serve(self, client: curio.io.Socket) -> None:
+        async with client:
+            await self._serve_client(client)
+
+
+def http_listener(
+    address: str,
+    handler: http_server.Handler,
+    activity: http_server.Activity | None = None,
+) -> Listener:
+    """Return a listener for HTTP.
+
+    :param activity: counts the requests and can end their connections
+    """
+    counted = activity or http_server.Activity()
+
+    async def serve(sock: curio.io.Socket) -> None:
+        await http_server.serve_connection(sock, handler, counted)
+
+    return Listener(address, serve)
+
+
+def peer_listener(
     address: str,
     clock: clocks.Clock,
     handler: connections.StreamHandler,
-) -> None:
-    """Serve connections of peers for ever."""
-    await _serve(
-        address,
-        functools.partial(_serve_peer, clock=clock, handler=handler),
-    )
+) -> Listener:
+    """Return a listener for connections of peers."""
 
+    async def serve(sock: curio.io.Socket) -> None:
+        await connections.PeerConnection(
+            sock, clock, handler, is_client=False
+        ).run()
 
-async def _serve(address: str, serve_client: functools.partial) -> None:
-    host, _, port = address.rpartition(':')
-    await curio.tcp_server(host, int(port), serve_client, backlog=_BACKLOG)
+    return Listener(address, serve)
 
 
-async def _serve_http_client(
-    sock: curio.io.Socket,
-    address: tuple[str, int],
-    handler: http_server.Handler,
-) -> None:
-    await http_server.serve_connection(sock, handler)
+async def serve_http(address: str, handler: http_server.Handler) -> None:
+    """Serve HTTP connections for ever."""
+    await http_listener(address, handler).run()
 
 
-async def _serve_peer(
-    sock: curio.io.Socket,
-    address: tuple[str, int],
+async def serve_peers(
+    address: str,
     clock: clocks.Clock,
     handler: connections.StreamHandler,
 ) -> None:
-    connection = connections.PeerConnection(
-        sock, clock, handler, is_client=False
-    )
-    await connection.run()
+    """Serve connections of peers for ever."""
+    await peer_listener(address, clock, handler).run()
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -34,6 +34,19 @@
     http_listen: Address = pydantic.Field(
         description='IP number and port for HTTP'
     )
+    stop_notice_seconds: float = pydantic.Field(
+        default=2.0,
+        ge=0,
+        le=600,
+        description='how long a stopping process still accepts connections, '
+        'so that balancers and peers notice',
+    )
+    stop_limit_seconds: float = pydantic.Field(
+        default=900.0,
+        gt=0,
+        le=86400,
+        description='how long a stopping process waits for what is under way',
+    )
     data_folder: pathlib.Path | None = pydantic.Field(
         default=None, description='folder for bulk data, if there is a disk'
     )
@@ -86,6 +99,13 @@
         le=4096,
         description='calls that run at the upstream at the same time',
     )
+    witness_seconds: float = pydantic.Field(
+        default=30.0,
+        ge=0,
+        le=86400,
+        description='how long a stopping sidecar keeps outcomes that no '
+        'journal covers yet',
+    )
     queue_limit: int = pydantic.Field(
         default=256,
         ge=0,
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/tests/test_stop.py
@@ -0,0 +1,53 @@
+import datetime
+import os
+import signal
+
+import curio
+import pytest
+
+from magnoliawood_server.runtime import stop
+
+LONG = datetime.timedelta(minutes=1)
+
+
+@pytest.fixture
+def signals():
+    kept = {number: signal.getsignal(number) for number in stop.SIGNALS}
+    yield stop.StopSignals()
+    for number, handler in kept.items():
+        signal.signal(number, handler)
+
+
+async def _end():
+    return None
+
+
+async def _never():
+    await curio.Event().wait()
+
+
+@pytest.mark.parametrize(
+    ('steps', 'limit', 'sent', 'code'),
+    [
+        (_end, LONG, 1, stop.ExitCode.DRAINED),
+        (_never, datetime.timedelta(0), 1, stop.ExitCode.CUT),
+        (_never, LONG, 2, stop.ExitCode.CUT),
+    ],
+)
+def test_stop_ends_by_steps_limit_or_second_signal(
+    signals, steps, limit, sent, code
+):
+    for _ in range(sent):
+        os.kill(os.getpid(), signal.SIGTERM)
+    assert curio.run(stop.drain, signals, steps, limit) is code
+
+
+def test_nothing_happens_without_a_signal(signals):
+    async def main():
+        task = await curio.spawn(stop.drain, signals, _end, LONG)
+        await curio.sleep(0)
+        is_ended = task.terminated
+        await task.cancel()
+        return is_ended
+
+    assert not curio.run(main)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -1,5 +1,6 @@
 """The sidecar process."""
 
+import datetime
 import logging
 import typing
 import uuid
@@ -9,13 +10,16 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.ownership import fence as fences
+from magnoliawood.programs import records
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.http import message as http_message
+from magnoliawood_server.http import server as http_server
 from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import messages
 from magnoliawood_server.runtime import answer as answers
 from magnoliawood_server.runtime import listener
 from magnoliawood_server.runtime import settings as settings_models
+from magnoliawood_server.runtime import stop
 from magnoliawood_server.sidecar import call_run
 from magnoliawood_server.sidecar import engine
 from magnoliawood_server.sidecar import runner as runners
@@ -36,7 +40,9 @@
         self._incarnation = uuid.uuid4().hex[:12]
         self._metrics = registries.Registry()
         self._fences = fences.FenceTable()
-        self._is_leaving = False
+        self._leaving = curio.Event()
+        self._answers_under_way = 0
+        self._activity = http_server.Activity()
         self._runner = runners.CallRunner(
             _make_upstream(settings),
             clock,
@@ -46,6 +52,7 @@
         )
         self._handlers = {
             messages.Hello: self._hello,
+            messages.AwaitLeaving: self._await_leaving,
             messages.Order: self._order,
             messages.Attach: self._attach,
             messages.Cancel: self._cancel,
@@ -54,21 +61,41 @@
             messages.ReleaseProgram: self._release,
         }
 
-    async def run(self) -> None:
-        """Serve until a signal asks for a stop."""
+    async def run(self) -> stop.ExitCode:
+        """Serve until a signal asks for a stop and the rest has ended."""
         settings = self._settings
+        signals = stop.StopSignals()
+        peers = listener.peer_listener(
+            settings.peer_listen, self._clock, self._handle
+        )
+        pages = listener.http_listener(
+            settings.http_listen, self._handle_http, self._activity
+        )
         async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(peers.run)
+            await group.spawn(pages.run)
             await group.spawn(
-                listener.serve_peers,
-                settings.peer_listen,
-                self._clock,
-                self._handle,
-            )
-            await group.spawn(
-                listener.serve_http, settings.http_listen, self._handle_http
+                stop.drain,
+                signals,
+                self._leave,
+                datetime.timedelta(seconds=settings.stop_limit_seconds),
             )
             _log.info('sidecar started')
-            await group.join()
+        return group.result
+
+    async def _leave(self) -> None:
+        """Take no new order and wait for those accepted."""
+        self._activity.is_closing = True
+        await self._leaving.set()
+        await curio.sleep(self._settings.stop_notice_seconds)
+        await stop.wait_while(
+            lambda: self._runner.waiting or self._answers_under_way
+        )
+        async with curio.ignore_after(self._settings.witness_seconds):
+            await stop.wait_while(lambda: len(self._runner.witness) > 0)
+        left = len(self._runner.witness)
+        if left:
+            _log.warning('outcomes dropped', extra={'outcomes': left})
 
     async def _handle(
         self, stream: connections.Stream, message: typing.Any
@@ -84,17 +111,24 @@
     async def _hello(
         self, stream: connections.Stream, message: messages.Hello
     ) -> None:
+        await stream.send(self._hello_reply())
+
+    async def _await_leaving(
+        self, stream: connections.Stream, message: messages.AwaitLeaving
+    ) -> None:
+        await self._leaving.wait()
+        await stream.send(self._hello_reply())
+
+    def _hello_reply(self) -> messages.HelloReply:
         settings = self._settings
-        await stream.send(
-            messages.HelloReply(
-                settings.name,
-                self._incarnation,
-                settings.data_centre,
-                settings.kind,
-                settings.serves.split(','),
-                self._runner.waiting,
-                self._is_leaving,
-            )
+        return messages.HelloReply(
+            settings.name,
+            self._incarnation,
+            settings.data_centre,
+            settings.kind,
+            settings.serves.split(','),
+            self._runner.waiting,
+            self._leaving.is_set(),
         )
 
     async def _order(
@@ -107,7 +141,7 @@
                 'the order is meant for an earlier run of the sidecar',
             )
         self._check_epoch(intended.call.program.shard, message.epoch)
-        if self._is_leaving and self._runner.find(intended.call) is None:
+        if self._leaving.is_set() and not self._is_accepted(intended):
             raise self._refusal(
                 errors.ErrorCode.LEAVING, 'the upstream is leaving'
             )
@@ -130,7 +164,17 @@
     async def _send_answer(
         self, stream: connections.Stream, run: call_run.CallRun, offset: int
     ) -> None:
-        await answers.send_answer(stream, run.answer, offset)
+        self._answers_under_way += 1
+        try:
+            await answers.send_answer(stream, run.answer, offset)
+        finally:
+            self._answers_under_way -= 1
+
+    def _is_accepted(self, intended: records.Intended) -> bool:
+        run = self._runner.find(intended.call)
+        return (
+            run is not None and intended.attempt <= run.order.intended.attempt
+        )
 
     async def _cancel(
         self, stream: connections.Stream, message: messages.Cancel
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/answer_stream.py
@@ -0,0 +1,81 @@
+"""A streamed answer as its caller receives it."""
+
+import http.client
+import json
+import threading
+import typing
+
+READ_TIMEOUT_SECONDS = 30.0
+
+
+class AnswerStream:
+    """Sends a request and reads the events of the answer on a thread.
+
+    :param address: HTTP address of an entry
+    :param token: bearer token
+    """
+
+    def __init__(
+        self,
+        address: str,
+        token: str,
+        method: str,
+        path: str,
+        body: typing.Any = None,
+    ) -> None:
+        self._connection = http.client.HTTPConnection(
+            address, timeout=READ_TIMEOUT_SECONDS
+        )
+        self._request = (
+            method,
+            path,
+            None if body is None else json.dumps(body),
+            {'authorization': f'Bearer {token}'},
+        )
+        self._thread = threading.Thread(target=self._read, daemon=True)
+        self.status = 0
+        self.text = ''
+        self.comments = 0
+        self.last_event: typing.Any = None
+        self.failure = ''
+        self._thread.start()
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the answer ended or broke off."""
+        return not self._thread.is_alive()
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the last event tells the outcome."""
+        return (
+            self.is_done
+            and not self.failure
+            and self.last_event is not None
+            and self.last_event.get('verdict') == 'ran'
+        )
+
+    def close(self) -> None:
+        """Give the answer up."""
+        sock = self._connection.sock
+        if sock is not None:
+            sock.shutdown(2)
+
+    def _read(self) -> None:
+        try:
+            self._connection.request(*self._request)
+            response = self._connection.getresponse()
+            self.status = response.status
+            while line := response.readline():
+                self._take(line)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            self.failure = repr(error)
+        finally:
+            self._connection.close()
+
+    def _take(self, line: bytes) -> None:
+        if line.startswith(b':'):
+            self.comments += 1
+        elif line.startswith(b'data: '):
+            self.last_event = json.loads(line.removeprefix(b'data: '))
+            self.text += self.last_event.get('text', '')
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/support.py
@@ -0,0 +1,99 @@
+import http.client
+import uuid
+
+from magnoliawood.programs import message as conversation
+from magnoliawood_testing.cluster import answer_stream
+from magnoliawood_testing.cluster import deployment as deployments
+from magnoliawood_testing.standins import reference
+
+MAX_TOKENS = 40
+BUDGET = {'tokens': 2000, 'calls': 50, 'seconds': 600}
+
+
+def set_up(deployment):
+    deployment.create_class('booking', 30)
+    deployment.create_account('red-clay')
+    deployment.wait_for_configuration()
+
+
+def ask(node, method, path, body=None, address=''):
+    headers = {'authorization': 'Bearer token-of-red-clay'}
+    return deployments.call(address or node.http, method, path, body, headers)
+
+
+def ask_headers(node, method, path):
+    connection = http.client.HTTPConnection(node.http, timeout=10)
+    try:
+        headers = {'authorization': 'Bearer token-of-red-clay'}
+        connection.request(method, path, headers=headers)
+        response = connection.getresponse()
+        response.read()
+        return response.status, response.headers
+    finally:
+        connection.close()
+
+
+def open_program(node):
+    return open_program_at(node.http)
+
+
+def open_program_at(address):
+    path = f'/v1/programs/p-{uuid.uuid4().hex}'
+    body = {'class': 'booking', 'budget': BUDGET}
+    status, answer = ask(None, 'PUT', path, body, address)
+    assert status == 201, answer
+    return path
+
+
+def turn(text, **fields):
+    return {
+        'kind': 'model',
+        'model': 'model-a',
+        'messages': [{'role': 'user', 'content': text}],
+        'max_tokens': MAX_TOKENS,
+        **fields,
+    }
+
+
+def booking(**fields):
+    return {
+        'kind': 'service',
+        'service': 'pours',
+        'operation': 'book',
+        **fields,
+    }
+
+
+def stream(address, method, path, body=None):
+    return answer_stream.AnswerStream(
+        address, 'token-of-red-clay', method, path, body
+    )
+
+
+def answer_to(text):
+    message = conversation.Message('user', text)
+    return reference.answer_text([message], MAX_TOKENS)
+
+
+def long_question(seed, tokens=28):
+    """Return a question whose answer has at least so many tokens."""
+    for number in range(seed * 1000, (seed + 1) * 1000):
+        text = f'question {number}'
+        message = conversation.Message('user', text)
+        if reference.answer_length([message], MAX_TOKENS) >= tokens:
+            return text
+    raise AssertionError('no long answer found')
+
+
+def restart(deployment, node):
+    node.process.kill()
+    node.process.start()
+    deployments.wait_until(deployment.is_ready, 'restarted process')
+
+
+def name_of(path):
+    return f'red-clay/{path.rpartition("/")[2]}'
+
+
+def engine_requests(deployment, name):
+    return sum(deployment.engine_state(name)['requests'].values())
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_planned_stops.py
@@ -0,0 +1,233 @@
+import itertools
+import signal
+import threading
+
+import pytest
+
+from magnoliawood_testing import cluster
+from magnoliawood_testing.cluster import deployment as deployments
+from magnoliawood_testing.promises.tests import support
+
+LEAVING_BOUND_SECONDS = 3.0
+
+
+@pytest.fixture(scope='module')
+def deployment():
+    with cluster.Deployment(step_seconds=0.12) as started:
+        support.set_up(started)
+        yield started
+
+
+class Work:
+    """Callers that run short programs until told to stop."""
+
+    def __init__(self, addresses):
+        self._addresses = itertools.cycle(addresses)
+        self._is_ended = threading.Event()
+        self.answers = []
+        self._threads = [
+            threading.Thread(target=self._run, args=(next(self._addresses),))
+            for _ in range(4)
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *details):
+        self._is_ended.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, address):
+        while not self._is_ended.is_set():
+            path = support.open_program_at(address)
+            answer = support.ask(
+                None,
+                'PUT',
+                f'{path}/calls/1',
+                support.turn('hi', max_tokens=2),
+                address,
+            )
+            self.answers.append(answer)
+
+
+def begin_streams(deployment, entries, count=8):
+    """Start streams through the entries in turn and await their start."""
+    question = support.long_question(1)
+    streams = {}
+    for node, _ in zip(itertools.cycle(entries), range(count), strict=False):
+        path = support.open_program(node)
+        streams[path] = support.stream(
+            node.http, 'PUT', f'{path}/calls/1',
+            support.turn(question, stream=True),
+        )  # fmt: skip
+    deployments.wait_until(
+        lambda: all(s.text for s in streams.values()), 'started streams'
+    )
+    return question, streams
+
+
+def check_whole(question, streams):
+    deployments.wait_until(
+        lambda: all(s.is_done for s in streams.values()), 'ended streams'
+    )
+    for stream in streams.values():
+        assert stream.is_whole, (stream.failure, stream.last_event)
+        assert stream.text == support.answer_to(question)
+
+
+def test_stopped_entry_cuts_no_stream(deployment):
+    first, second = deployment.entries.values()
+    question, streams = begin_streams(deployment, [first, second])
+    first.process.send_signal(signal.SIGTERM)
+    deployments.wait_until(
+        lambda: deployments.call(first.http, 'GET', '/readyz')[0] == 503,
+        'an entry that is not ready',
+    )
+    with Work([second.http]) as work:
+        check_whole(question, streams)
+        assert first.process.wait() == 0
+    assert work.answers
+    assert {status for status, _ in work.answers} == {200}
+    counts = [
+        deployment.engine_state(name)['requests']
+        for name in ('engine-1', 'engine-2')
+    ]
+    for path in streams:
+        call = f'{support.name_of(path)}/1'
+        assert sum(count.get(call, 0) for count in counts) == 1
+        _, history = support.ask(second, 'GET', f'{path}/history')
+        assert len(history['messages']) == 2
+    support.restart(deployment, first)
+
+
+def test_stopping_entry_answers_and_closes_its_connections(deployment):
+    first, _ = deployment.entries.values()
+    _, streams = begin_streams(deployment, [first], 1)
+    path = support.open_program(first)
+    first.process.send_signal(signal.SIGTERM)
+    deployments.wait_until(
+        lambda: deployments.call(first.http, 'GET', '/readyz')[0] == 503,
+        'an entry that is not ready',
+    )
+    status, headers = support.ask_headers(first, 'GET', path)
+    assert (status, headers['connection']) == (200, 'close')
+    assert first.process.wait() == 0
+    assert all(s.is_whole for s in streams.values())
+    support.restart(deployment, first)
+
+
+def test_stopped_entry_runs_each_booking_once(deployment):
+    first, second = deployment.entries.values()
+    deployment.set_faults(deployment.upstreams['pours'], delay_seconds=1.0)
+    paths = [support.open_program(second) for _ in range(8)]
+    answers = []
+
+    def book(path, node):
+        answers.append(
+            support.ask(node, 'PUT', f'{path}/calls/1', support.booking())
+        )
+
+    threads = [
+        threading.Thread(target=book, args=pair)
+        for pair in zip(paths, itertools.cycle([first, second]), strict=False)
+    ]
+    for thread in threads:
+        thread.start()
+    deployments.wait_until(
+        lambda: deployment.metric(
+            deployment.sidecars['pours-sidecar'], 'waiting_calls'
+        ) == len(paths),
+        'bookings under way',
+    )  # fmt: skip
+    first.process.send_signal(signal.SIGTERM)
+    for thread in threads:
+        thread.join()
+    assert first.process.wait() == 0
+    deployment.set_faults(deployment.upstreams['pours'], delay_seconds=0.005)
+    assert [status for status, _ in answers] == [200] * len(paths)
+    runs = deployment.runs('pours')
+    assert [runs[f'{support.name_of(path)}/1'] for path in paths] == [1] * 8
+    support.restart(deployment, first)
+
+
+def test_stopped_sidecar_ends_its_calls_and_gets_no_new_one(deployment):
+    first, second = deployment.entries.values()
+    sidecar = deployment.sidecars['engine-1-sidecar']
+    question, streams = begin_streams(deployment, [first, second])
+    sidecar.process.send_signal(signal.SIGTERM)
+    deployments.wait_until(
+        lambda: all(
+            deployment.metric(node, 'sidecars_leaving') == 1
+            for node in (first, second)
+        ),
+        'entries that know of it',
+        LEAVING_BOUND_SECONDS,
+    )
+    before = support.engine_requests(deployment, 'engine-1')
+    with Work([first.http, second.http]) as work:
+        check_whole(question, streams)
+        assert sidecar.process.wait() == 0
+    assert support.engine_requests(deployment, 'engine-1') == before
+    assert {status for status, _ in work.answers} == {200}
+    assert 'outcomes dropped' not in sidecar.process.log_path.read_text()
+    support.restart(deployment, sidecar)
+    deployments.wait_until(
+        lambda: deployment.metric(first, 'sidecars_leaving') == 0,
+        'usable sidecar',
+    )
+
+
+def test_upstream_that_the_host_list_calls_leaving_gets_no_new_work(
+    deployment,
+):
+    first, second = deployment.entries.values()
+    lag = 1.5
+    deployment.set_faults(deployment.platform, host_list_lag_seconds=lag)
+    sidecar = deployment.sidecars['engine-1-sidecar']
+    sidecar.is_leaving = True
+    with Work([first.http, second.http]) as work:
+        deployments.wait_until(lambda: len(work.answers) > 4, 'work')
+        deployment.publish_hosts()
+        deployments.wait_until(
+            lambda: all(
+                deployment.metric(node, 'sidecars_leaving') == 1
+                for node in (first, second)
+            ),
+            'entries that know of it',
+            lag + LEAVING_BOUND_SECONDS,
+        )
+        before = support.engine_requests(deployment, 'engine-1')
+        seen = len(work.answers)
+        deployments.wait_until(
+            lambda: len(work.answers) > seen + 8, 'more work'
+        )
+        assert support.engine_requests(deployment, 'engine-1') == before
+    assert {status for status, _ in work.answers} == {200}
+    sidecar.is_leaving = False
+    deployment.set_faults(deployment.platform, host_list_lag_seconds=0.1)
+    deployment.publish_hosts()
+    deployments.wait_until(
+        lambda: deployment.metric(first, 'sidecars_leaving') == 0,
+        'usable sidecar',
+    )
+
+
+def test_second_signal_ends_the_wait(deployment):
+    first, second = deployment.entries.values()
+    sidecar = deployment.sidecars['engine-1-sidecar']
+    begin_streams(deployment, [first], 4)
+    for node in (first, sidecar):
+        node.process.send_signal(signal.SIGTERM)
+    deployments.wait_until(
+        lambda: (
+            deployments.call(first.http, 'GET', '/readyz')[0] == 503
+            and deployment.metric(second, 'sidecars_leaving') == 1
+        ),
+        'stops that began',
+    )
+    for node in (first, sidecar):
+        node.process.send_signal(signal.SIGTERM)
+    assert [node.process.wait() for node in (first, sidecar)] == [1, 1]
