Prove order and whole answers under cut links

Links between caller, entries, sidecar and engine are cut at two seeded points of each stream; calls are sent out of order, three times each, at once and late.

--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/support.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/support.py
@@ -1,6 +1,10 @@
 import http.client
+import itertools
+import time
 import uuid
 
+from magnoliawood.ownership import shard_map
+from magnoliawood.programs import identity
 from magnoliawood.programs import message as conversation
 from magnoliawood_testing.cluster import answer_stream
 from magnoliawood_testing.cluster import deployment as deployments
@@ -97,3 +101,41 @@
 
 def engine_requests(deployment, name):
     return sum(deployment.engine_state(name)['requests'].values())
+
+
+def open_program_of(deployment, owner):
+    """Open a program that a given entry owns."""
+    entries = list(deployment.entries)
+    while True:
+        name = f'p-{uuid.uuid4().hex}'
+        shard = identity.ProgramKey('red-clay', name).shard
+        if shard_map.preferred_owner(shard, entries) == owner:
+            break
+    body = {'class': 'booking', 'budget': BUDGET}
+    path = f'/v1/programs/{name}'
+    node = deployment.entries[owner]
+    status, answer = ask(node, 'PUT', path, body)
+    assert status == 201, answer
+    return path
+
+
+def read_whole(addresses, path, body, on_text, resumes=8):
+    """Stream an answer; after a break, go on from what was received.
+
+    :param on_text: called with the text received, every few milliseconds
+    :returns: the text and how often the answer was resumed
+    """
+    turns = itertools.cycle(addresses)
+    part = stream(next(turns), 'PUT', path, body)
+    text = ''
+    for resumed in range(resumes):
+        while not part.is_done:
+            on_text(text + part.text)
+            time.sleep(0.005)
+        text += part.text
+        if part.is_whole:
+            return text, resumed
+        part = stream(
+            next(turns), 'GET', f'{path}?stream=1&offset={len(text)}'
+        )
+    raise AssertionError(f'not whole: {part.failure} {part.last_event}')
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_order.py
@@ -0,0 +1,143 @@
+import random
+import threading
+
+import pytest
+
+from magnoliawood_testing import cluster
+from magnoliawood_testing.cluster import deployment as deployments
+from magnoliawood_testing.promises.tests import support
+
+LINKS = {
+    'caller': ('callers', 'entry-1'),
+    'entry': ('entries', 'entry-2'),
+    'sidecar': ('entries', 'engine-1-sidecar'),
+    'engine': ('engine-1-sidecar', 'engine-1'),
+}
+
+
+@pytest.fixture(scope='module')
+def deployment():
+    links = tuple(LINKS.values())
+    with cluster.Deployment(
+        engines=1, step_seconds=0.03, links=links
+    ) as started:
+        support.set_up(started)
+        yield started
+
+
+def caller_address(deployment):
+    return deployment.links.address(*LINKS['caller'], '')
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('link', LINKS)
+def test_cut_stream_is_whole(deployment, link, seed):
+    chance = random.Random(f'{link} {seed}')
+    question = support.long_question(seed)
+    answer = support.answer_to(question)
+    # One cut less than attempts, since a cut engine stream costs one.
+    points = sorted(chance.sample(range(1, len(answer) - 20), 2))
+    path = support.open_program_of(deployment, 'entry-2')
+
+    def cut_when_due(text):
+        if points and len(text) >= points[0]:
+            points.pop(0)
+            deployment.links.command(*LINKS[link], 'cut')
+
+    text, resumed = support.read_whole(
+        [caller_address(deployment)],
+        f'{path}/calls/1',
+        support.turn(question, stream=True),
+        cut_when_due,
+    )
+    assert text == answer
+    assert not points
+    assert resumed == (2 if link == 'caller' else 0)
+    _, history = support.ask(
+        deployment.entries['entry-1'], 'GET', f'{path}/history'
+    )
+    assert [m['content'] for m in history['messages']] == [question, answer]
+
+
+def test_cut_stream_is_read_on_through_another_entry(deployment):
+    question = support.long_question(9)
+    path = support.open_program_of(deployment, 'entry-2')
+    is_cut = []
+
+    def cut_once(text):
+        if len(text) > 30 and not is_cut:
+            is_cut.append(True)
+            deployment.links.command(*LINKS['caller'], 'cut')
+
+    text, resumed = support.read_whole(
+        [caller_address(deployment), deployment.entries['entry-2'].http],
+        f'{path}/calls/1',
+        support.turn(question, stream=True),
+        cut_once,
+    )
+    assert (text, resumed) == (support.answer_to(question), 1)
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_calls_sent_out_of_order_twice_and_at_once(deployment, seed):
+    chance = random.Random(seed)
+    nodes = list(deployment.entries.values())
+    path = support.open_program(nodes[0])
+    sent = [n for n in range(1, 6) for _ in range(3)]
+    chance.shuffle(sent)
+    answers = {n: [] for n in sent}
+
+    def run(number, node):
+        # The number that is not next yet is refused and sent again.
+        while True:
+            status, answer = support.ask(
+                node, 'PUT', f'{path}/calls/{number}',
+                support.booking(arguments={'number': number}),
+            )  # fmt: skip
+            if status != 409:
+                break
+            assert answer['code'] == 'sequence_gap'
+            assert answer['verdict'] == 'not_run'
+        answers[number].append((status, answer))
+
+    threads = [
+        threading.Thread(target=run, args=(number, chance.choice(nodes)))
+        for number in sent
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    runs = deployment.runs('pours')
+    for number, found in answers.items():
+        assert len(found) == 3
+        assert [status for status, _ in found] == [200] * 3
+        assert found[0] == found[1] == found[2]
+        assert runs[f'{support.name_of(path)}/{number}'] == 1
+    late = support.ask(
+        nodes[1],
+        'PUT',
+        f'{path}/calls/1',
+        support.booking(arguments={'number': 1}),
+    )
+    assert late == answers[1][0]
+
+
+def test_answer_is_read_whole_after_its_caller_gave_up(deployment):
+    first, second = deployment.entries.values()
+    question = support.long_question(5)
+    path = support.open_program_of(deployment, 'entry-1')
+    part = support.stream(
+        first.http, 'PUT', f'{path}/calls/1',
+        support.turn(question, stream=True),
+    )  # fmt: skip
+    deployments.wait_until(lambda: part.text, 'the first tokens')
+    part.close()
+    status, answer = support.ask(second, 'GET', f'{path}/calls/1')
+    assert status == 200
+    assert answer['content'] == support.answer_to(question)
+    assert sum(deployment.engine_state('engine-1')['requests'].values()) > 0
+    again = support.ask(
+        second, 'PUT', f'{path}/calls/1', support.turn(question)
+    )
+    assert again == (status, answer)
