--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -11,8 +11,7 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.programs import table as tables
-from magnoliawood.scheduling import priority as priorities
-from magnoliawood.scheduling import routing
+from magnoliawood.scheduling import policies
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import admin_api
 from magnoliawood_server.entry import call_executor
@@ -28,6 +27,7 @@
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.http import server as http_server
 from magnoliawood_server.peer import connection as connections
+from magnoliawood_server.peer import handshake as handshakes
 from magnoliawood_server.peer import messages
 from magnoliawood_server.peer import pool as pools
 from magnoliawood_server.platform import http_store
@@ -52,7 +52,10 @@
         self._log_generation = 0
         self._metrics = registries.Registry()
         self._objects = http_store.HttpObjectStore(settings.platform)
-        self._pool = pools.PeerPool(clock)
+        self._handshake = handshakes.Handshake(
+            handshakes.PeerSecrets(settings.peer_secrets()), self._metrics
+        )
+        self._pool = pools.PeerPool(clock, self._handshake)
         self._programs = tables.ProgramTable()
         self._make_state()
         self._make_service()
@@ -121,13 +124,14 @@
             self._metrics,
             self._service.adopt,
         )
+        policy = policies.make_policy(self._settings.policy)
         executor = call_executor.CallExecutor(
             self._sidecars,
             self._pool,
             self._clock,
             self._metrics,
-            routing.StayOrLeastLoaded(),
-            priorities.EarliestProgramDeadline(),
+            policy.router,
+            policy.priority,
             self._service.journal,
             self._service.wait_durable,
         )
@@ -158,7 +162,10 @@
         self._activity = http_server.Activity()
         self._peer_requests = 0
         self._peer_listener = listener.peer_listener(
-            self._settings.peer_listen, self._clock, self._handle_peer
+            self._settings.peer_listen,
+            self._clock,
+            self._handle_peer,
+            self._handshake,
         )
         self._http_listener = listener.http_listener(
             self._settings.http_listen, self._handle_http, self._activity
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/listener.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/listener.py
@@ -7,8 +7,10 @@
 import curio
 
 from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
 from magnoliawood_server.http import server as http_server
 from magnoliawood_server.peer import connection as connections
+from magnoliawood_server.peer import handshake as handshakes
 
 _BACKLOG = 512
 _ACCEPT_RETRY = datetime.timedelta(milliseconds=100)
@@ -87,10 +89,16 @@
     address: str,
     clock: clocks.Clock,
     handler: connections.StreamHandler,
+    handshake: handshakes.Handshake,
 ) -> Listener:
-    """Return a listener for connections of peers."""
+    """Return a listener for peers that prove the shared secret."""
 
     async def serve(sock: curio.io.Socket) -> None:
+        try:
+            await handshake.as_server(sock)
+        except errors.MagnoliawoodError as error:
+            _log.debug('peer refused', extra={'error': str(error)})
+            return
         await connections.PeerConnection(
             sock, clock, handler, is_client=False
         ).run()
@@ -107,6 +115,7 @@
     address: str,
     clock: clocks.Clock,
     handler: connections.StreamHandler,
+    handshake: handshakes.Handshake,
 ) -> None:
-    """Serve connections of peers for ever."""
-    await peer_listener(address, clock, handler).run()
+    """Serve connections of peers that prove the secret, for ever."""
+    await peer_listener(address, clock, handler, handshake).run()
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -15,6 +15,7 @@
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.http import server as http_server
 from magnoliawood_server.peer import connection as connections
+from magnoliawood_server.peer import handshake as handshakes
 from magnoliawood_server.peer import messages
 from magnoliawood_server.runtime import answer as answers
 from magnoliawood_server.runtime import listener
@@ -39,6 +40,9 @@
         self._clock = clock
         self._incarnation = uuid.uuid4().hex[:12]
         self._metrics = registries.Registry()
+        self._handshake = handshakes.Handshake(
+            handshakes.PeerSecrets(settings.peer_secrets()), self._metrics
+        )
         self._fences = fences.FenceTable()
         self._leaving = curio.Event()
         self._answers_under_way = 0
@@ -66,7 +70,7 @@
         settings = self._settings
         signals = stop.StopSignals()
         peers = listener.peer_listener(
-            settings.peer_listen, self._clock, self._handle
+            settings.peer_listen, self._clock, self._handle, self._handshake
         )
         pages = listener.http_listener(
             settings.http_listen, self._handle_http, self._activity
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -14,6 +14,7 @@
 from magnoliawood_testing.cluster import link as links_of
 from magnoliawood_testing.cluster import process as processes
 
+PEER_SECRET = 'peer-secret-of-the-deployment'
 OPERATOR_TOKEN = 'operator-token-of-the-deployment'
 READY_TIMEOUT_SECONDS = 30.0
 _POLL_SECONDS = 0.05
@@ -96,6 +97,7 @@
         entry_settings: dict[str, object] | None = None,
         sidecar_settings: dict[str, object] | None = None,
         links: tuple[tuple[str, str], ...] = (),
+        engine_settings: dict[str, object] | None = None,
     ) -> None:
         self._temporary = None
         if folder is None:
@@ -106,6 +108,7 @@
         self._step_seconds = step_seconds
         self._entry_settings = entry_settings or {}
         self._sidecar_settings = sidecar_settings or {}
+        self._engine_settings = engine_settings or {}
         self._centres = itertools.cycle(_DATA_CENTRES)
         self.links = links_of.Links(links, self._process)
         self.upstreams: dict[str, Node] = {}
@@ -290,6 +293,7 @@
                 'listen': address,
                 'models': self.models,
                 'step_seconds': self._step_seconds,
+                **self._engine_settings,
             },
         )
         self._add_upstream(name, process, address, 'engine', self.models)
@@ -372,7 +376,11 @@
         self, name: str, role: str, settings: dict[str, object]
     ) -> processes.Process:
         return processes.Process(
-            name, 'magnoliawood_server.main', settings, self.folder, role
+            name,
+            'magnoliawood_server.main',
+            {'peer_secret': PEER_SECRET, **settings},
+            self.folder,
+            role,
         )
 
     def _process(
