--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -53,6 +53,11 @@
     sender: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AwaitLeaving:
+    """Asks a sidecar for a :class:`HelloReply` once it is leaving."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HelloReply:
     """What a sidecar stands beside.
@@ -354,6 +359,7 @@
     ChallengeReply,
     Proof,
     Hello,
+    AwaitLeaving,
     HelloReply,
     Order,
     Attach,
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/__init__.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/__init__.py
@@ -1,1 +1,1 @@
-"""Scenarios that check the promises under failure."""
+"""Proofs that the promises hold while real processes fail."""
