Extend the administration API and make its conflicts clear

- Programs of all owners with filters and pages, hosts, data centres, upstreams, state of each entry and counters, by typed messages between entries (fleet_view).
- Drain of an upstream: an object under config/drain/, honoured by every entry's SidecarDirectory.candidates.
- A race answers 412 with the current object and the change that won.
- Deleting a class that open programs use is refused (class_in_use).
- Credentials of an account are added and dropped one at a time and shown by a short id; their digests are no longer shown.
- Configuration.authenticate finds a token by its digest instead of walking all accounts.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/admin_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/admin_api.py
@@ -1,100 +1,152 @@
 """Administration API."""
 
-import json
-import typing
-
-import pydantic
-
 from magnoliawood.config import account as accounts
-from magnoliawood.config import configuration as configurations
-from magnoliawood.config import work_class as work_classes
+from magnoliawood.config import drain as drains
+from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
-from magnoliawood.platform import store
+from magnoliawood_server.entry import admin_fleet
+from magnoliawood_server.entry import admin_objects
 from magnoliawood_server.entry import bodies
-from magnoliawood_server.entry import configuration_keeper
 from magnoliawood_server.http import message as http_message
 
-_KINDS: dict[str, tuple[str, type[pydantic.BaseModel]]] = {
-    'classes': (configurations.CLASS_PREFIX, work_classes.WorkClass),
-    'accounts': (configurations.ACCOUNT_PREFIX, accounts.Account),
+_KINDS = {
+    'classes': admin_objects.CLASSES,
+    'accounts': admin_objects.ACCOUNTS,
 }
 _READERS = frozenset({accounts.Role.VIEWER, accounts.Role.OPERATOR})
 
 
 class AdminApi:
-    """Classes and accounts under ``/admin/v1``."""
+    """Operations under ``/admin/v1``."""
 
     def __init__(
         self,
-        objects: store.ObjectStore,
-        configuration: configuration_keeper.ConfigurationKeeper,
+        objects: admin_objects.ConfigurationObjects,
+        fleet: admin_fleet.AdminFleet,
+        clock: clocks.Clock,
     ) -> None:
         self._objects = objects
-        self._configuration = configuration
+        self._fleet = fleet
+        self._clock = clock
 
     async def handle(
         self, request: http_message.Request, account: accounts.Account
     ) -> http_message.Response:
         """Serve one request of an authenticated operator."""
         _check_role(request, account)
+        if request.method == 'GET':
+            return await self._read(request)
+        return await self._change(request, account.name)
+
+    async def _read(
+        self, request: http_message.Request
+    ) -> http_message.Response:
+        match request.segments[2:]:
+            case [kind] if kind in _KINDS:
+                return await self._objects.list(_KINDS[kind])
+            case [kind, name] if kind in _KINDS:
+                return await self._objects.show(_KINDS[kind], name)
+            case [kind, name, 'history'] if kind in _KINDS:
+                return await self._objects.history(_KINDS[kind], name)
+            case ['programs']:
+                return await self._fleet.programs(request)
+            case ['programs', caller, name]:
+                return await self._fleet.show_program(caller, name)
+            case ['entries']:
+                return await self._fleet.entries()
+            case ['hosts']:
+                return self._fleet.hosts()
+            case ['data-centres']:
+                return self._fleet.data_centres()
+            case ['upstreams']:
+                return self._fleet.upstreams()
+            case ['counters']:
+                return await self._fleet.counters(request)
+        raise _no_operation(request)
+
+    async def _change(
+        self, request: http_message.Request, by: str
+    ) -> http_message.Response:
         match (request.method, request.segments[2:]):
-            case ('GET', [kind]) if kind in _KINDS:
-                return await self._list(kind)
-            case ('GET', [kind, name]) if kind in _KINDS:
-                return await self._show(kind, name)
             case ('PUT', [kind, name]) if kind in _KINDS:
-                return await self._put(kind, name, request)
-            case ('DELETE', [kind, name]) if kind in _KINDS:
-                return await self._delete(kind, name, request)
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.NOT_FOUND,
-            f'no operation {request.method} {request.path}',
+                return await self._objects.put(_KINDS[kind], name, request, by)
+            case ('DELETE', ['classes', name]):
+                await self._fleet.check_class_unused(name)
+                return await self._objects.delete(
+                    admin_objects.CLASSES, name, request, by
+                )
+            case ('DELETE', ['accounts', name]):
+                return await self._objects.delete(
+                    admin_objects.ACCOUNTS, name, request, by
+                )
+            case ('POST', ['accounts', name, 'credentials']):
+                return await self._add_credential(name, request, by)
+            case ('DELETE', ['accounts', name, 'credentials', credential]):
+                return await self._drop_credential(name, credential, by)
+            case ('PUT', ['upstreams', name, 'drain']):
+                return await self._drain(name, by)
+            case ('DELETE', ['upstreams', name, 'drain']):
+                return await self._undrain(name, by)
+            case ('DELETE', ['programs', caller, name]):
+                return await self._fleet.cancel_program(caller, name, by)
+        raise _no_operation(request)
+
+    async def _add_credential(
+        self, name: str, request: http_message.Request, by: str
+    ) -> http_message.Response:
+        body = bodies.parse_body(bodies.CredentialBody, request)
+        found, account = await self._objects.account(name)
+        hashes = list(dict.fromkeys([*account.token_hashes, body.token_hash]))
+        if len(hashes) > accounts.CREDENTIAL_LIMIT:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.MALFORMED_REQUEST,
+                f'account {name} has {accounts.CREDENTIAL_LIMIT} credentials '
+                'already; drop one first',
+            )
+        changed = account.model_copy(update={'token_hashes': hashes})
+        return await self._objects.write(
+            admin_objects.ACCOUNTS, name, changed, found.version, by
         )
 
-    async def _list(self, kind: str) -> http_message.Response:
-        prefix, _ = _KINDS[kind]
-        listing = await self._objects.scan(prefix)
-        return http_message.Response.from_json(
-            {'items': [_document(item) for item in listing.objects]}
+    async def _drop_credential(
+        self, name: str, credential: str, by: str
+    ) -> http_message.Response:
+        found, account = await self._objects.account(name)
+        kept = [
+            digest
+            for digest in account.token_hashes
+            if accounts.credential_id(digest) != credential
+        ]
+        if len(kept) == len(account.token_hashes):
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.NOT_FOUND,
+                f'account {name} has no credential {credential!r}',
+            )
+        changed = account.model_copy(update={'token_hashes': kept})
+        return await self._objects.write(
+            admin_objects.ACCOUNTS, name, changed, found.version, by
         )
 
-    async def _show(self, kind: str, name: str) -> http_message.Response:
-        return _response(await self._get(kind, name))
-
-    async def _put(
-        self, kind: str, name: str, request: http_message.Request
-    ) -> http_message.Response:
-        prefix, model = _KINDS[kind]
-        value = bodies.parse_body(model, request)
-        if value.name != name:
+    async def _drain(self, name: str, by: str) -> http_message.Response:
+        if not self._fleet.knows_upstream(name):
             raise errors.MagnoliawoodError(
-                errors.ErrorCode.MALFORMED_BODY,
-                f'name: the path says {name!r}, the body {value.name!r}',
+                errors.ErrorCode.NOT_FOUND, f'there is no upstream {name!r}'
             )
-        written = await self._objects.put(
-            prefix + name,
-            value.model_dump_json(),
-            _expected_version(request),
+        known = await self._objects.find(admin_objects.DRAINS, name)
+        if known is not None:
+            return await self._objects.show(admin_objects.DRAINS, name)
+        drain = drains.Drain(upstream=name, by=by, at=self._clock.now())
+        return await self._objects.write(
+            admin_objects.DRAINS, name, drain, 0, by
         )
-        await self._configuration.refresh()
-        return _response(written)
 
-    async def _delete(
-        self, kind: str, name: str, request: http_message.Request
-    ) -> http_message.Response:
-        found = await self._get(kind, name)
-        await self._objects.delete(found.name, _expected_version(request))
-        await self._configuration.refresh()
-        return http_message.Response(204)
-
-    async def _get(self, kind: str, name: str) -> store.StoredObject:
-        prefix, _ = _KINDS[kind]
-        found = await self._objects.get(prefix + name)
-        if found is None:
+    async def _undrain(self, name: str, by: str) -> http_message.Response:
+        known = await self._objects.find(admin_objects.DRAINS, name)
+        if known is None:
             raise errors.MagnoliawoodError(
-                errors.ErrorCode.NOT_FOUND, f'{kind} has no {name!r}'
+                errors.ErrorCode.NOT_FOUND, f'upstream {name} is not drained'
             )
-        return found
+        return await self._objects.remove(known, known.version, by)
 
 
 def _check_role(
@@ -108,24 +160,8 @@
         )
 
 
-def _expected_version(request: http_message.Request) -> int:
-    if request.header('if-none-match') == '*':
-        return store.ABSENT
-    text = request.header('if-match').strip('"')
-    if not (text.isascii() and text.isdigit()):
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.MALFORMED_REQUEST,
-            'a change needs If-Match with the version it is based on, or '
-            'If-None-Match: * to create',
-        )
-    return int(text)
-
-
-def _document(item: store.StoredObject) -> dict[str, typing.Any]:
-    return {'version': item.version, **json.loads(item.value)}
-
-
-def _response(item: store.StoredObject) -> http_message.Response:
-    return http_message.Response.from_json(
-        _document(item), etag=f'"{item.version}"'
+def _no_operation(request: http_message.Request) -> errors.MagnoliawoodError:
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.NOT_FOUND,
+        f'no operation {request.method} {request.path}',
     )
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/admin_objects.py
@@ -0,0 +1,282 @@
+"""Classes, accounts and drains as the administration API serves them."""
+
+import collections.abc
+import dataclasses
+import json
+import logging
+import typing
+
+import pydantic
+
+from magnoliawood.config import account as accounts
+from magnoliawood.config import change as changes
+from magnoliawood.config import configuration as configurations
+from magnoliawood.config import drain as drains
+from magnoliawood.config import work_class as work_classes
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.platform import store
+from magnoliawood_server.entry import bodies
+from magnoliawood_server.entry import change_history
+from magnoliawood_server.entry import configuration_keeper
+from magnoliawood_server.http import message as http_message
+
+_log = logging.getLogger(__name__)
+
+Document = dict[str, typing.Any]
+DeletionCheck = collections.abc.Callable[
+    [str], collections.abc.Awaitable[None]
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectKind:
+    """A kind of configured object.
+
+    :param prefix: where the store keeps them
+    :param body: model of what an operator sends
+    :param unknown_field: why other fields are refused
+    """
+
+    prefix: str
+    body: type[pydantic.BaseModel]
+    unknown_field: str = ''
+
+
+CLASSES = ObjectKind(
+    configurations.CLASS_PREFIX,
+    work_classes.WorkClass,
+    work_classes.STEERING_REASON,
+)
+ACCOUNTS = ObjectKind(configurations.ACCOUNT_PREFIX, bodies.AccountBody)
+DRAINS = ObjectKind(configurations.DRAIN_PREFIX, drains.Drain)
+
+
+class ConfigurationObjects:
+    """Conditional changes of configured objects, with their history."""
+
+    def __init__(
+        self,
+        objects: store.ObjectStore,
+        configuration: configuration_keeper.ConfigurationKeeper,
+        history: change_history.ChangeHistory,
+        clock: clocks.Clock,
+    ) -> None:
+        self._objects = objects
+        self._configuration = configuration
+        self._history = history
+        self._clock = clock
+
+    async def list(self, kind: ObjectKind) -> http_message.Response:
+        """Return all objects of a kind."""
+        listing = await self._objects.scan(kind.prefix)
+        items = [_document(item) for item in listing.objects]
+        return http_message.Response.from_json({'items': items})
+
+    async def show(self, kind: ObjectKind, name: str) -> http_message.Response:
+        """Return one object."""
+        return _response(await self._get(kind, name))
+
+    async def history(
+        self, kind: ObjectKind, name: str
+    ) -> http_message.Response:
+        """Return the newest changes of an object, the oldest first."""
+        log = await self._history.read(kind.prefix + name)
+        found = await self._objects.get(kind.prefix + name)
+        if found is None and not log.changes:
+            raise _absent(name)
+        is_complete = found is None or log.is_complete_to(found.version)
+        return http_message.Response.from_json(
+            {
+                'items': [_change_document(item) for item in log.changes],
+                'is_complete': is_complete,
+            }
+        )
+
+    async def put(
+        self,
+        kind: ObjectKind,
+        name: str,
+        request: http_message.Request,
+        by: str,
+    ) -> http_message.Response:
+        """Create or change an object if it is at the version named."""
+        body = bodies.parse_body(kind.body, request, kind.unknown_field)
+        if body.name != name:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.MALFORMED_BODY,
+                f'name: the path says {name!r}, the body {body.name!r}',
+            )
+        expected = expected_version(request)
+        if isinstance(body, bodies.AccountBody):
+            body = await self._with_credentials(body)
+        return await self.write(kind, name, body, expected, by)
+
+    async def write(
+        self,
+        kind: ObjectKind,
+        name: str,
+        value: pydantic.BaseModel,
+        expected: int,
+        by: str,
+    ) -> http_message.Response:
+        """Write an object if it is at version ``expected``."""
+        full_name = kind.prefix + name
+        try:
+            written = await self._objects.put(
+                full_name, value.model_dump_json(), expected
+            )
+        except store.VersionConflict as conflict:
+            return await self._conflict(full_name, conflict)
+        await self._take_over(written.version)
+        action = 'changed' if expected else 'created'
+        await self._record(full_name, written.version, by, action, written)
+        return _response(written)
+
+    async def delete(
+        self,
+        kind: ObjectKind,
+        name: str,
+        request: http_message.Request,
+        by: str,
+    ) -> http_message.Response:
+        """Remove an object if it is at the version named."""
+        found = await self._get(kind, name)
+        return await self.remove(found, expected_version(request), by)
+
+    async def remove(
+        self, found: store.StoredObject, expected: int, by: str
+    ) -> http_message.Response:
+        """Remove an object if it is at version ``expected``."""
+        try:
+            await self._objects.delete(found.name, expected)
+        except store.VersionConflict as conflict:
+            return await self._conflict(found.name, conflict)
+        await self._take_over(0)
+        await self._record(found.name, expected, by, 'deleted', None)
+        return http_message.Response(204)
+
+    async def account(
+        self, name: str
+    ) -> tuple[store.StoredObject, accounts.Account]:
+        """Return an account and the object that holds it."""
+        found = await self._get(ACCOUNTS, name)
+        return found, accounts.Account.model_validate_json(found.value)
+
+    async def find(
+        self, kind: ObjectKind, name: str
+    ) -> store.StoredObject | None:
+        """Return an object, or nothing if it is absent."""
+        return await self._objects.get(kind.prefix + name)
+
+    async def _take_over(self, version: int) -> None:
+        """Put a change in force here; if that fails, the watch will."""
+        try:
+            await self._configuration.refresh(version)
+        except errors.MagnoliawoodError:
+            _log.debug('configuration not read after a change')
+
+    async def _with_credentials(
+        self, body: bodies.AccountBody
+    ) -> accounts.Account:
+        """Keep the credentials of an account whose body names none."""
+        hashes = body.token_hashes
+        if hashes is None:
+            found = await self._objects.get(ACCOUNTS.prefix + body.name)
+            hashes = (
+                accounts.Account.model_validate_json(found.value).token_hashes
+                if found
+                else []
+            )
+        return accounts.Account(
+            name=body.name, role=body.role, token_hashes=hashes
+        )
+
+    async def _get(self, kind: ObjectKind, name: str) -> store.StoredObject:
+        found = await self._objects.get(kind.prefix + name)
+        if found is None:
+            raise _absent(name)
+        return found
+
+    async def _record(
+        self,
+        full_name: str,
+        version: int,
+        by: str,
+        action: str,
+        written: store.StoredObject | None,
+    ) -> None:
+        change = changes.Change(
+            version=version,
+            at=self._clock.now(),
+            by=by,
+            action=action,
+            value=None if written is None else _shown(written),
+        )
+        await self._history.append(full_name, change)
+
+    async def _conflict(
+        self, full_name: str, conflict: store.VersionConflict
+    ) -> http_message.Response:
+        """Refuse a change and show the one that came before it."""
+        response = http_message.Response.from_error(conflict)
+        problem = json.loads(response.body)
+        current = conflict.current
+        problem['current'] = _document(current) if current else None
+        log = await self._history.read(full_name)
+        change = (
+            log.find(current.version)
+            if current
+            else next(iter(log.changes[-1:]), None)
+        )
+        problem['change'] = _change_document(change) if change else None
+        response.body = json.dumps(problem).encode()
+        return response
+
+
+def expected_version(request: http_message.Request) -> int:
+    """Return the version that a change is based on, 0 to create.
+
+    :raises MagnoliawoodError: with ``malformed_request``
+    """
+    if request.header('if-none-match') == '*':
+        return store.ABSENT
+    text = request.header('if-match').strip('"')
+    if not (text.isascii() and text.isdigit()):
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.MALFORMED_REQUEST,
+            'a change needs If-Match with the version it is based on, or '
+            'If-None-Match: * to create',
+        )
+    return int(text)
+
+
+def _absent(name: str) -> errors.MagnoliawoodError:
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.NOT_FOUND, f'there is no {name!r}'
+    )
+
+
+def _shown(item: store.StoredObject) -> Document:
+    """Return the fields of an object, credentials by their ids only."""
+    document = json.loads(item.value)
+    hashes = document.pop('token_hashes', None)
+    if hashes is not None:
+        document['credentials'] = [
+            accounts.credential_id(digest) for digest in hashes
+        ]
+    return document
+
+
+def _document(item: store.StoredObject) -> Document:
+    return {'version': item.version, **_shown(item)}
+
+
+def _change_document(change: changes.Change) -> Document:
+    return change.model_dump(mode='json')
+
+
+def _response(item: store.StoredObject) -> http_message.Response:
+    return http_message.Response.from_json(
+        _document(item), etag=f'"{item.version}"'
+    )
--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -14,10 +14,14 @@
 from magnoliawood.scheduling import policies
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import admin_api
+from magnoliawood_server.entry import admin_fleet
+from magnoliawood_server.entry import admin_objects
 from magnoliawood_server.entry import call_executor
 from magnoliawood_server.entry import caller_api
+from magnoliawood_server.entry import change_history
 from magnoliawood_server.entry import chat_api
 from magnoliawood_server.entry import configuration_keeper
+from magnoliawood_server.entry import fleet_view
 from magnoliawood_server.entry import gateway as gateways
 from magnoliawood_server.entry import journal_writer
 from magnoliawood_server.entry import membership as memberships
@@ -93,7 +97,10 @@
             self._objects, settings.operator_token_hash
         )
         self._sidecars = sidecar_directory.SidecarDirectory(
-            settings.name, self._pool, self._clock
+            settings.name,
+            self._pool,
+            self._clock,
+            lambda: self._configuration.current.drained,
         )
         self._membership = memberships.Membership(
             settings.name,
@@ -153,8 +160,39 @@
             self._configuration,
             self._settings.default_class,
         )
+        self._make_admin_api()
+
+    def _make_admin_api(self) -> None:
+        settings = self._settings
+        self._fleet = fleet_view.FleetView(
+            settings.name,
+            self._incarnation,
+            settings.data_centre,
+            self._objects,
+            self._membership,
+            self._keeper,
+            self._service,
+            self._programs,
+            self._configuration,
+            self._pool,
+            self._metrics,
+        )
+        history = change_history.ChangeHistory(self._objects, self._metrics)
         self._admin_api = admin_api.AdminApi(
-            self._objects, self._configuration
+            admin_objects.ConfigurationObjects(
+                self._objects, self._configuration, history, self._clock
+            ),
+            admin_fleet.AdminFleet(
+                settings.name,
+                settings.data_centre,
+                self._fleet,
+                self._gateway,
+                self._membership,
+                self._sidecars,
+                self._configuration,
+                self._pool,
+            ),
+            self._clock,
         )
 
     async def _open_journal(self) -> None:
@@ -186,6 +224,8 @@
     ) -> None:
         if isinstance(message, messages.Probe):
             await stream.send(self._probe_reply())
+        elif self._fleet.handles(message):
+            await stream.send(await self._fleet.answer(message))
         elif self._gateway.handles(message):
             await self._gateway.handle_peer(stream, message)
         else:
@@ -249,7 +289,7 @@
         is_ready = (
             self._membership.is_ready
             and '' not in owners
-            and self._configuration.current.version > 0
+            and self._configuration.is_loaded
             and not self._membership.is_leaving
         )
         return http_message.Response(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/bodies.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/bodies.py
@@ -5,6 +5,8 @@
 
 import pydantic
 
+from magnoliawood.config import account as accounts
+from magnoliawood.config import work_class as work_classes
 from magnoliawood.core import errors
 from magnoliawood.programs import budget as budgets
 from magnoliawood.programs import call as calls
@@ -17,6 +19,13 @@
 
 Model = typing.TypeVar('Model', bound=pydantic.BaseModel)
 Name = typing.Annotated[str, pydantic.Field(pattern=_NAME)]
+AccountName = typing.Annotated[
+    str, pydantic.Field(pattern=work_classes.NAME_PATTERN)
+]
+Digest = typing.Annotated[str, pydantic.Field(pattern=accounts.DIGEST_PATTERN)]
+Digests = typing.Annotated[
+    list[Digest], pydantic.Field(max_length=accounts.CREDENTIAL_LIMIT)
+]
 TokenLimit = typing.Annotated[int, pydantic.Field(ge=1, le=_MAX_TOKENS_LIMIT)]
 
 
@@ -124,20 +133,47 @@
         )
 
 
-def parse_body(model: type[Model], request: http_message.Request) -> Model:
+class AccountBody(_Strict):
+    """Creates or changes an account.
+
+    :param token_hashes: digests of all its credentials; none to keep them
+    """
+
+    name: AccountName
+    role: accounts.Role
+    token_hashes: Digests | None = None
+
+
+class CredentialBody(_Strict):
+    """Adds a credential to an account, by the digest of its token."""
+
+    token_hash: Digest
+
+
+def parse_body(
+    model: type[Model],
+    request: http_message.Request,
+    unknown_field: str = '',
+) -> Model:
     """Validate a JSON body.
 
+    :param unknown_field: why fields that the model does not have are refused
     :raises MagnoliawoodError: with ``malformed_body``, naming the fields
     """
     try:
         return model.model_validate_json(request.body)
     except pydantic.ValidationError as error:
-        detail = '; '.join(map(_describe, error.errors()))
+        detail = '; '.join(
+            _describe(item, unknown_field)
+            for item in error.errors(include_url=False, include_input=False)
+        )
         raise errors.MagnoliawoodError(
             errors.ErrorCode.MALFORMED_BODY, detail
         ) from error
 
 
-def _describe(item: typing.Any) -> str:
+def _describe(item: typing.Any, unknown_field: str) -> str:
     place = '.'.join(map(str, item['loc'])) or 'body'
+    if unknown_field and item['type'] == 'extra_forbidden':
+        return f'{place}: {unknown_field}'
     return f'{place}: {item["msg"]}'
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/fleet_view.py
@@ -0,0 +1,165 @@
+"""What the entries know, gathered by asking each of them."""
+
+import collections.abc
+import dataclasses
+import datetime
+import heapq
+import typing
+
+import curio
+
+from magnoliawood.core import errors
+from magnoliawood.ownership import shard_map as shard_maps
+from magnoliawood.platform import store
+from magnoliawood.programs import program as programs
+from magnoliawood.programs import table as tables
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import configuration_keeper
+from magnoliawood_server.entry import membership as memberships
+from magnoliawood_server.entry import owner_service
+from magnoliawood_server.entry import shard_keeper
+from magnoliawood_server.peer import messages
+from magnoliawood_server.peer import pool as pools
+
+ANSWER_TIMEOUT = datetime.timedelta(seconds=3)
+STORE_AVAILABLE = 'available'
+
+Reply = typing.TypeVar('Reply')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answers(typing.Generic[Reply]):
+    """Answers of the entries.
+
+    :param by_entry: answers by the entry's name
+    :param missing: entries that gave no answer, with the reason
+    """
+
+    by_entry: dict[str, Reply]
+    missing: dict[str, str]
+
+
+class FleetView:
+    """Answers about this entry, and the answers of all entries.
+
+    :param data_centre: where this entry stands
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        incarnation: str,
+        data_centre: str,
+        objects: store.ObjectStore,
+        membership: memberships.Membership,
+        keeper: shard_keeper.ShardKeeper,
+        service: owner_service.OwnerService,
+        programs_table: tables.ProgramTable,
+        configuration: configuration_keeper.ConfigurationKeeper,
+        pool: pools.PeerPool,
+        metrics: registries.Registry,
+    ) -> None:
+        self._entry = entry
+        self._incarnation = incarnation
+        self._data_centre = data_centre
+        self._objects = objects
+        self._membership = membership
+        self._keeper = keeper
+        self._service = service
+        self._programs = programs_table
+        self._configuration = configuration
+        self._pool = pool
+        self._metrics = metrics
+        self._local: dict[
+            type,
+            collections.abc.Callable[
+                [typing.Any], collections.abc.Awaitable[typing.Any]
+            ],
+        ] = {
+            messages.ListPrograms: self._list_programs,
+            messages.GetEntryStatus: self._entry_status,
+            messages.GetCounters: self._counters,
+        }
+
+    def handles(self, message: typing.Any) -> bool:
+        """Whether a message asks about this entry."""
+        return type(message) in self._local
+
+    async def answer(self, message: typing.Any) -> typing.Any:
+        """Answer a message about this entry."""
+        return await self._local[type(message)](message)
+
+    async def ask_all(self, message: typing.Any) -> Answers[typing.Any]:
+        """Ask every entry on the host list, this one included."""
+        found = {self._entry: await self.answer(message)}
+        missing: dict[str, str] = {}
+
+        async def ask(state: memberships.EntryState) -> None:
+            name = state.host.name
+            try:
+                found[name] = await self._pool.ask(
+                    state.host.address, message, ANSWER_TIMEOUT
+                )
+            except errors.MagnoliawoodError as error:
+                missing[name] = str(error)
+
+        async with curio.TaskGroup() as group:
+            for state in self._membership.others():
+                await group.spawn(ask, state)
+        return Answers(dict(sorted(found.items())), missing)
+
+    async def _list_programs(
+        self, message: messages.ListPrograms
+    ) -> messages.ProgramPage:
+        chosen = (
+            program
+            for program in self._programs.all()
+            if _matches(program, message)
+            and self._keeper.serves(program.key.shard)
+        )
+        found = heapq.nsmallest(
+            message.limit, chosen, key=lambda program: str(program.key)
+        )
+        return messages.ProgramPage(
+            [self._service.status(program.key) for program in found]
+        )
+
+    async def _entry_status(
+        self, message: messages.GetEntryStatus
+    ) -> messages.EntryStatus:
+        return messages.EntryStatus(
+            self._entry,
+            self._incarnation,
+            self._data_centre,
+            self._membership.is_leaving,
+            await self._try_store(),
+            self._keeper.map.version,
+            self._configuration.current.version,
+            len(self._keeper.map.owned_by(self._entry)),
+            len(self._programs),
+            self._service.calls_under_way,
+        )
+
+    async def _try_store(self) -> str:
+        try:
+            await self._objects.get(shard_maps.MAP_NAME)
+        except errors.MagnoliawoodError as error:
+            return str(error)
+        return STORE_AVAILABLE
+
+    async def _counters(
+        self, message: messages.GetCounters
+    ) -> messages.Counters:
+        return messages.Counters(self._metrics.counters())
+
+
+def _matches(
+    program: programs.Program, message: messages.ListPrograms
+) -> bool:
+    state = 'ended' if program.is_ended else 'open'
+    return (
+        str(program.key) > message.after
+        and message.caller in ('', program.key.caller)
+        and message.work_class in ('', program.work_class)
+        and message.state in ('', state)
+    )
--- a/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
@@ -74,6 +74,10 @@
         state = self._entries.get(entry)
         return state is not None and self._is_alive(state)
 
+    def others(self) -> list[EntryState]:
+        """Return the other entries on the host list."""
+        return list(self._entries.values())
+
     def staying_entries(self) -> list[str]:
         """Return the live entries that may own shards."""
         others = [
--- a/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
@@ -1,5 +1,6 @@
 """What an entry knows of the sidecars and their upstreams."""
 
+import collections.abc
 import dataclasses
 import datetime
 import logging
@@ -54,11 +55,19 @@
 
 
 class SidecarDirectory:
-    """Sidecars by host name, refreshed in the background."""
+    """Sidecars by host name, refreshed in the background.
+
+    :param drained: names those that operators keep new work from
+    """
 
     def __init__(
-        self, entry: str, pool: pools.PeerPool, clock: clocks.Clock
+        self,
+        entry: str,
+        pool: pools.PeerPool,
+        clock: clocks.Clock,
+        drained: collections.abc.Callable[[], frozenset[str]] = frozenset,
     ) -> None:
+        self._drained = drained
         self._entry = entry
         self._pool = pool
         self._clock = clock
@@ -93,7 +102,12 @@
         serving = [s for s in self.all() if s.serves(kind, name)]
         if not serving:
             raise _unknown(kind, name)
-        usable = [sidecar for sidecar in serving if sidecar.is_usable]
+        drained = self._drained()
+        usable = [
+            sidecar
+            for sidecar in serving
+            if sidecar.is_usable and sidecar.name not in drained
+        ]
         if not usable:
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.UPSTREAM_UNAVAILABLE,
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -301,6 +301,66 @@
     digest: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListPrograms:
+    """Asks an entry for the programs that it owns, in order of their keys.
+
+    Empty filters match everything.
+
+    :param after: only keys greater than this one, written ``caller/name``
+    :param limit: the most programs to return
+    """
+
+    caller: str = ''
+    work_class: str = ''
+    state: str = ''
+    after: str = ''
+    limit: int = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProgramPage:
+    """Programs of one entry, in order of their keys."""
+
+    programs: list[ProgramStatus]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetEntryStatus:
+    """Asks an entry for its state; it tries the store before it answers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryStatus:
+    """State of an entry.
+
+    :param store: ``available`` or the error of the last try
+    """
+
+    name: str
+    incarnation: str
+    data_centre: str
+    leaving: bool
+    store: str
+    map_version: int
+    configuration_version: int
+    shards: int
+    programs: int
+    calls_under_way: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetCounters:
+    """Asks a process for its counters."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counters:
+    """Counters of a process by name and labels in their text form."""
+
+    values: dict[str, int]
+
+
 MESSAGE_TYPES = (
     Ping,
     Challenge,
@@ -330,6 +390,12 @@
     EndProgram,
     ProgramStatus,
     History,
+    ListPrograms,
+    ProgramPage,
+    GetEntryStatus,
+    EntryStatus,
+    GetCounters,
+    Counters,
 )
 
 ADAPTERS = {
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -50,6 +50,7 @@
         )
         self._handlers = {
             messages.Hello: self._hello,
+            messages.GetCounters: self._counters,
             messages.Order: self._order,
             messages.Attach: self._attach,
             messages.Cancel: self._cancel,
@@ -102,6 +103,11 @@
             )
         )
 
+    async def _counters(
+        self, stream: connections.Stream, message: messages.GetCounters
+    ) -> None:
+        await stream.send(messages.Counters(self._metrics.counters()))
+
     async def _order(
         self, stream: connections.Stream, message: messages.Order
     ) -> None:
--- a/packages/magnoliawood/magnoliawood/config/configuration.py
+++ b/packages/magnoliawood/magnoliawood/config/configuration.py
@@ -1,8 +1,10 @@
 """The configuration in force in one process."""
 
 import dataclasses
+import functools
 
 from magnoliawood.config import account as account_models
+from magnoliawood.config import drain as drains
 from magnoliawood.config import work_class as work_classes
 from magnoliawood.core import errors
 from magnoliawood.platform import store
@@ -10,11 +12,15 @@
 PREFIX = 'config/'
 CLASS_PREFIX = 'config/class/'
 ACCOUNT_PREFIX = 'config/account/'
+DRAIN_PREFIX = 'config/drain/'
 
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """Classes and accounts at one version of the store."""
+    """Classes, accounts and drains at one version of the store.
+
+    :param drained: names of the upstreams that get no new work
+    """
 
     version: int = 0
     classes: dict[str, work_classes.WorkClass] = dataclasses.field(
@@ -23,6 +29,7 @@
     accounts: dict[str, account_models.Account] = dataclasses.field(
         default_factory=dict
     )
+    drained: frozenset[str] = frozenset()
 
     @classmethod
     def from_objects(
@@ -42,10 +49,16 @@
             for item in objects
             if item.name.startswith(ACCOUNT_PREFIX)
         ]
+        drained = frozenset(
+            drains.Drain.model_validate_json(item.value).upstream
+            for item in objects
+            if item.name.startswith(DRAIN_PREFIX)
+        )
         return cls(
             version,
             {item.name: item for item in found_classes},
             {item.name: item for item in found_accounts},
+            drained,
         )
 
     def work_class(self, name: str) -> work_classes.WorkClass:
@@ -65,10 +78,17 @@
 
         :raises MagnoliawoodError: with ``unauthenticated``
         """
-        digest = account_models.hash_token(token)
-        for account in self.accounts.values():
-            if digest in account.token_hashes:
-                return account
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.UNAUTHENTICATED, 'unknown bearer token'
-        )
+        account = self._by_digest.get(account_models.hash_token(token))
+        if account is None:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.UNAUTHENTICATED, 'unknown bearer token'
+            )
+        return account
+
+    @functools.cached_property
+    def _by_digest(self) -> dict[str, account_models.Account]:
+        return {
+            digest: account
+            for account in self.accounts.values()
+            for digest in account.token_hashes
+        }
--- a/packages/magnoliawood/magnoliawood/config/work_class.py
+++ b/packages/magnoliawood/magnoliawood/config/work_class.py
@@ -4,6 +4,10 @@
 
 import pydantic
 
+STEERING_REASON = (
+    'operators set classes and their targets only; weights, servers and '
+    'addresses are the choice of the system'
+)
 NAME_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
 
 
--- a/packages/magnoliawood/magnoliawood/core/errors.py
+++ b/packages/magnoliawood/magnoliawood/core/errors.py
@@ -29,6 +29,7 @@
     PROGRAM_ENDED = 'program_ended'
     BUDGET_EXHAUSTED = 'budget_exhausted'
     CLASS_LIMIT = 'class_limit'
+    CLASS_IN_USE = 'class_in_use'
     VERSION_CONFLICT = 'version_conflict'
     OVERLOADED = 'overloaded'
     QUARANTINED = 'quarantined'
@@ -65,6 +66,7 @@
     ErrorCode.PROGRAM_ENDED: http.HTTPStatus.GONE,
     ErrorCode.BUDGET_EXHAUSTED: http.HTTPStatus.PAYMENT_REQUIRED,
     ErrorCode.CLASS_LIMIT: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    ErrorCode.CLASS_IN_USE: http.HTTPStatus.CONFLICT,
     ErrorCode.VERSION_CONFLICT: http.HTTPStatus.PRECONDITION_FAILED,
     ErrorCode.OVERLOADED: http.HTTPStatus.TOO_MANY_REQUESTS,
     ErrorCode.QUARANTINED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
--- a/packages/magnoliawood/magnoliawood/telemetry/registry.py
+++ b/packages/magnoliawood/magnoliawood/telemetry/registry.py
@@ -57,6 +57,13 @@
         """Return the value of a counter."""
         return self._counters[_series(name, labels)]
 
+    def counters(self) -> dict[str, int]:
+        """Return all counters by name and labels in their text form."""
+        return {
+            series.text(): self._counters[series]
+            for series in sorted(self._counters)
+        }
+
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
         self._gauges[_series(name, labels)] = value
