--- a/packages/magnoliawood-cli/magnoliawood_cli/client.py
+++ b/packages/magnoliawood-cli/magnoliawood_cli/client.py
@@ -1,67 +1,149 @@
 """Client of the administration API."""
 
+import dataclasses
 import http.client
 import json
 import typing
+import urllib.parse
 
 from magnoliawood.core import errors
 
 _TIMEOUT_SECONDS = 10.0
+_PREFIX = '/admin/v1/'
+
+
+class ApiError(errors.MagnoliawoodError):
+    """An error that the entry reported.
+
+    :param problem: the whole problem document
+    """
+
+    def __init__(self, problem: dict[str, typing.Any]) -> None:
+        super().__init__(
+            errors.ErrorCode(problem['code']),
+            problem['detail'],
+            errors.verdicts.Verdict(problem['verdict']),
+        )
+        self.problem = problem
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Host and port of an entry."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def from_text(cls, text: str) -> 'Address':
+        """Parse ``HOST:PORT``.
+
+        :raises ValueError: if it is not of that form
+
+        Examples
+        ========
+
+        >>> Address.from_text('127.0.0.1:8080')
+        Address(host='127.0.0.1', port=8080)
+        """
+        host, separator, port = text.rpartition(':')
+        is_port = port.isascii() and port.isdigit() and int(port) < 65536
+        if not (host and separator and is_port):
+            raise ValueError(f'{text!r} is not HOST:PORT')
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
 
 
 class AdminClient:
     """Sends requests to one entry.
 
-    :param address: host and port of the entry's HTTP listener
+    :param address: the entry's HTTP listener, or the balancer before it
     :param token: bearer token
     """
 
-    def __init__(self, address: str, token: str) -> None:
+    def __init__(self, address: Address, token: str) -> None:
         self._address = address
         self._token = token
 
-    def request(
+    def get(self, *path: str, **query: object) -> typing.Any:
+        """Read a page; empty query parameters are left out."""
+        given = {name: value for name, value in query.items() if value != ''}
+        suffix = f'?{urllib.parse.urlencode(given)}' if given else ''
+        return self._request('GET', _join(path) + suffix)
+
+    def put(
+        self,
+        *path: str,
+        body: typing.Any = None,
+        version: int | None = None,
+    ) -> typing.Any:
+        """Create an object, or change it if it is at ``version``."""
+        condition = (
+            {'if-none-match': '*'}
+            if version is None
+            else {'if-match': f'"{version}"'}
+        )
+        return self._request('PUT', _join(path), body, condition)
+
+    def post(self, *path: str, body: typing.Any) -> typing.Any:
+        """Add to a collection."""
+        return self._request('POST', _join(path), body)
+
+    def delete(self, *path: str, version: int | None = None) -> typing.Any:
+        """Remove an object, if a version is given only at that version."""
+        condition = {} if version is None else {'if-match': f'"{version}"'}
+        return self._request('DELETE', _join(path), headers=condition)
+
+    def _request(
         self,
         method: str,
         path: str,
         body: typing.Any = None,
-        **headers: str,
+        headers: dict[str, str] | None = None,
     ) -> typing.Any:
         """Send a request and return the parsed answer.
 
-        :raises MagnoliawoodError: as the entry reports it
+        :raises ApiError: as the entry reports it
+        :raises MagnoliawoodError: with ``peer_lost`` if no entry answers
         """
         connection = http.client.HTTPConnection(
-            self._address, timeout=_TIMEOUT_SECONDS
+            self._address.host, self._address.port, timeout=_TIMEOUT_SECONDS
         )
-        named = {
-            name.replace('_', '-'): text for name, text in headers.items()
-        }
+        text = None if body is None else json.dumps(body)
+        named = {'authorization': f'Bearer {self._token}', **(headers or {})}
         try:
-            connection.request(
-                method,
-                path,
-                None if body is None else json.dumps(body),
-                {'authorization': f'Bearer {self._token}', **named},
-            )
+            connection.request(method, path, text, named)
             response = connection.getresponse()
-            text = response.read()
-        except OSError as error:
-            raise errors.MagnoliawoodError(
-                errors.ErrorCode.PEER_LOST,
-                f'no answer from {self._address}: {error}',
-            ) from error
+            data = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            reason = str(error) or type(error).__name__
+            raise self._no_answer(reason) from error
         finally:
             connection.close()
-        return _parse(response.status, text)
+        return self._parse(response.status, data)
+
+    def _parse(self, status: int, data: bytes) -> typing.Any:
+        try:
+            value = json.loads(data) if data else None
+            if status < 400:
+                return value
+            error = ApiError(value)
+        except (ValueError, KeyError, TypeError) as fault:
+            raise self._no_answer(
+                f'status {status} and no answer of an entry'
+            ) from fault
+        raise error
+
+    def _no_answer(self, reason: str) -> errors.MagnoliawoodError:
+        return errors.MagnoliawoodError(
+            errors.ErrorCode.PEER_LOST,
+            f'no answer from {self._address}: {reason}',
+        )
 
 
-def _parse(status: int, text: bytes) -> typing.Any:
-    value = json.loads(text) if text else None
-    if status < 400:
-        return value
-    raise errors.MagnoliawoodError(
-        errors.ErrorCode(value['code']),
-        value['detail'],
-        errors.verdicts.Verdict(value['verdict']),
+def _join(path: tuple[str, ...]) -> str:
+    return _PREFIX + '/'.join(
+        urllib.parse.quote(part, safe='') for part in path
     )
--- a/packages/magnoliawood-cli/magnoliawood_cli/main.py
+++ b/packages/magnoliawood-cli/magnoliawood_cli/main.py
@@ -1,27 +1,32 @@
 """Command line ``magnoliactl``."""
 
-import hashlib
-import json
-import secrets
+import itertools
 import sys
 import typing
 
 import typer
 
 from magnoliawood.core import errors
+from magnoliawood_cli import account_commands
+from magnoliawood_cli import class_commands
 from magnoliawood_cli import client as clients
-
-FAILURE_EXIT_CODE = 1
+from magnoliawood_cli import exit_codes
+from magnoliawood_cli import fleet_commands
+from magnoliawood_cli import output as outputs
+from magnoliawood_cli import program_commands
+from magnoliawood_cli import session as sessions
 
 _cli = typer.Typer(
     help='Administration of magnoliawood.',
     no_args_is_help=True,
     pretty_exceptions_enable=False,
 )
-_classes = typer.Typer(help='Classes of work.', no_args_is_help=True)
-_accounts = typer.Typer(help='Callers and operators.', no_args_is_help=True)
-_cli.add_typer(_classes, name='class')
-_cli.add_typer(_accounts, name='account')
+_cli.add_typer(class_commands.app, name='class')
+_cli.add_typer(account_commands.app, name='account')
+_cli.add_typer(program_commands.app, name='program')
+_cli.add_typer(fleet_commands.hosts, name='host')
+_cli.add_typer(fleet_commands.data_centres, name='data-centre')
+_cli.add_typer(fleet_commands.upstreams, name='upstream')
 
 
 def main() -> None:
@@ -29,68 +34,81 @@
     try:
         _cli()
     except errors.MagnoliawoodError as error:
-        print(f'magnoliactl: {error}', file=sys.stderr)
-        raise SystemExit(FAILURE_EXIT_CODE) from None
+        for line in _error_lines(error):
+            print(f'magnoliactl: {line}', file=sys.stderr)
+        raise SystemExit(exit_codes.exit_code_of(error)) from None
+    except BrokenPipeError:
+        # Whoever read the output has seen enough.
+        sys.stderr.close()
+        raise SystemExit(exit_codes.ExitCode.FAILED) from None
 
 
 @_cli.callback()
 def _configure(
     context: typer.Context,
-    entry: str = typer.Option(
-        ...,
-        envvar='MAGNOLIACTL_ENTRY',
-        help='host and port of an entry',
-    ),
-    token: str = typer.Option(
-        ..., envvar='MAGNOLIACTL_TOKEN', help='bearer token'
-    ),
+    entry: typing.Annotated[
+        str,
+        typer.Option(envvar='MAGNOLIACTL_ENTRY', help='HOST:PORT of an entry'),
+    ] = '',
+    token: typing.Annotated[
+        str, typer.Option(envvar='MAGNOLIACTL_TOKEN', help='bearer token')
+    ] = '',
+    output: typing.Annotated[
+        outputs.OutputFormat,
+        typer.Option(envvar='MAGNOLIACTL_OUTPUT', help='form of the answers'),
+    ] = outputs.OutputFormat.TABLE,
 ) -> None:
-    context.obj = clients.AdminClient(entry, token)
+    context.obj = sessions.Session(entry, token, output)
 
 
-@_classes.command('create')
-def create_class(
-    context: typer.Context,
-    name: str,
-    target_seconds: float = typer.Option(..., help='target in seconds'),
-) -> None:
-    """Create a class of work."""
-    _print(
-        context.obj.request(
-            'PUT',
-            f'/admin/v1/classes/{name}',
-            {'name': name, 'target_seconds': target_seconds},
-            if_none_match='*',
-        )
+@_cli.command('status')
+def show_status(context: typer.Context) -> None:
+    """Show each entry: its store, configuration version, shards, load."""
+    session: sessions.Session = context.obj
+    session.write(
+        session.client.get('entries'),
+        *('name', 'data_centre', 'store', 'configuration_version'),
+        *('map_version', 'shards', 'programs', 'calls_under_way', 'leaving'),
     )
 
 
-@_classes.command('list')
-def list_classes(context: typer.Context) -> None:
-    """List the classes of work."""
-    _print(context.obj.request('GET', '/admin/v1/classes'))
-
-
-@_accounts.command('create')
-def create_account(
+@_cli.command('counters')
+def show_counters(
     context: typer.Context,
-    name: str,
-    role: str = typer.Option('caller', help='caller, viewer or operator'),
+    name: typing.Annotated[
+        str, typer.Option(help='only counters that start so')
+    ] = '',
+    host: typing.Annotated[
+        str, typer.Option(help='of this host, in place of all entries')
+    ] = '',
 ) -> None:
-    """Create an account and print its token, which is shown only once."""
-    token = secrets.token_urlsafe(32)
-    digest = hashlib.sha256(token.encode()).hexdigest()
-    context.obj.request(
-        'PUT',
-        f'/admin/v1/accounts/{name}',
-        {'name': name, 'role': role, 'token_hashes': [digest]},
-        if_none_match='*',
+    """Show counters, among them each refusal and retry reason."""
+    session: sessions.Session = context.obj
+    session.write(
+        session.client.get('counters', name=name, host=host),
+        *('host', 'counter', 'value'),
     )
-    _print({'name': name, 'role': role, 'token': token})
 
 
-def _print(value: typing.Any) -> None:
-    print(json.dumps(value, indent=2))
+def _error_lines(
+    error: errors.MagnoliawoodError,
+) -> typing.Iterator[str]:
+    """Return the error and, for a conflict, the change that won."""
+    conflict = error.problem if isinstance(error, clients.ApiError) else {}
+    change = conflict.get('change')
+    yield str(error)
+    if change:
+        yield (
+            f'{change["action"]} by {change["by"]} at {change["at"]}, '
+            f'version {change["version"]}: {_fields(change["value"])}'
+        )
+    elif conflict.get('current'):
+        yield f'it is now: {_fields(conflict["current"])}'
+
+
+def _fields(value: dict[str, typing.Any] | None) -> str:
+    items = (value or {}).items()
+    return ' '.join(itertools.starmap('{}={}'.format, items)) or 'gone'
 
 
 if __name__ == '__main__':
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -40,6 +40,11 @@
     is_leaving: bool = False
 
 
+def token_of(account: str) -> str:
+    """Return the token that an account of a deployment gets."""
+    return f'token-of-{account}'
+
+
 def call(
     address: str,
     method: str,
@@ -223,7 +228,7 @@
 
     def create_account(self, name: str, role: str = 'caller') -> str:
         """Create an account and return its token."""
-        token = f'token-of-{name}'
+        token = token_of(name)
         digest = hashlib.sha256(token.encode()).hexdigest()
         body = {'name': name, 'role': role, 'token_hashes': [digest]}
         status, answer = self.admin(
