--- a/packages/magnoliawood-server/magnoliawood_server/entry/admin_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/admin_api.py
@@ -4,15 +4,14 @@
 from magnoliawood.config import drain as drains
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
+from magnoliawood.platform import store
 from magnoliawood_server.entry import admin_fleet
 from magnoliawood_server.entry import admin_objects
 from magnoliawood_server.entry import bodies
+from magnoliawood_server.entry import routes
 from magnoliawood_server.http import message as http_message
 
-_KINDS = {
-    'classes': admin_objects.CLASSES,
-    'accounts': admin_objects.ACCOUNTS,
-}
+_PREFIX = '/admin/v1'
 _READERS = frozenset({accounts.Role.VIEWER, accounts.Role.OPERATOR})
 
 
@@ -28,73 +27,122 @@
         self._objects = objects
         self._fleet = fleet
         self._clock = clock
+        self._router = routes.Router(
+            [
+                *self._object_routes('classes', admin_objects.CLASSES),
+                *self._object_routes('accounts', admin_objects.ACCOUNTS),
+                *self._deletions(),
+                *self._credential_routes(),
+                *self._fleet_routes(),
+                *self._drain_routes(),
+            ]
+        )
+
+    @property
+    def router(self) -> routes.Router:
+        """The operations."""
+        return self._router
 
     async def handle(
         self, request: http_message.Request, account: accounts.Account
     ) -> http_message.Response:
         """Serve one request of an authenticated operator."""
         _check_role(request, account)
-        if request.method == 'GET':
-            return await self._read(request)
-        return await self._change(request, account.name)
+        return await self._router.serve(request, account)
+
+    def _object_routes(
+        self, name: str, kind: admin_objects.ObjectKind
+    ) -> list[routes.Route]:
+        objects = self._objects
+        path = f'{_PREFIX}/{name}'
+
+        async def read_all(
+            request: routes.RoutedRequest,
+        ) -> http_message.Response:
+            return await objects.list(kind)
+
+        async def show(request: routes.RoutedRequest) -> http_message.Response:
+            return await objects.show(kind, request.parameters[0])
+
+        async def put(request: routes.RoutedRequest) -> http_message.Response:
+            return await objects.put(
+                kind, request.parameters[0], request.http, request.account.name
+            )
+
+        async def history(
+            request: routes.RoutedRequest,
+        ) -> http_message.Response:
+            return await objects.history(kind, request.parameters[0])
+
+        return [
+            routes.Route('GET', path, read_all),
+            routes.Route('GET', f'{path}/{{name}}', show),
+            routes.Route('PUT', f'{path}/{{name}}', put),
+            routes.Route('GET', f'{path}/{{name}}/history', history),
+        ]
+
+    def _deletions(self) -> list[routes.Route]:
+        return [
+            routes.Route(
+                'DELETE', f'{_PREFIX}/classes/{{name}}', self._delete_class
+            ),
+            routes.Route(
+                'DELETE', f'{_PREFIX}/accounts/{{name}}', self._delete_account
+            ),
+        ]
+
+    def _credential_routes(self) -> list[routes.Route]:
+        path = f'{_PREFIX}/accounts/{{name}}/credentials'
+        return [
+            routes.Route('POST', path, self._add_credential),
+            routes.Route(
+                'DELETE', f'{path}/{{credential}}', self._drop_credential
+            ),
+        ]
+
+    def _fleet_routes(self) -> list[routes.Route]:
+        fleet = self._fleet
+        program = f'{_PREFIX}/programs/{{caller}}/{{program}}'
+        return [
+            routes.Route('GET', f'{_PREFIX}/programs', fleet.programs),
+            routes.Route('GET', program, fleet.show_program),
+            routes.Route('DELETE', program, fleet.cancel_program),
+            routes.Route('GET', f'{_PREFIX}/entries', fleet.entries),
+            routes.Route('GET', f'{_PREFIX}/hosts', fleet.hosts),
+            routes.Route('GET', f'{_PREFIX}/data-centres', fleet.data_centres),
+            routes.Route('GET', f'{_PREFIX}/upstreams', fleet.upstreams),
+            routes.Route('GET', f'{_PREFIX}/counters', fleet.counters),
+        ]
 
-    async def _read(
-        self, request: http_message.Request
+    def _drain_routes(self) -> list[routes.Route]:
+        path = f'{_PREFIX}/upstreams/{{name}}/drain'
+        return [
+            routes.Route('PUT', path, self._drain),
+            routes.Route('DELETE', path, self._undrain),
+        ]
+
+    async def _delete_class(
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
-        match request.segments[2:]:
-            case [kind] if kind in _KINDS:
-                return await self._objects.list(_KINDS[kind])
-            case [kind, name] if kind in _KINDS:
-                return await self._objects.show(_KINDS[kind], name)
-            case [kind, name, 'history'] if kind in _KINDS:
-                return await self._objects.history(_KINDS[kind], name)
-            case ['programs']:
-                return await self._fleet.programs(request)
-            case ['programs', caller, name]:
-                return await self._fleet.show_program(caller, name)
-            case ['entries']:
-                return await self._fleet.entries()
-            case ['hosts']:
-                return self._fleet.hosts()
-            case ['data-centres']:
-                return self._fleet.data_centres()
-            case ['upstreams']:
-                return self._fleet.upstreams()
-            case ['counters']:
-                return await self._fleet.counters(request)
-        raise _no_operation(request)
-
-    async def _change(
-        self, request: http_message.Request, by: str
+        (name,) = request.parameters
+        await self._fleet.check_class_unused(name)
+        return await self._objects.delete(
+            admin_objects.CLASSES, name, request.http, request.account.name
+        )
+
+    async def _delete_account(
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
-        match (request.method, request.segments[2:]):
-            case ('PUT', [kind, name]) if kind in _KINDS:
-                return await self._objects.put(_KINDS[kind], name, request, by)
-            case ('DELETE', ['classes', name]):
-                await self._fleet.check_class_unused(name)
-                return await self._objects.delete(
-                    admin_objects.CLASSES, name, request, by
-                )
-            case ('DELETE', ['accounts', name]):
-                return await self._objects.delete(
-                    admin_objects.ACCOUNTS, name, request, by
-                )
-            case ('POST', ['accounts', name, 'credentials']):
-                return await self._add_credential(name, request, by)
-            case ('DELETE', ['accounts', name, 'credentials', credential]):
-                return await self._drop_credential(name, credential, by)
-            case ('PUT', ['upstreams', name, 'drain']):
-                return await self._drain(name, by)
-            case ('DELETE', ['upstreams', name, 'drain']):
-                return await self._undrain(name, by)
-            case ('DELETE', ['programs', caller, name]):
-                return await self._fleet.cancel_program(caller, name, by)
-        raise _no_operation(request)
+        (name,) = request.parameters
+        return await self._objects.delete(
+            admin_objects.ACCOUNTS, name, request.http, request.account.name
+        )
 
     async def _add_credential(
-        self, name: str, request: http_message.Request, by: str
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
-        body = bodies.parse_body(bodies.CredentialBody, request)
+        (name,) = request.parameters
+        body = bodies.parse_body(bodies.CredentialBody, request.http)
         found, account = await self._objects.account(name)
         hashes = list(dict.fromkeys([*account.token_hashes, body.token_hash]))
         if len(hashes) > accounts.CREDENTIAL_LIMIT:
@@ -103,14 +151,12 @@
                 f'account {name} has {accounts.CREDENTIAL_LIMIT} credentials '
                 'already; drop one first',
             )
-        changed = account.model_copy(update={'token_hashes': hashes})
-        return await self._objects.write(
-            admin_objects.ACCOUNTS, name, changed, found.version, by
-        )
+        return await self._write_credentials(request, found, account, hashes)
 
     async def _drop_credential(
-        self, name: str, credential: str, by: str
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
+        name, credential = request.parameters
         found, account = await self._objects.account(name)
         kept = [
             digest
@@ -122,12 +168,28 @@
                 errors.ErrorCode.NOT_FOUND,
                 f'account {name} has no credential {credential!r}',
             )
-        changed = account.model_copy(update={'token_hashes': kept})
+        return await self._write_credentials(request, found, account, kept)
+
+    async def _write_credentials(
+        self,
+        request: routes.RoutedRequest,
+        found: store.StoredObject,
+        account: accounts.Account,
+        hashes: list[str],
+    ) -> http_message.Response:
         return await self._objects.write(
-            admin_objects.ACCOUNTS, name, changed, found.version, by
+            admin_objects.ACCOUNTS,
+            account.name,
+            account.model_copy(update={'token_hashes': hashes}),
+            found.version,
+            request.account.name,
         )
 
-    async def _drain(self, name: str, by: str) -> http_message.Response:
+    async def _drain(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
+        (name,) = request.parameters
+        by = request.account.name
         if not self._fleet.knows_upstream(name):
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.NOT_FOUND, f'there is no upstream {name!r}'
@@ -137,16 +199,21 @@
             return await self._objects.show(admin_objects.DRAINS, name)
         drain = drains.Drain(upstream=name, by=by, at=self._clock.now())
         return await self._objects.write(
-            admin_objects.DRAINS, name, drain, 0, by
+            admin_objects.DRAINS, name, drain, store.ABSENT, by
         )
 
-    async def _undrain(self, name: str, by: str) -> http_message.Response:
+    async def _undrain(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
+        (name,) = request.parameters
         known = await self._objects.find(admin_objects.DRAINS, name)
         if known is None:
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.NOT_FOUND, f'upstream {name} is not drained'
             )
-        return await self._objects.remove(known, known.version, by)
+        return await self._objects.remove(
+            known, known.version, request.account.name
+        )
 
 
 def _check_role(
@@ -158,10 +225,3 @@
             errors.ErrorCode.FORBIDDEN,
             f'the role {account.role} may not do this',
         )
-
-
-def _no_operation(request: http_message.Request) -> errors.MagnoliawoodError:
-    return errors.MagnoliawoodError(
-        errors.ErrorCode.NOT_FOUND,
-        f'no operation {request.method} {request.path}',
-    )
--- a/packages/magnoliawood-server/magnoliawood_server/entry/admin_fleet.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/admin_fleet.py
@@ -14,6 +14,7 @@
 from magnoliawood_server.entry import fleet_view
 from magnoliawood_server.entry import gateway as gateways
 from magnoliawood_server.entry import membership as memberships
+from magnoliawood_server.entry import routes
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.peer import messages
@@ -64,10 +65,10 @@
         self._pool = pool
 
     async def programs(
-        self, request: http_message.Request
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
         """Return a page of the programs of all owners."""
-        query = _parse_query(request)
+        query = _parse_query(request.http)
         answers = await self._fleet.ask_all(
             messages.ListPrograms(**query.model_dump())
         )
@@ -90,22 +91,22 @@
         )
 
     async def show_program(
-        self, caller: str, name: str
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
         """Return the status of a program."""
-        key = identity.ProgramKey(caller, name)
+        key = identity.ProgramKey(*request.parameters)
         status = await self._gateway.ask(messages.GetProgram(key))
         return http_message.Response.from_json(
             caller_api.program_document(status)
         )
 
     async def cancel_program(
-        self, caller: str, name: str, by: str
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
         """End a program and its sub-agents."""
-        key = identity.ProgramKey(caller, name)
+        key = identity.ProgramKey(*request.parameters)
         status = await self._gateway.ask(
-            messages.EndProgram(key, f'cancelled by {by}')
+            messages.EndProgram(key, f'cancelled by {request.account.name}')
         )
         return http_message.Response.from_json(
             caller_api.program_document(status)
@@ -138,7 +139,9 @@
                 retry_after=gateways.RETRY_AFTER,
             )
 
-    async def entries(self) -> http_message.Response:
+    async def entries(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
         """Return the state of each entry, as it tells itself."""
         answers = await self._fleet.ask_all(messages.GetEntryStatus())
         return http_message.Response.from_json(
@@ -151,11 +154,15 @@
             }
         )
 
-    def hosts(self) -> http_message.Response:
+    async def hosts(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
         """Return the hosts that this entry sees."""
         return http_message.Response.from_json({'items': self._hosts()})
 
-    def data_centres(self) -> http_message.Response:
+    async def data_centres(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
         """Return the data centres with their hosts counted."""
         by_centre: dict[str, collections.Counter[str]] = {}
         for host in self._hosts():
@@ -178,7 +185,9 @@
             }
         )
 
-    def upstreams(self) -> http_message.Response:
+    async def upstreams(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
         """Return the upstreams as their sidecars told this entry."""
         found = sorted(self._sidecars.all(), key=lambda item: item.name)
         return http_message.Response.from_json(
@@ -190,10 +199,10 @@
         return self._sidecars.find(name) is not None
 
     async def counters(
-        self, request: http_message.Request
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
         """Return counters of all entries, or those of one host."""
-        host = request.query.get('host', '')
+        host = request.http.query.get('host', '')
         if host:
             found, missing = await self._counters_of(host), {}
         else:
@@ -202,7 +211,7 @@
             found = {
                 name: reply.values for name, reply in answers.by_entry.items()
             }
-        prefix = request.query.get('name', '')
+        prefix = request.http.query.get('name', '')
         items = [
             {'host': name, 'counter': counter, 'value': value}
             for name, values in found.items()
--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -265,9 +265,9 @@
             case ['metrics']:
                 return self._metrics_page()
             case ['v1', 'programs', *_]:
-                handle = self._caller_api.handle
+                handle = self._caller_api.router.serve
             case ['v1', 'chat' | 'models', *_]:
-                handle = self._chat_api.handle
+                handle = self._chat_api.router.serve
             case ['admin', 'v1', *_]:
                 handle = self._admin_api.handle
             case _:
--- a/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
@@ -6,15 +6,16 @@
 import json
 import typing
 
-from magnoliawood.config import account as accounts
 from magnoliawood.core import errors
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import identity
 from magnoliawood_server.entry import bodies
 from magnoliawood_server.entry import gateway as gateways
+from magnoliawood_server.entry import routes
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.peer import messages
 
+_PROGRAM_PATH = '/v1/programs/{program}'
 _NAME_LIMIT = 200
 _NAME_CHARACTERS = frozenset('-_.:')
 
@@ -24,59 +25,54 @@
 
     def __init__(self, gateway: gateways.Gateway) -> None:
         self._gateway = gateway
-
-    async def handle(
-        self, request: http_message.Request, account: accounts.Account
-    ) -> http_message.Response:
-        """Serve one request of an authenticated caller."""
-        match (request.method, request.segments[2:]):
-            case ('PUT', [name]):
-                return await self._open(request, _key(account, name))
-            case ('GET', [name]):
-                return await self._status(_key(account, name))
-            case ('DELETE', [name]):
-                return await self._end(_key(account, name))
-            case ('GET', [name, 'history']):
-                return await self._history(_key(account, name))
-            case ('PUT', [name, 'calls', number]):
-                return await self._run_call(
-                    request, _call_id(account, name, number)
-                )
-            case ('GET', [name, 'calls', number]):
-                return await self._read_call(
-                    request, _call_id(account, name, number)
-                )
-            case ('DELETE', [name, 'calls', number]):
-                return await self._cancel(_call_id(account, name, number))
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.NOT_FOUND,
-            f'no operation {request.method} {request.path}',
+        call_path = f'{_PROGRAM_PATH}/calls/{{sequence}}'
+        self._router = routes.Router(
+            [
+                routes.Route('PUT', _PROGRAM_PATH, self._open),
+                routes.Route('GET', _PROGRAM_PATH, self._status),
+                routes.Route('DELETE', _PROGRAM_PATH, self._end),
+                routes.Route('GET', f'{_PROGRAM_PATH}/history', self._history),
+                routes.Route('PUT', call_path, self._run_call),
+                routes.Route('GET', call_path, self._read_call),
+                routes.Route('DELETE', call_path, self._cancel),
+            ]
         )
 
+    @property
+    def router(self) -> routes.Router:
+        """The operations."""
+        return self._router
+
     async def _open(
-        self, request: http_message.Request, key: identity.ProgramKey
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
-        body = bodies.parse_body(bodies.OpenBody, request)
-        status = await self._gateway.ask(
-            messages.OpenProgram(key, body.work_class, body.budget.to_budget())
+        body = bodies.parse_body(bodies.OpenBody, request.http)
+        message = messages.OpenProgram(
+            _key(request), body.work_class, body.budget.to_budget()
         )
+        status = await self._gateway.ask(message)
         return http_message.Response.from_json(
             program_document(status), status=201
         )
 
-    async def _status(self, key: identity.ProgramKey) -> http_message.Response:
-        status = await self._gateway.ask(messages.GetProgram(key))
+    async def _status(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
+        status = await self._gateway.ask(messages.GetProgram(_key(request)))
         return http_message.Response.from_json(program_document(status))
 
-    async def _end(self, key: identity.ProgramKey) -> http_message.Response:
+    async def _end(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
         status = await self._gateway.ask(
-            messages.EndProgram(key, 'ended by the caller')
+            messages.EndProgram(_key(request), 'ended by the caller')
         )
         return http_message.Response.from_json(program_document(status))
 
     async def _history(
-        self, key: identity.ProgramKey
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
+        key = _key(request)
         history = await self._gateway.ask(messages.GetHistory(key))
         return http_message.Response.from_json(
             {
@@ -89,23 +85,26 @@
         )
 
     async def _run_call(
-        self, request: http_message.Request, call: identity.CallId
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
-        body = bodies.parse_body(bodies.CallBody, request).root
-        key = request.header('idempotency-key', str(call.sequence))
+        call = _call_id(request)
+        body = bodies.parse_body(bodies.CallBody, request.http).root
+        key = request.http.header('idempotency-key', str(call.sequence))
         message = messages.RunCall(call, key, body.to_request())
         return await self._respond(message, body.stream)
 
     async def _read_call(
-        self, request: http_message.Request, call: identity.CallId
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
-        offset = _query_number(request, 'offset')
-        is_streamed = request.query.get('stream') in ('1', 'true')
-        message = messages.ReadCall(call, offset)
+        offset = _query_number(request.http, 'offset')
+        is_streamed = request.http.query.get('stream') in ('1', 'true')
+        message = messages.ReadCall(_call_id(request), offset)
         return await self._respond(message, is_streamed)
 
-    async def _cancel(self, call: identity.CallId) -> http_message.Response:
-        await self._gateway.ask(messages.CancelCall(call))
+    async def _cancel(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
+        await self._gateway.ask(messages.CancelCall(_call_id(request)))
         return http_message.Response(204)
 
     async def _respond(
@@ -217,7 +216,8 @@
         raise part.outcome.to_error()
 
 
-def _key(account: accounts.Account, name: str) -> identity.ProgramKey:
+def _key(request: routes.RoutedRequest) -> identity.ProgramKey:
+    name = request.parameters[0]
     is_valid = (
         0 < len(name) <= _NAME_LIMIT
         and name.isascii()
@@ -230,18 +230,17 @@
             f'a program name has 1 to {_NAME_LIMIT} letters, digits or '
             '"-_.", sub-agents separated by ":"',
         )
-    return identity.ProgramKey(account.name, name)
+    return identity.ProgramKey(request.account.name, name)
 
 
-def _call_id(
-    account: accounts.Account, name: str, number: str
-) -> identity.CallId:
+def _call_id(request: routes.RoutedRequest) -> identity.CallId:
+    number = request.parameters[1]
     if not (number.isascii() and number.isdigit() and int(number) > 0):
         raise errors.MagnoliawoodError(
             errors.ErrorCode.MALFORMED_REQUEST,
             'a sequence number is a whole number from 1',
         )
-    return identity.CallId(_key(account, name), int(number))
+    return identity.CallId(_key(request), int(number))
 
 
 def _query_number(request: http_message.Request, name: str) -> int:
--- a/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
@@ -7,7 +7,6 @@
 import typing
 import uuid
 
-from magnoliawood.config import account as accounts
 from magnoliawood.core import errors
 from magnoliawood.programs import budget as budgets
 from magnoliawood.programs import call as calls
@@ -16,6 +15,7 @@
 from magnoliawood_server.entry import bodies
 from magnoliawood_server.entry import configuration_keeper
 from magnoliawood_server.entry import gateway as gateways
+from magnoliawood_server.entry import routes
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.peer import messages
@@ -48,22 +48,21 @@
         self._sidecars = sidecars
         self._configuration = configuration
         self._default_class = default_class
-
-    async def handle(
-        self, request: http_message.Request, account: accounts.Account
-    ) -> http_message.Response:
-        """Serve one request of an authenticated caller."""
-        match (request.method, request.path):
-            case ('GET', '/v1/models'):
-                return self._models()
-            case ('POST', '/v1/chat/completions'):
-                return await self._complete(request, account)
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.NOT_FOUND,
-            f'no operation {request.method} {request.path}',
+        self._router = routes.Router(
+            [
+                routes.Route('GET', '/v1/models', self._models),
+                routes.Route('POST', '/v1/chat/completions', self._complete),
+            ]
         )
 
-    def _models(self) -> http_message.Response:
+    @property
+    def router(self) -> routes.Router:
+        """The operations."""
+        return self._router
+
+    async def _models(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
         names = self._sidecars.served_names('engine')
         return http_message.Response.from_json(
             {
@@ -81,14 +80,14 @@
         )
 
     async def _complete(
-        self, request: http_message.Request, account: accounts.Account
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
-        body = bodies.parse_body(bodies.ChatBody, request)
-        name = request.header(PROGRAM_HEADER)
+        body = bodies.parse_body(bodies.ChatBody, request.http)
+        name = request.http.header(PROGRAM_HEADER)
         key = identity.ProgramKey(
-            account.name, name or f'chat-{uuid.uuid4().hex}'
+            request.account.name, name or f'chat-{uuid.uuid4().hex}'
         )
-        work_class = request.header(CLASS_HEADER, self._default_class)
+        work_class = request.http.header(CLASS_HEADER, self._default_class)
         message = await self._next_call(key, work_class, body)
         completion = _Completion(body.model, bool(body.stream))
         parts = self._gateway.answer(message)
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/routes.py
@@ -0,0 +1,77 @@
+"""Finds the operation that a request asks for."""
+
+import collections.abc
+import dataclasses
+
+from magnoliawood.config import account as accounts
+from magnoliawood.core import errors
+from magnoliawood_server.http import message as http_message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutedRequest:
+    """A request of an authenticated account.
+
+    :param parameters: values of the path's parameters, in order
+    """
+
+    http: http_message.Request
+    account: accounts.Account
+    parameters: tuple[str, ...]
+
+
+Handler = collections.abc.Callable[
+    [RoutedRequest], collections.abc.Awaitable[http_message.Response]
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """One operation.
+
+    :param path: template with parameters in braces
+    """
+
+    method: str
+    path: str
+    handle: Handler
+
+    def match(self, method: str, segments: list[str]) -> list[str] | None:
+        """Return the values of the parameters if a request fits."""
+        wanted = self.path.strip('/').split('/')
+        if method != self.method or len(wanted) != len(segments):
+            return None
+        pairs = list(zip(wanted, segments, strict=True))
+        if any(a != b and not a.startswith('{') for a, b in pairs):
+            return None
+        return [b for a, b in pairs if a.startswith('{')]
+
+
+class Router:
+    """The operations of one API."""
+
+    def __init__(self, routes: list[Route]) -> None:
+        self._routes = routes
+
+    @property
+    def routes(self) -> list[Route]:
+        """All operations."""
+        return self._routes
+
+    async def serve(
+        self, request: http_message.Request, account: accounts.Account
+    ) -> http_message.Response:
+        """Run the operation that a request asks for.
+
+        :raises MagnoliawoodError: with ``not_found`` if there is none
+        """
+        segments = request.segments
+        for route in self._routes:
+            parameters = route.match(request.method, segments)
+            if parameters is not None:
+                routed = RoutedRequest(request, account, tuple(parameters))
+                return await route.handle(routed)
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.NOT_FOUND,
+            f'no operation {request.method} {request.path}',
+        )
