--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -26,6 +26,7 @@
 from magnoliawood_server.entry import journal_writer
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import owner_service
+from magnoliawood_server.entry import routes
 from magnoliawood_server.entry import shard_keeper
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
@@ -63,6 +64,11 @@
         self._make_service()
         self._make_apis()
 
+    def routes(self) -> list[routes.Route]:
+        """Return the operations that need a credential."""
+        apis = (self._caller_api, self._chat_api, self._admin_api)
+        return [route for api in apis for route in api.router.routes]
+
     async def run(self) -> None:
         """Serve until the process is stopped."""
         settings = self._settings
