--- a/Makefile
+++ b/Makefile
@@ -27,11 +27,16 @@
 	$(BIN)/ruff format --check packages bin
 	$(BIN)/ruff check packages bin
 	$(BIN)/flake8 packages bin
+	$(BIN)/mypy
 	$(BIN)/python bin/check_imports.py
 
 format: setup
 	$(BIN)/ruff check --fix-only --quiet packages bin
 	$(BIN)/ruff format packages bin
 
+.PHONY: capacity
+capacity: setup
+	$(BIN)/python -m magnoliawood_testing.capacity
+
 bench: setup
 	$(BIN)/python -m magnoliawood_testing.load.bench
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -11,8 +11,10 @@
 import time
 import typing
 
+from magnoliawood_testing.cluster import link as links_of
 from magnoliawood_testing.cluster import process as processes
 
+PEER_SECRET = 'peer-secret-of-the-deployment'
 OPERATOR_TOKEN = 'operator-token-of-the-deployment'
 READY_TIMEOUT_SECONDS = 30.0
 _POLL_SECONDS = 0.05
@@ -80,6 +82,8 @@
     :param engines: number of model engines
     :param services: names of plain services, one process each
     :param entries: number of entries
+    :param links: pairs of client and server with a proxy between them, as
+        in :class:`~magnoliawood_testing.cluster.link.LinkName`
     """
 
     def __init__(
@@ -92,6 +96,7 @@
         folder: pathlib.Path | None = None,
         entry_settings: dict[str, object] | None = None,
         sidecar_settings: dict[str, object] | None = None,
+        links: tuple[tuple[str, str], ...] = (),
         engine_settings: dict[str, object] | None = None,
     ) -> None:
         self._temporary = None
@@ -105,6 +110,7 @@
         self._sidecar_settings = sidecar_settings or {}
         self._engine_settings = engine_settings or {}
         self._centres = itertools.cycle(_DATA_CENTRES)
+        self.links = links_of.Links(links, self._process)
         self.upstreams: dict[str, Node] = {}
         self.sidecars: dict[str, Node] = {}
         self.entries: dict[str, Node] = {}
@@ -133,6 +139,10 @@
         self.platform.process.start()
         wait_until(lambda: _answers(self.platform.http), 'platform')
         self.publish_hosts()
+        for link in self.links.all():
+            link.process.start()
+        for link in self.links.all():
+            wait_until(lambda at=link.control: _answers(at), 'proxy')
         for node in self.nodes():
             if node is not self.platform:
                 node.process.start()
@@ -141,7 +151,7 @@
 
     def stop(self) -> None:
         """Kill everything."""
-        for node in self.nodes():
+        for node in [*self.nodes(), *self.links.all()]:
             node.process.kill()
         if self._temporary is not None:
             self._temporary.cleanup()
@@ -169,7 +179,9 @@
             {
                 'name': node.name,
                 'role': node.role,
-                'address': node.peer,
+                'address': self.links.address(
+                    links_of.ENTRIES, node.name, node.peer
+                ),
                 'data_centre': node.data_centre,
                 'leaving': node.is_leaving,
             }
@@ -313,14 +325,17 @@
         settings = {
             'name': sidecar,
             'data_centre': centre,
-            'platform': self.platform.http,
+            'platform': self.links.place(
+                sidecar, 'platform', self.platform.http
+            ),
             'peer_listen': peer,
             'http_listen': http_address,
-            'upstream': address,
+            'upstream': self.links.place(sidecar, name, address),
             'kind': kind,
             'serves': serves,
             **self._sidecar_settings,
         }
+        self.links.place(links_of.ENTRIES, sidecar, peer)
         self.sidecars[sidecar] = Node(
             sidecar,
             'sidecar',
@@ -338,7 +353,7 @@
         settings = {
             'name': name,
             'data_centre': centre,
-            'platform': self.platform.http,
+            'platform': self.links.place(name, 'platform', self.platform.http),
             'peer_listen': peer,
             'http_listen': http_address,
             'operator_token_hash': hashlib.sha256(
@@ -346,6 +361,8 @@
             ).hexdigest(),
             **self._entry_settings,
         }
+        self.links.place(links_of.ENTRIES, name, peer)
+        self.links.place(links_of.CALLERS, name, http_address)
         self.entries[name] = Node(
             name,
             'entry',
@@ -359,7 +376,11 @@
         self, name: str, role: str, settings: dict[str, object]
     ) -> processes.Process:
         return processes.Process(
-            name, 'magnoliawood_server.main', settings, self.folder, role
+            name,
+            'magnoliawood_server.main',
+            {'peer_secret': PEER_SECRET, **settings},
+            self.folder,
+            role,
         )
 
     def _process(
