Draw a few upstreams by name for each decision

The choice walked over all sidecars for each call. Sidecars report the prompts that live programs placed with them and their own speed, for routers that weigh both.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -11,6 +11,7 @@
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
 from magnoliawood.programs import call as calls
+from magnoliawood.programs import message as conversation
 from magnoliawood.programs import program as programs
 from magnoliawood.programs import records
 from magnoliawood.scheduling import priority as priorities
@@ -100,15 +101,19 @@
 
         :raises MagnoliawoodError: if none is available
         """
-        if isinstance(request, calls.ModelRequest):
-            found = self._sidecars.candidates('engine', request.model)
-        else:
-            found = self._sidecars.candidates('service', request.service)
+        demand = _demand(program, request)
+        found = self._sidecars.candidates(
+            *_target(request), self._router.sample_size, demand.last
+        )
         fresh = [s for s in found if s.name not in excluded] or found
         views = [sidecar_directory.view_of(sidecar) for sidecar in fresh]
-        last = _last_upstream(program, request)
-        chosen = self._router.choose(program.key, views, last)
-        return next(s for s in fresh if s.name == chosen.name)
+        chosen = self._router.choose(demand, views)
+        sidecar = next(s for s in fresh if s.name == chosen.name)
+        if chosen.name != demand.last:
+            sidecar.placed_tokens += demand.prompt_tokens
+            if demand.last:
+                self._metrics.count('program_moves_total')
+        return sidecar
 
     async def run(
         self, execution: Execution, sidecar: sidecar_directory.Sidecar
@@ -328,6 +333,25 @@
     )
 
 
+def _target(request: calls.Request) -> tuple[str, str]:
+    """Return the kind and the name of what serves a request."""
+    if isinstance(request, calls.ModelRequest):
+        return 'engine', request.model
+    return 'service', request.service
+
+
+def _demand(
+    program: programs.Program, request: calls.Request
+) -> routing.Demand:
+    tokens = 0
+    if isinstance(request, calls.ModelRequest):
+        prompt = [*program.history, *request.messages]
+        tokens = conversation.token_estimate(prompt)
+    return routing.Demand(
+        program.key, _last_upstream(program, request), tokens
+    )
+
+
 def _last_upstream(program: programs.Program, request: calls.Request) -> str:
     if not isinstance(request, calls.ModelRequest):
         return ''
--- a/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime
 import logging
+import random
 
 import curio
 
@@ -10,6 +11,7 @@
 from magnoliawood.core import errors
 from magnoliawood.platform import store
 from magnoliawood.scheduling import routing
+from magnoliawood.scheduling import upstream_index
 from magnoliawood_server.peer import messages
 from magnoliawood_server.peer import pool as pools
 
@@ -25,12 +27,14 @@
     """One sidecar as last heard of.
 
     :param orders: orders of this entry that are under way there
+    :param placed_tokens: prompts placed there since the last reply
     """
 
     host: store.Host
     reply: messages.HelloReply | None = None
     is_reachable: bool = False
     orders: int = 0
+    placed_tokens: int = 0
 
     @property
     def name(self) -> str:
@@ -63,6 +67,11 @@
         self._pool = pool
         self._clock = clock
         self._sidecars: dict[str, Sidecar] = {}
+        # The draws need no seed: they decide nothing that must repeat.
+        self._random = random.Random()
+        self._index: upstream_index.UpstreamIndex[Sidecar] = (
+            upstream_index.UpstreamIndex()
+        )
 
     def all(self) -> list[Sidecar]:
         """Return all known sidecars."""
@@ -83,17 +92,25 @@
                 self._sidecars[name] = Sidecar(host)
             else:
                 known.host = host
+        self._reindex()
 
-    def candidates(self, kind: str, name: str) -> list[Sidecar]:
-        """Return the usable sidecars whose upstream serves a name.
+    def candidates(
+        self, kind: str, name: str, sample_size: int = 0, last: str = ''
+    ) -> list[Sidecar]:
+        """Return usable sidecars whose upstream serves a name.
 
+        :param sample_size: how many to draw, 0 for all
+        :param last: host that is among them if it is usable
         :raises MagnoliawoodError: with ``unknown_model``,
             ``unknown_service`` or ``upstream_unavailable``
         """
-        serving = [s for s in self.all() if s.serves(kind, name)]
+        serving = self._index.serving(kind, name)
         if not serving:
             raise _unknown(kind, name)
-        usable = [sidecar for sidecar in serving if sidecar.is_usable]
+        usable = self._index.sample(kind, name, sample_size, self._random)
+        known = self._sidecars.get(last)
+        if known and known.is_usable and known.serves(kind, name):
+            usable = [known, *(s for s in usable if s is not known)]
         if not usable:
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.UPSTREAM_UNAVAILABLE,
@@ -123,12 +140,14 @@
 
     async def poll(self, sidecar: Sidecar) -> None:
         """Ask one sidecar what it stands beside."""
+        before = _indexed_state(sidecar)
         try:
             sidecar.reply = await self._pool.ask(
                 sidecar.host.address,
                 messages.Hello(self._entry),
                 ANSWER_TIMEOUT,
             )
+            sidecar.placed_tokens = 0
             is_reachable = True
         except errors.MagnoliawoodError:
             is_reachable = False
@@ -138,20 +157,44 @@
                 'sidecar reachability changed',
                 extra={'sidecar': sidecar.name, 'reachable': is_reachable},
             )
+        if _indexed_state(sidecar) != before:
+            self._reindex()
+
+    def _reindex(self) -> None:
+        self._index = upstream_index.UpstreamIndex()
+        for sidecar in self._sidecars.values():
+            if sidecar.reply is not None:
+                self._index.add(
+                    sidecar,
+                    sidecar.reply.kind,
+                    sidecar.reply.names,
+                    sidecar.is_usable,
+                )
 
 
 def view_of(sidecar: Sidecar) -> routing.UpstreamView:
     """Return what routing needs to know of a sidecar."""
     reply = sidecar.reply
-    waiting = sidecar.orders if reply is None else reply.waiting
+    if reply is None:
+        return routing.UpstreamView(
+            sidecar.name, sidecar.host.data_centre, sidecar.orders
+        )
     return routing.UpstreamView(
         sidecar.name,
         sidecar.host.data_centre,
-        max(waiting, sidecar.orders),
-        0.0,
+        max(reply.waiting, sidecar.orders),
+        reply.seconds_per_call,
+        reply.resident_tokens + sidecar.placed_tokens,
+        reply.prefill_seconds,
     )
 
 
+def _indexed_state(sidecar: Sidecar) -> tuple[object, ...]:
+    reply = sidecar.reply
+    served = () if reply is None else (reply.kind, *reply.names)
+    return (*served, sidecar.is_usable)
+
+
 def _unknown(kind: str, name: str) -> errors.MagnoliawoodError:
     if kind == 'engine':
         code = errors.ErrorCode.UNKNOWN_MODEL
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -61,6 +61,9 @@
     :param kind: ``engine`` or ``service``
     :param names: models or the service that the upstream serves
     :param waiting: calls that wait or run there
+    :param resident_tokens: prompts of live programs placed there
+    :param seconds_per_call: time in which one waiting call fewer waits
+    :param prefill_seconds: time to take in one token that is not cached
     """
 
     host: str
@@ -70,6 +73,9 @@
     names: list[str]
     waiting: int
     leaving: bool
+    resident_tokens: int = 0
+    seconds_per_call: float = 0.0
+    prefill_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -42,7 +42,7 @@
         self._fences = fences.FenceTable()
         self._is_leaving = False
         self._runner = runners.CallRunner(
-            _make_upstream(settings),
+            _make_upstream(settings, clock),
             clock,
             self._metrics,
             settings.concurrency,
@@ -99,6 +99,9 @@
                 settings.serves.split(','),
                 self._runner.waiting,
                 self._is_leaving,
+                self._runner.residency.tokens,
+                self._runner.speed.seconds_per_call,
+                self._runner.speed.prefill_seconds_per_token,
             )
         )
 
@@ -202,8 +205,8 @@
 
 
 def _make_upstream(
-    settings: settings_models.SidecarSettings,
+    settings: settings_models.SidecarSettings, clock: clocks.Clock
 ) -> upstreams.Upstream:
     if settings.kind == 'engine':
-        return engine.EngineUpstream(settings.upstream)
+        return engine.EngineUpstream(settings.upstream, clock)
     return service.ServiceUpstream(settings.upstream)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
@@ -1,5 +1,7 @@
 """One call that a sidecar accepted."""
 
+import datetime
+
 import curio
 
 from magnoliawood_server.peer import messages
@@ -17,6 +19,7 @@
         self.answer = answers.AnswerBuffer()
         self.task: curio.Task | None = None
         self.is_cancelled = False
+        self.first_token_at: datetime.timedelta | None = None
 
     @property
     def is_started(self) -> bool:
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
 from magnoliawood.programs import call as calls
@@ -29,8 +30,9 @@
     :param address: IP number and port of the engine
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, clock: clocks.Clock) -> None:
         self._client = http_client.HttpClient(address)
+        self._clock = clock
 
     async def run(self, run: call_run.CallRun) -> calls.CallOutcome:
         """Run a model turn, resuming after ``run.order.partial``."""
@@ -62,7 +64,7 @@
                 head = await exchange.read_head()
             if head.status != 200:
                 return await _refused(run, exchange, head.status)
-            return await _read_answer(run, exchange)
+            return await _read_answer(run, exchange, self._clock)
 
 
 def _body(run: call_run.CallRun) -> dict[str, object]:
@@ -93,7 +95,9 @@
 
 
 async def _read_answer(
-    run: call_run.CallRun, exchange: http_client.Exchange
+    run: call_run.CallRun,
+    exchange: http_client.Exchange,
+    clock: clocks.Clock,
 ) -> calls.CallOutcome:
     base_tokens = run.order.partial_tokens
     finish_reason = ''
@@ -101,6 +105,8 @@
         http_client.read_events(exchange.read_parts())
     ) as events:
         while (data := await _next_event(events)) != _END_OF_STREAM:
+            if run.first_token_at is None:
+                run.first_token_at = clock.monotonic()
             chunk = json.loads(data)
             choice = chunk['choices'][0]
             tokens = base_tokens + chunk['usage']['completion_tokens']
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -10,6 +10,9 @@
 from magnoliawood.ownership import witness as witnesses
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import identity
+from magnoliawood.programs import message as conversation
+from magnoliawood.scheduling import residency as residencies
+from magnoliawood.scheduling import speed as speeds
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.peer import messages
 from magnoliawood_server.sidecar import call_queue
@@ -44,12 +47,24 @@
         self._witness = witnesses.WitnessTable()
         self._barred: dict[identity.CallId, int] = {}
         self._running = 0
+        self._residency = residencies.ResidencyTable()
+        self._speed = speeds.UpstreamSpeed(concurrency)
 
     @property
     def waiting(self) -> int:
         """Calls that wait or run."""
         return len(self._queue) + self._running
 
+    @property
+    def residency(self) -> residencies.ResidencyTable:
+        """Programs whose prompts were taken in here."""
+        return self._residency
+
+    @property
+    def speed(self) -> speeds.UpstreamSpeed:
+        """How fast the upstream works."""
+        return self._speed
+
     @property
     def witness(self) -> witnesses.WitnessTable:
         """Records of accepted calls."""
@@ -111,6 +126,7 @@
 
     async def release(self, program: identity.ProgramKey) -> None:
         """Free what the upstream holds for a program."""
+        self._residency.release(program)
         await self._upstream.release(program)
 
     async def _start_waiting(self) -> None:
@@ -123,17 +139,33 @@
 
     async def _run(self, run: call_run.CallRun) -> None:
         started = self._clock.monotonic()
+        new_tokens = self._note_prompt(run.order)
         try:
             outcome = await self._run_upstream(run)
         except curio.CancelledError:
             outcome = _cancelled(run, verdicts.Verdict.MAY_HAVE_RUN)
         self._running -= 1
-        self._metrics.record(
-            'upstream_seconds', self._clock.monotonic() - started
-        )
+        duration = self._clock.monotonic() - started
+        self._metrics.record('upstream_seconds', duration)
+        self._speed.record_call(duration)
+        if run.first_token_at is not None:
+            self._speed.record_prefill(
+                new_tokens, run.first_token_at - started
+            )
         await self._settle(run, outcome)
         await self._start_waiting()
 
+    def _note_prompt(self, order: messages.Order) -> int:
+        """Return how many tokens of the prompt are not cached."""
+        request = order.intended.request
+        if not isinstance(request, calls.ModelRequest):
+            return 0
+        return self._residency.use(
+            order.opened.program,
+            conversation.token_estimate([*order.history, *request.messages]),
+            self._clock.now(),
+        )
+
     async def _run_upstream(self, run: call_run.CallRun) -> calls.CallOutcome:
         if self._clock.now() > run.order.deadline:
             return calls.CallOutcome.from_error(
--- a/packages/magnoliawood/magnoliawood/programs/message.py
+++ b/packages/magnoliawood/magnoliawood/programs/message.py
@@ -4,6 +4,8 @@
 import hashlib
 import itertools
 
+_CHARACTERS_PER_TOKEN = 4
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Message:
@@ -37,3 +39,16 @@
 def _link(previous: str, message: Message) -> str:
     text = f'{previous}\0{message.role}\0{message.content}'.encode()
     return hashlib.blake2b(text, digest_size=16).hexdigest()
+
+
+def token_estimate(messages: list[Message]) -> int:
+    """Return about how many tokens messages have.
+
+    Examples
+    ========
+
+    >>> token_estimate([Message('user', 'a message of 32 characters here')])
+    8
+    """
+    characters = sum(len(message.content) for message in messages)
+    return -(-characters // _CHARACTERS_PER_TOKEN)
--- a/packages/magnoliawood/magnoliawood/scheduling/policies.py
+++ b/packages/magnoliawood/magnoliawood/scheduling/policies.py
@@ -31,6 +31,10 @@
 
 
 def _standard() -> Policy:
+    return Policy(routing.LeastCost(), priorities.EarliestProgramDeadline())
+
+
+def _stay_or_least_loaded() -> Policy:
     return Policy(
         routing.StayOrLeastLoaded(), priorities.EarliestProgramDeadline()
     )
@@ -46,6 +50,7 @@
 
 _MAKERS = {
     STANDARD: _standard,
+    'stay-or-least-loaded': _stay_or_least_loaded,
     'fcfs-least-loaded': _fcfs_least_loaded,
     'fcfs-hash': _fcfs_hash,
 }
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/scheduling/residency.py
@@ -0,0 +1,85 @@
+"""Which programs' prompts lie in the cache of one upstream."""
+
+import collections
+import dataclasses
+import datetime
+
+from magnoliawood.programs import identity
+
+IDLE_LIMIT = datetime.timedelta(minutes=10)
+
+
+@dataclasses.dataclass(slots=True)
+class _Resident:
+    tokens: int
+    used_at: datetime.datetime
+
+
+class ResidencyTable:
+    """Live programs whose last prompt an upstream took in.
+
+    Explanation
+    ===========
+
+    It states what live programs want to find in the cache, not what the
+    cache still holds. It needs no cache event, so late and lost events
+    can't mislead it.
+
+    Examples
+    ========
+
+    >>> now = datetime.datetime(2026, 1, 1)
+    >>> table = ResidencyTable()
+    >>> program = identity.ProgramKey('kessick', 'chat-1')
+    >>> table.use(program, 300, now)
+    300
+    >>> table.use(program, 340, now)
+    40
+    >>> table.tokens
+    340
+    >>> table.release(program)
+    >>> table.tokens
+    0
+    """
+
+    def __init__(self) -> None:
+        # The order of the last use, the oldest first.
+        self._residents: collections.OrderedDict[
+            identity.ProgramKey, _Resident
+        ] = collections.OrderedDict()
+        self._tokens = 0
+
+    def __len__(self) -> int:
+        return len(self._residents)
+
+    @property
+    def tokens(self) -> int:
+        """Tokens of all programs in the table."""
+        return self._tokens
+
+    def use(
+        self,
+        program: identity.ProgramKey,
+        tokens: int,
+        now: datetime.datetime,
+    ) -> int:
+        """Note a prompt and return how many of its tokens are new."""
+        self._expire(now)
+        known = self._residents.pop(program, None)
+        held = 0 if known is None else known.tokens
+        self._residents[program] = _Resident(tokens, now)
+        self._tokens += tokens - held
+        return max(0, tokens - held)
+
+    def release(self, program: identity.ProgramKey) -> None:
+        """Forget a program that ended or moved away."""
+        known = self._residents.pop(program, None)
+        if known is not None:
+            self._tokens -= known.tokens
+
+    def _expire(self, now: datetime.datetime) -> None:
+        while self._residents:
+            program, oldest = next(iter(self._residents.items()))
+            if now - oldest.used_at <= IDLE_LIMIT:
+                return
+            self.release(program)
