--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -48,7 +48,7 @@
         self._answers_under_way = 0
         self._activity = http_server.Activity()
         self._runner = runners.CallRunner(
-            _make_upstream(settings),
+            _make_upstream(settings, clock),
             clock,
             self._metrics,
             settings.concurrency,
@@ -134,6 +134,9 @@
             settings.serves.split(','),
             self._runner.waiting,
             self._leaving.is_set(),
+            self._runner.residency.tokens,
+            self._runner.speed.seconds_per_call,
+            self._runner.speed.prefill_seconds_per_token,
         )
 
     async def _counters(
@@ -251,8 +254,8 @@
 
 
 def _make_upstream(
-    settings: settings_models.SidecarSettings,
+    settings: settings_models.SidecarSettings, clock: clocks.Clock
 ) -> upstreams.Upstream:
     if settings.kind == 'engine':
-        return engine.EngineUpstream(settings.upstream)
+        return engine.EngineUpstream(settings.upstream, clock)
     return service.ServiceUpstream(settings.upstream)
