Document the product and run its commands in the tests

docs: index, quick start, concepts, caller and administration API, command line, settings (made from the models), metrics and errors (checked against the code), house style, notes on peer authentication and administration, three operators' pages. make serve keeps a deployment in the foreground.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,14 @@
 demo: setup
 	$(BIN)/python -m magnoliawood_testing.demo
 
+.PHONY: serve docs
+serve: setup
+	$(BIN)/python -m magnoliawood_testing.serve --env-file .serve/env
+
+docs: setup
+	$(BIN)/python bin/make_settings_reference.py
+	$(BIN)/python bin/make_openapi.py
+
 test: setup
 	$(BIN)/python bin/run_tests.py
 
@@ -29,6 +37,9 @@
 	$(BIN)/flake8 packages bin
 	$(BIN)/mypy
 	$(BIN)/python bin/check_imports.py
+	$(BIN)/python bin/make_settings_reference.py --check
+	$(BIN)/python bin/make_openapi.py --check
+	$(BIN)/python bin/check_metrics_page.py
 
 format: setup
 	$(BIN)/ruff check --fix-only --quiet packages bin
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/serve.py
@@ -0,0 +1,68 @@
+"""Keeps a deployment running in the foreground, for a first look."""
+
+import argparse
+import pathlib
+import signal
+import sys
+import typing
+
+from magnoliawood_testing import cluster
+from magnoliawood_testing.cluster import deployment as deployments
+
+_CALLER = 'red-clay'
+_CLASSES = {'booking': 30, 'alerts': 2}
+
+
+def environment(deployment: deployments.Deployment) -> dict[str, str]:
+    """Return the variables that the examples of the documentation use."""
+    entry = next(iter(deployment.entries.values()))
+    return {
+        'MAGNOLIACTL_ENTRY': entry.http,
+        'MAGNOLIACTL_TOKEN': deployments.OPERATOR_TOKEN,
+        'ENTRY': f'http://{entry.http}',
+        'TOKEN': deployments.token_of(_CALLER),
+        'OPENAI_BASE_URL': f'http://{entry.http}/v1',
+        'OPENAI_API_KEY': deployments.token_of(_CALLER),
+    }
+
+
+def prepare(deployment: deployments.Deployment) -> None:
+    """Create classes and an account."""
+    for name, target_seconds in _CLASSES.items():
+        deployment.create_class(name, target_seconds)
+    deployment.create_account(_CALLER)
+    deployment.wait_for_configuration()
+
+
+def write_environment(path: pathlib.Path, variables: dict[str, str]) -> None:
+    """Write variables as a file for the shell's ``.`` command."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    lines = [f'export {name}={value}\n' for name, value in variables.items()]
+    path.write_text(''.join(lines), encoding='utf-8')
+
+
+def main() -> None:
+    """Serve until interrupted."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--env-file', type=pathlib.Path, required=True)
+    options = parser.parse_args()
+    signal.signal(signal.SIGTERM, _stop)
+    try:
+        with cluster.Deployment(engines=2, entries=2) as deployment:
+            prepare(deployment)
+            write_environment(options.env_file, environment(deployment))
+            print(f'Serving. In another shell: . ./{options.env_file}')
+            print('Ctrl-C stops it.', flush=True)
+            signal.pause()
+    except KeyboardInterrupt:
+        print('stopped')
+    finally:
+        options.env_file.unlink(missing_ok=True)
+
+
+def _stop(number: int, frame: typing.Any) -> typing.NoReturn:
+    sys.exit(0)
+
+
+if __name__ == '__main__':
+    main()
