--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -53,6 +53,11 @@
     sender: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AwaitLeaving:
+    """Asks a sidecar for a :class:`HelloReply` once it is leaving."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HelloReply:
     """What a sidecar stands beside.
@@ -61,6 +66,9 @@
     :param kind: ``engine`` or ``service``
     :param names: models or the service that the upstream serves
     :param waiting: calls that wait or run there
+    :param resident_tokens: prompts of live programs placed there
+    :param seconds_per_call: time in which one waiting call fewer waits
+    :param prefill_seconds: time to take in one token that is not cached
     """
 
     host: str
@@ -70,6 +78,9 @@
     names: list[str]
     waiting: int
     leaving: bool
+    resident_tokens: int = 0
+    seconds_per_call: float = 0.0
+    prefill_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -182,6 +193,53 @@
     calls: list[identity.CallId]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldRecords:
+    """Asks an entry to hold journal records that the store lacks.
+
+    :param log: log that the records belong to
+    :param first: position of the first record in the log
+    :param durable: position up to which held records may be dropped
+    """
+
+    log: str
+    first: int
+    records: list[records.Record]
+    durable: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SealHeld:
+    """Asks an entry to take no more records of logs and return its own."""
+
+    logs: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldUpTo:
+    """Answer to :class:`HoldRecords`.
+
+    :param position: position up to which no record is missing
+    """
+
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """Records that an entry held, in the order of their logs."""
+
+    records: list[records.Record]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseHeld:
+    """Sealed logs whose records the new owner of shards has stored."""
+
+    logs: list[str]
+    shards: list[int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReleaseProgram:
     """Frees the cache of a program that ended."""
@@ -367,6 +425,7 @@
     ChallengeReply,
     Proof,
     Hello,
+    AwaitLeaving,
     HelloReply,
     Order,
     Attach,
@@ -377,6 +436,11 @@
     Fence,
     Witnesses,
     Forget,
+    HoldRecords,
+    HeldUpTo,
+    SealHeld,
+    Held,
+    ReleaseHeld,
     ReleaseProgram,
     Done,
     Probe,
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -89,6 +89,8 @@
     :param entries: number of entries
     :param links: pairs of client and server with a proxy between them, as
         in :class:`~magnoliawood_testing.cluster.link.LinkName`
+    :param service_pool: processes that serve each service; those after
+        the first are named ``NAME-2``, ``NAME-3``
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         sidecar_settings: dict[str, object] | None = None,
         links: tuple[tuple[str, str], ...] = (),
         engine_settings: dict[str, object] | None = None,
+        service_pool: int = 1,
     ) -> None:
         self._temporary = None
         if folder is None:
@@ -123,7 +126,9 @@
         for number in range(1, engines + 1):
             self._add_engine(f'engine-{number}')
         for name in services:
-            self._add_service(name)
+            self._add_service(name, name)
+            for number in range(2, service_pool + 1):
+                self._add_service(f'{name}-{number}', name)
         for number in range(1, entries + 1):
             self._add_entry(f'entry-{number}')
 
@@ -303,14 +308,14 @@
         )
         self._add_upstream(name, process, address, 'engine', self.models)
 
-    def _add_service(self, name: str) -> None:
+    def _add_service(self, name: str, serves: str) -> None:
         address = processes.free_address()
         process = self._process(
             name,
             'magnoliawood_testing.standins.service',
             {'listen': address},
         )
-        self._add_upstream(name, process, address, 'service', name)
+        self._add_upstream(name, process, address, 'service', serves)
 
     def _add_upstream(
         self,
