--- a/packages/magnoliawood-testing/magnoliawood_testing/serve.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/serve.py
@@ -46,7 +46,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--env-file', type=pathlib.Path, required=True)
     options = parser.parse_args()
-    signal.signal(signal.SIGTERM, _stop)
+    # A shell that starts this in the background has SIGINT ignored.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, _stop)
     try:
         with cluster.Deployment(engines=2, entries=2) as deployment:
             prepare(deployment)
@@ -54,8 +56,6 @@
             print(f'Serving. In another shell: . ./{options.env_file}')
             print('Ctrl-C stops it.', flush=True)
             signal.pause()
-    except KeyboardInterrupt:
-        print('stopped')
     finally:
         options.env_file.unlink(missing_ok=True)
 
