Check program names of chat requests and what they ask for

Cause: the program header was taken as it came, so a chat could open a program whose name no path reaches; it is now checked like a path (400). Lists of text parts are taken; tools and n above 1 are refused instead of ignored.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/bodies.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/bodies.py
@@ -26,6 +26,9 @@
 Digests = typing.Annotated[
     list[Digest], pydantic.Field(max_length=accounts.CREDENTIAL_LIMIT)
 ]
+MessageRole = typing.Literal[
+    'system', 'developer', 'user', 'assistant', 'tool'
+]
 TokenLimit = typing.Annotated[int, pydantic.Field(ge=1, le=_MAX_TOKENS_LIMIT)]
 
 
@@ -57,7 +60,7 @@
 
     model_config = pydantic.ConfigDict(extra='ignore')
 
-    role: typing.Literal['system', 'developer', 'user', 'assistant', 'tool']
+    role: MessageRole
     content: str
 
     def to_message(self) -> conversation.Message:
@@ -114,13 +117,52 @@
     """Either kind of call."""
 
 
+class TextPart(pydantic.BaseModel):
+    """A part of a message in the OpenAI form; only text is taken."""
+
+    model_config = pydantic.ConfigDict(extra='ignore')
+
+    type: typing.Literal['text']
+    text: str
+
+
+class ChatMessageBody(pydantic.BaseModel):
+    """One message of an OpenAI-compatible request."""
+
+    model_config = pydantic.ConfigDict(extra='ignore')
+
+    role: MessageRole
+    content: str | list[TextPart]
+
+    def to_message(self) -> conversation.Message:
+        """Return the message as the history keeps it."""
+        if isinstance(self.content, str):
+            return conversation.Message(self.role, self.content)
+        text = ''.join(part.text for part in self.content)
+        return conversation.Message(self.role, text)
+
+
 class ChatBody(pydantic.BaseModel):
-    """OpenAI-compatible chat completion; ``messages`` holds all of them."""
+    """OpenAI-compatible chat completion; ``messages`` holds all of them.
+
+    Explanation
+    ===========
+
+    Fields that only shape the sampling are ignored, as the engine decides
+    on them. Those whose loss would change the form of the answer are
+    refused.
+    """
 
     model_config = pydantic.ConfigDict(extra='ignore')
 
     model: Name
-    messages: typing.Annotated[list[MessageBody], pydantic.Field(min_length=1)]
+    messages: typing.Annotated[
+        list[ChatMessageBody], pydantic.Field(min_length=1)
+    ]
+    n: typing.Literal[1] | None = None
+    tools: typing.Annotated[
+        list[typing.Any], pydantic.Field(max_length=0)
+    ] = []
     max_tokens: TokenLimit | None = None
     max_completion_tokens: TokenLimit | None = None
     stream: bool = False
--- a/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
@@ -11,13 +11,12 @@
 from magnoliawood.programs import identity
 from magnoliawood_server.entry import bodies
 from magnoliawood_server.entry import gateway as gateways
+from magnoliawood_server.entry import program_names
 from magnoliawood_server.entry import routes
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.peer import messages
 
 _PROGRAM_PATH = '/v1/programs/{program}'
-_NAME_LIMIT = 200
-_NAME_CHARACTERS = frozenset('-_.:')
 
 
 class CallerApi:
@@ -217,20 +216,9 @@
 
 
 def _key(request: routes.RoutedRequest) -> identity.ProgramKey:
-    name = request.parameters[0]
-    is_valid = (
-        0 < len(name) <= _NAME_LIMIT
-        and name.isascii()
-        and all(c.isalnum() or c in _NAME_CHARACTERS for c in name)
-        and all(name.split(identity.CHILD_SEPARATOR))
+    return program_names.program_key(
+        request.account.name, request.parameters[0]
     )
-    if not is_valid:
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.MALFORMED_REQUEST,
-            f'a program name has 1 to {_NAME_LIMIT} letters, digits or '
-            '"-_.", sub-agents separated by ":"',
-        )
-    return identity.ProgramKey(request.account.name, name)
 
 
 def _call_id(request: routes.RoutedRequest) -> identity.CallId:
--- a/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
@@ -15,6 +15,7 @@
 from magnoliawood_server.entry import bodies
 from magnoliawood_server.entry import configuration_keeper
 from magnoliawood_server.entry import gateway as gateways
+from magnoliawood_server.entry import program_names
 from magnoliawood_server.entry import routes
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
@@ -84,7 +85,7 @@
     ) -> http_message.Response:
         body = bodies.parse_body(bodies.ChatBody, request.http)
         name = request.http.header(PROGRAM_HEADER)
-        key = identity.ProgramKey(
+        key = program_names.program_key(
             request.account.name, name or f'chat-{uuid.uuid4().hex}'
         )
         work_class = request.http.header(CLASS_HEADER, self._default_class)
--- a/packages/magnoliawood-server/magnoliawood_server/entry/tests/test_bodies.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/tests/test_bodies.py
@@ -57,3 +57,31 @@
         parse(bodies.OpenBody, json.dumps(body).encode())
     assert 'budget.tokens' in caught.value.detail
     assert 'budget.seconds' in caught.value.detail
+
+
+CHAT = {'model': 'model-a', 'messages': [{'role': 'user', 'content': 'hi'}]}
+
+
+def test_chat_takes_text_in_parts():
+    parts = [{'type': 'text', 'text': 'h'}, {'type': 'text', 'text': 'i'}]
+    messages_in_parts = [{'role': 'user', 'content': parts}]
+    body = {**CHAT, 'messages': messages_in_parts, 'temperature': 0.5, 'n': 1}
+    parsed = parse(bodies.ChatBody, json.dumps(body).encode())
+    (message,) = parsed.messages
+    assert message.to_message().content == 'hi'
+
+
+@pytest.mark.parametrize(
+    'field, value',
+    [
+        ('n', 2),
+        ('tools', [{'type': 'function'}]),
+        ('messages', [{'role': 'user', 'content': [{'type': 'image_url'}]}]),
+    ],
+)
+def test_chat_refuses_what_would_change_the_answer(field, value):
+    body = json.dumps({**CHAT, field: value}).encode()
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        parse(bodies.ChatBody, body)
+    assert caught.value.code == errors.ErrorCode.MALFORMED_BODY
+    assert field in caught.value.detail
--- a/packages/magnoliawood-server/magnoliawood_server/openapi/caller_operations.py
+++ b/packages/magnoliawood-server/magnoliawood_server/openapi/caller_operations.py
@@ -197,6 +197,11 @@
                 'The completion; with ``stream`` its chunks.',
                 models.ChatAnswer,
             ),
+            400: operations.Reply(
+                'The name of the program is malformed.',
+                models.ChatProblem,
+                http_message.PROBLEM_TYPE,
+            ),
             401: operations.Reply(
                 'No bearer token, or an unknown one.',
                 models.ChatProblem,
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_openapi.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_openapi.py
@@ -110,6 +110,7 @@
     Step('GET', '/v1/models', 200),
     chat(200, example='question'),
     chat(200, body=QUESTION, headers=HEADER),
+    chat(400, body=QUESTION, headers={'x-magnoliawood-program': 'a b'}),
     chat(404, body={**QUESTION, 'model': 'none'}),
     chat(409, body={**QUESTION, 'messages': [
         {'role': 'user', 'content': 'other'}]}, headers=HEADER),
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/config/tests/test_configuration.py
@@ -0,0 +1,42 @@
+import pytest
+
+from magnoliawood.config import account as accounts
+from magnoliawood.config import configuration as configurations
+from magnoliawood.core import errors
+from magnoliawood.platform import store
+
+
+def account(name, *tokens):
+    return accounts.Account(
+        name=name,
+        role='caller',
+        token_hashes=[accounts.hash_token(token) for token in tokens],
+    )
+
+
+def stored(prefix, model, version):
+    name = prefix + model.name
+    return store.StoredObject(name, version, model.model_dump_json())
+
+
+def configuration(*models):
+    objects = [
+        stored(configurations.ACCOUNT_PREFIX, model, number)
+        for number, model in enumerate(models, start=1)
+    ]
+    return configurations.Configuration.from_objects(9, objects)
+
+
+def test_each_credential_finds_its_account():
+    found = configuration(account('a', 'one', 'two'), account('b', 'three'))
+    names = [found.authenticate(t).name for t in ('one', 'two', 'three')]
+    assert names == ['a', 'a', 'b']
+
+
+@pytest.mark.parametrize('token', ['', 'four', accounts.hash_token('one')])
+def test_anything_else_is_refused(token):
+    found = configuration(account('a', 'one'))
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        found.authenticate(token)
+    assert caught.value.code == errors.ErrorCode.UNAUTHENTICATED
+    assert not token or token not in caught.value.detail
