--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -15,6 +15,7 @@
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import admin_api
 from magnoliawood_server.entry import call_executor
+from magnoliawood_server.entry import call_recorder
 from magnoliawood_server.entry import caller_api
 from magnoliawood_server.entry import chat_api
 from magnoliawood_server.entry import configuration_keeper
@@ -22,9 +23,11 @@
 from magnoliawood_server.entry import journal_writer
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import owner_service
+from magnoliawood_server.entry import record_holder
 from magnoliawood_server.entry import shard_keeper
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
+from magnoliawood_server.http import server as http_server
 from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import handshake as handshakes
 from magnoliawood_server.peer import messages
@@ -32,6 +35,7 @@
 from magnoliawood_server.platform import http_store
 from magnoliawood_server.runtime import listener
 from magnoliawood_server.runtime import settings as settings_models
+from magnoliawood_server.runtime import stop
 
 _BEARER = 'bearer '
 
@@ -55,13 +59,15 @@
         )
         self._pool = pools.PeerPool(clock, self._handshake)
         self._programs = tables.ProgramTable()
+        self._held = record_holder.HeldRecordService()
         self._make_state()
         self._make_service()
         self._make_apis()
+        self._make_listeners()
 
-    async def run(self) -> None:
-        """Serve until the process is stopped."""
-        settings = self._settings
+    async def run(self) -> stop.ExitCode:
+        """Serve until a signal asks for a stop and the rest has ended."""
+        signals = stop.StopSignals()
         await self._open_journal()
         async with curio.TaskGroup(wait=any) as group:
             for background in (
@@ -71,21 +77,19 @@
                 self._configuration.watch_forever,
                 self._keeper.follow_map_forever,
                 self._keeper.reconcile_forever,
-                self._service.forget_forever,
+                self._recorder.forget_forever,
             ):
                 await group.spawn(background)
+            await group.spawn(self._peer_listener.run)
+            await group.spawn(self._http_listener.run)
             await group.spawn(
-                listener.serve_peers,
-                settings.peer_listen,
-                self._clock,
-                self._handle_peer,
-                self._handshake,
-            )
-            await group.spawn(
-                listener.serve_http, settings.http_listen, self._handle_http
+                stop.drain,
+                signals,
+                self._leave,
+                datetime.timedelta(seconds=self._settings.stop_limit_seconds),
             )
             _log.info('entry started')
-            await group.join()
+        return group.result
 
     def _make_state(self) -> None:
         settings = self._settings
@@ -104,6 +108,10 @@
             datetime.timedelta(seconds=settings.suspicion_seconds),
         )
 
+        self._holder = record_holder.RecordHolder(
+            settings.data_centre, self._membership, self._pool, self._metrics
+        )
+
     def _make_service(self) -> None:
         self._service = owner_service.OwnerService(
             self._programs,
@@ -122,6 +130,14 @@
             self._programs,
             self._metrics,
             self._service.adopt,
+            self._held,
+        )
+        self._recorder = call_recorder.CallRecorder(
+            self._programs,
+            self._keeper,
+            self._sidecars,
+            self._pool,
+            self._metrics,
         )
         policy = policies.make_policy(self._settings.policy)
         executor = call_executor.CallExecutor(
@@ -131,10 +147,9 @@
             self._metrics,
             policy.router,
             policy.priority,
-            self._service.journal,
-            self._service.wait_durable,
+            self._recorder.record_intent,
         )
-        self._service.connect(self._keeper, executor)
+        self._service.connect(self._keeper, executor, self._recorder)
         self._gateway = gateways.Gateway(
             self._settings.name,
             self._service,
@@ -157,6 +172,48 @@
             self._objects, self._configuration
         )
 
+    def _make_listeners(self) -> None:
+        self._activity = http_server.Activity()
+        self._peer_requests = 0
+        self._peer_listener = listener.peer_listener(
+            self._settings.peer_listen,
+            self._clock,
+            self._handle_peer,
+            self._handshake,
+        )
+        self._http_listener = listener.http_listener(
+            self._settings.http_listen, self._handle_http, self._activity
+        )
+
+    async def _leave(self) -> None:
+        """Hand everything over and wait until nothing is under way."""
+        self._membership.is_leaving = True
+        self._activity.is_closing = True
+        await curio.sleep(self._settings.stop_notice_seconds)
+        await self._http_listener.stop()
+        while True:
+            await self._keeper.release_all()
+            if not self._is_busy():
+                break
+            await curio.sleep(stop.POLL_INTERVAL.total_seconds())
+        await self._flush_journal()
+
+    def _is_busy(self) -> bool:
+        # The calls of shards that were handed over go on elsewhere.
+        owns_shards = bool(self._keeper.map.owned_by(self._settings.name))
+        return bool(
+            self._activity.requests
+            or self._peer_requests
+            or (owns_shards and self._service.calls_under_way)
+        )
+
+    async def _flush_journal(self) -> None:
+        writer = self._writer
+        while not (
+            writer.is_sealed or await writer.wait_durable(writer.barrier())
+        ):
+            await curio.sleep(stop.POLL_INTERVAL.total_seconds())
+
     async def _open_journal(self) -> None:
         """Start a new log and write to it from now on."""
         self._log_generation += 1
@@ -171,8 +228,10 @@
             ),
             self._metrics,
             self._replace_sealed_journal,
+            self._holder,
         )
-        self._service.set_writer(writer)
+        self._writer = writer
+        self._recorder.set_writer(writer)
         self._keeper.set_writer(writer)
         await curio.spawn(writer.run, daemon=True)
 
@@ -186,8 +245,14 @@
     ) -> None:
         if isinstance(message, messages.Probe):
             await stream.send(self._probe_reply())
+        elif self._held.handles(message):
+            await self._held.handle_peer(stream, message)
         elif self._gateway.handles(message):
-            await self._gateway.handle_peer(stream, message)
+            self._peer_requests += 1
+            try:
+                await self._gateway.handle_peer(stream, message)
+            finally:
+                self._peer_requests -= 1
         else:
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.MALFORMED_REQUEST,
@@ -259,8 +324,10 @@
 
     def _metrics_page(self) -> http_message.Response:
         gauge = self._metrics.set_gauge
+        gauge('records_held_for_peers', len(self._held.held))
         gauge('programs', len(self._programs))
         gauge('calls_under_way', self._service.calls_under_way)
+        gauge('sidecars_leaving', self._sidecars.leaving)
         gauge('map_version', self._keeper.map.version)
         gauge('configuration_version', self._configuration.current.version)
         return http_message.Response(
--- a/packages/magnoliawood/magnoliawood/scheduling/policies.py
+++ b/packages/magnoliawood/magnoliawood/scheduling/policies.py
@@ -31,15 +31,15 @@
 
 
 def _standard() -> Policy:
-    return Policy(routing.LeastCost(), priorities.EarliestProgramDeadline())
-
-
-def _stay_or_least_loaded() -> Policy:
     return Policy(
         routing.StayOrLeastLoaded(), priorities.EarliestProgramDeadline()
     )
 
 
+def _least_cost() -> Policy:
+    return Policy(routing.LeastCost(), priorities.EarliestProgramDeadline())
+
+
 def _fcfs_least_loaded() -> Policy:
     return Policy(routing.LeastLoaded(), priorities.FirstComeFirstServed())
 
@@ -50,7 +50,7 @@
 
 _MAKERS = {
     STANDARD: _standard,
-    'stay-or-least-loaded': _stay_or_least_loaded,
+    'least-cost': _least_cost,
     'fcfs-least-loaded': _fcfs_least_loaded,
     'fcfs-hash': _fcfs_hash,
 }
