--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -147,6 +147,7 @@
             self._metrics,
             policy.router,
             policy.priority,
+            policy.hold_share,
             self._recorder.record_intent,
         )
         self._service.connect(self._keeper, executor, self._recorder)
--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -70,6 +70,7 @@
         metrics: registries.Registry,
         router: routing.Router,
         priority: priorities.Priority,
+        hold_share: float,
         record_intent: RecordIntent,
     ) -> None:
         self._sidecars = sidecars
@@ -78,6 +79,7 @@
         self._metrics = metrics
         self._router = router
         self._priority = priority
+        self._hold_share = hold_share
         self._record_intent = record_intent
 
     def choose(
@@ -305,8 +307,26 @@
             execution.answer.tokens,
             self._priority.rank(progress, now),
             program.opened.opened_at + lifetime,
+            self._hold_until(execution),
         )
 
+    def _hold_until(self, execution: Execution) -> datetime.datetime | None:
+        """Return until when a program's first turn may wait for room."""
+        program = execution.program
+        request = execution.call.request
+        is_held = (
+            self._hold_share > 0
+            and program.key.parent is None
+            and isinstance(request, calls.ModelRequest)
+            and not any(
+                isinstance(call.request, calls.ModelRequest)
+                for call in program.calls[:-1]
+            )
+        )
+        if not is_held:
+            return None
+        return program.opened.opened_at + execution.target * self._hold_share
+
 
 def _withdrawn() -> errors.MagnoliawoodError:
     return errors.MagnoliawoodError(
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -95,6 +95,7 @@
     :param partial_tokens: generated tokens of that text
     :param rank: place in the queue, the lowest first
     :param deadline: when an order that still waits is dropped
+    :param hold_until: until when it may wait for room in the cache
     """
 
     opened: records.Opened
@@ -105,6 +106,7 @@
     partial_tokens: int
     rank: float
     deadline: datetime.datetime
+    hold_until: datetime.datetime | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -27,6 +27,8 @@
 from magnoliawood_server.sidecar import service
 from magnoliawood_server.sidecar import upstream as upstreams
 
+CAPACITY_INTERVAL = datetime.timedelta(seconds=5)
+
 _log = logging.getLogger(__name__)
 
 
@@ -47,8 +49,9 @@
         self._leaving = curio.Event()
         self._answers_under_way = 0
         self._activity = http_server.Activity()
+        self._upstream = _make_upstream(settings, clock)
         self._runner = runners.CallRunner(
-            _make_upstream(settings, clock),
+            self._upstream,
             clock,
             self._metrics,
             settings.concurrency,
@@ -84,6 +87,7 @@
                 self._leave,
                 datetime.timedelta(seconds=settings.stop_limit_seconds),
             )
+            await group.spawn(self._follow_capacity)
             _log.info('sidecar started')
         return group.result
 
@@ -101,6 +105,14 @@
         if left:
             _log.warning('outcomes dropped', extra={'outcomes': left})
 
+    async def _follow_capacity(self) -> None:
+        """Ask the upstream for the size of its cache now and then."""
+        while True:
+            tokens = await self._upstream.cache_tokens()
+            if tokens is not None:
+                self._runner.cache.capacity_tokens = tokens
+            await curio.sleep(CAPACITY_INTERVAL.total_seconds())
+
     async def _handle(
         self, stream: connections.Stream, message: typing.Any
     ) -> None:
@@ -133,7 +145,7 @@
             settings.serves.split(','),
             self._runner.waiting,
             self._leaving.is_set(),
-            self._runner.residency.tokens,
+            self._runner.cache.resident_tokens,
             self._runner.speed.seconds_per_call,
             self._runner.speed.prefill_seconds_per_token,
         )
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
@@ -19,6 +19,7 @@
         self.answer = answers.AnswerBuffer()
         self.task: curio.Task | None = None
         self.is_cancelled = False
+        self.new_tokens = 0
         self.first_token_at: datetime.timedelta | None = None
 
     @property
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
@@ -55,6 +55,15 @@
         except (OSError, curio.TaskTimeout):
             _log.debug('cache release not delivered')
 
+    async def cache_tokens(self) -> int | None:
+        """Return the size of its prefix cache, or nothing if unknown."""
+        request = http_client.json_request('GET', '/load')
+        try:
+            _, body = await self._client.fetch(request, CONTROL_TIMEOUT)
+            return int(json.loads(body)['cache_tokens'])
+        except (OSError, curio.TaskTimeout, ValueError, KeyError):
+            return None
+
     async def _stream(self, run: call_run.CallRun) -> calls.CallOutcome:
         request = http_client.json_request(
             'POST', '/v1/chat/completions', _body(run)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -10,11 +10,11 @@
 from magnoliawood.ownership import witness as witnesses
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import identity
-from magnoliawood.programs import message as conversation
-from magnoliawood.scheduling import residency as residencies
+from magnoliawood.scheduling import cache_admission
 from magnoliawood.scheduling import speed as speeds
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.peer import messages
+from magnoliawood_server.sidecar import cache_keeper
 from magnoliawood_server.sidecar import call_queue
 from magnoliawood_server.sidecar import call_run
 from magnoliawood_server.sidecar import upstream as upstreams
@@ -42,23 +42,30 @@
         self._metrics = metrics
         self._concurrency = concurrency
         self._queue_limit = queue_limit
-        self._queue = call_queue.CallQueue()
+        self._cache = cache_keeper.CacheKeeper(
+            clock, cache_admission.HoldForRoom()
+        )
+        self._queue = call_queue.CallQueue(self._cache.may_start)
         self._runs: dict[identity.CallId, call_run.CallRun] = {}
         self._witness = witnesses.WitnessTable()
         self._barred: dict[identity.CallId, int] = {}
         self._running = 0
-        self._residency = residencies.ResidencyTable()
         self._speed = speeds.UpstreamSpeed(concurrency)
 
     @property
     def waiting(self) -> int:
-        """Calls that wait or run."""
-        return len(self._queue) + self._running
+        """Calls that wait or run, without those held for room."""
+        return len(self._queue) - self._queue.held + self._running
+
+    @property
+    def cache(self) -> cache_keeper.CacheKeeper:
+        """What is known of the upstream's cache."""
+        return self._cache
 
     @property
-    def residency(self) -> residencies.ResidencyTable:
-        """Programs whose prompts were taken in here."""
-        return self._residency
+    def held(self) -> int:
+        """Calls held back until the cache has room."""
+        return self._queue.held
 
     @property
     def speed(self) -> speeds.UpstreamSpeed:
@@ -99,6 +106,9 @@
         self._witness.accept(order.opened, order.intended)
         self._queue.push(run)
         await self._start_waiting()
+        if not run.is_started and order.hold_until is not None:
+            self._metrics.count('calls_held_total')
+            await curio.spawn(self._end_hold, run, daemon=True)
         return run
 
     def bar(self, call: identity.CallId, attempt: int) -> None:
@@ -126,8 +136,15 @@
 
     async def release(self, program: identity.ProgramKey) -> None:
         """Free what the upstream holds for a program."""
-        self._residency.release(program)
+        self._cache.release(program)
         await self._upstream.release(program)
+        await self._start_waiting()
+
+    async def _end_hold(self, run: call_run.CallRun) -> None:
+        """Start a held call when its time is over."""
+        wait = run.order.hold_until - self._clock.now()
+        await curio.sleep(max(0.0, wait.total_seconds()))
+        await self._start_waiting()
 
     async def _start_waiting(self) -> None:
         while self._running < self._concurrency:
@@ -135,11 +152,11 @@
             if run is None:
                 return
             self._running += 1
+            self._cache.note_start(run)
             run.task = await curio.spawn(self._run, run, daemon=True)
 
     async def _run(self, run: call_run.CallRun) -> None:
         started = self._clock.monotonic()
-        new_tokens = self._note_prompt(run.order)
         try:
             outcome = await self._run_upstream(run)
         except curio.CancelledError:
@@ -150,22 +167,11 @@
         self._speed.record_call(duration)
         if run.first_token_at is not None:
             self._speed.record_prefill(
-                new_tokens, run.first_token_at - started
+                run.new_tokens, run.first_token_at - started
             )
         await self._settle(run, outcome)
         await self._start_waiting()
 
-    def _note_prompt(self, order: messages.Order) -> int:
-        """Return how many tokens of the prompt are not cached."""
-        request = order.intended.request
-        if not isinstance(request, calls.ModelRequest):
-            return 0
-        return self._residency.use(
-            order.opened.program,
-            conversation.token_estimate([*order.history, *request.messages]),
-            self._clock.now(),
-        )
-
     async def _run_upstream(self, run: call_run.CallRun) -> calls.CallOutcome:
         if self._clock.now() > run.order.deadline:
             return calls.CallOutcome.from_error(
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
@@ -47,6 +47,10 @@
             status=reply.status,
         )
 
+    async def cache_tokens(self) -> int | None:
+        """Return 0, since a plain service has no prefix cache."""
+        return 0
+
     async def release(self, program: identity.ProgramKey) -> None:
         """Do nothing: a plain service holds no cache."""
 
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/upstream.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/upstream.py
@@ -17,3 +17,7 @@
     async def release(self, program: identity.ProgramKey) -> None:
         """Free what the upstream holds for a program."""
         ...
+
+    async def cache_tokens(self) -> int | None:
+        """Return the size of its prefix cache, or nothing if unknown."""
+        ...
--- a/packages/magnoliawood-testing/magnoliawood_testing/load/experiment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/load/experiment.py
@@ -1,5 +1,6 @@
 """One run of a workload against a deployment of real processes."""
 
+import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -16,6 +17,12 @@
 
 _ENTRIES = 3
 _CALLER = 'callers'
+_COUNTERS = (
+    'refusals_total',
+    'retries_total',
+    'program_moves_total',
+    'calls_held_total',
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +71,7 @@
     """What a run gave.
 
     :param capacity: computed capacity in programs a second, scaled
+    :param counters: of the system's own processes, summed by series
     :param lateness_seconds: the latest that a program was started
     :param load_average: of the machine over the last minute, at the end
     """
@@ -74,6 +82,7 @@
     answers: collections.Counter[str]
     retries: collections.Counter[str]
     cache: CacheUse
+    counters: collections.Counter[str]
     lateness_seconds: float
     load_average: float
 
@@ -98,6 +107,7 @@
         with _fault_at(deployment, experiment):
             curio.run(driver.run, plans, experiment.drain_seconds)
         cache = _cache_use(deployment)
+        counters = _counters(deployment)
     return Measured(
         experiment,
         rate / experiment.scale,
@@ -105,6 +115,7 @@
         driver.answers,
         driver.retries,
         cache,
+        counters,
         driver.lateness_seconds,
         os.getloadavg()[0],
     )
@@ -170,3 +181,20 @@
             use.filled += state['filled']
             use.wasted += state['wasted'] + state['unused']
     return use
+
+
+def _counters(
+    deployment: deployments.Deployment,
+) -> collections.Counter[str]:
+    """Sum the counters of refusals, retries, moves and holds."""
+    found: collections.Counter[str] = collections.Counter()
+    nodes = [*deployment.entries.values(), *deployment.sidecars.values()]
+    for node in nodes:
+        if not node.process.is_running:
+            continue
+        _, page = deployments.call(node.http, 'GET', '/metrics')
+        for line in page.splitlines():
+            if line.startswith(_COUNTERS):
+                series, value = line.rsplit(' ', 1)
+                found[series] += int(float(value))
+    return found
--- a/packages/magnoliawood-testing/magnoliawood_testing/load/report.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/load/report.py
@@ -60,6 +60,7 @@
     good_goodput: float
     retries: dict[str, int]
     errors: dict[str, int]
+    counters: dict[str, int]
     classes: dict[str, ClassFigures]
     lateness_seconds: float
     load_average: float
@@ -93,6 +94,7 @@
         len(good) / span,
         dict(measured.retries),
         dict(collections.Counter(r.error for r in results if r.error)),
+        dict(measured.counters),
         {
             item.name: _class_figures(item.name, results, good, experiment)
             for item in workload.classes
@@ -159,13 +161,13 @@
             f'finished {sum(f.finished for f in found)} of '
             f'{sum(f.programs for f in found)}'
         )
-    for label in ('retries', 'errors'):
+    for label in ('retries', 'errors', 'counters'):
         total = sum(
             (collections.Counter(getattr(row, label)) for row in rows),
             collections.Counter(),
         )
         if total:
-            lines.append(f'  {label} by reason: {dict(total)}')
+            lines.append(f'  {label}: {dict(total)}')
     return lines
 
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/engine.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/engine.py
@@ -238,7 +238,11 @@
         limit = time.monotonic() - self.faults.load_lag_seconds
         shown = [load for at, load in self._load_reports if at <= limit]
         return http_message.Response.from_json(
-            {'sequences': shown[-1] if shown else 0}
+            {
+                'sequences': shown[-1] if shown else 0,
+                'cache_tokens': self._cache.capacity
+                * prefix_cache.BLOCK_WORDS,
+            }
         )
 
     def _state(self) -> http_message.Response:
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/prefix_cache.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/prefix_cache.py
@@ -41,6 +41,11 @@
         self.filled = 0
         self.wasted = 0
 
+    @property
+    def capacity(self) -> int:
+        """Blocks that fit."""
+        return self._capacity
+
     @property
     def held(self) -> collections.Counter[str]:
         """Number of blocks that each program holds."""
--- a/packages/magnoliawood/magnoliawood/scheduling/policies.py
+++ b/packages/magnoliawood/magnoliawood/scheduling/policies.py
@@ -6,14 +6,20 @@
 from magnoliawood.scheduling import routing
 
 STANDARD = 'standard'
+HOLD_SHARE = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
-    """The decisions of one entry."""
+    """The decisions of one entry.
+
+    :param hold_share: part of its class's target that a new program may
+        wait for room in a cache
+    """
 
     router: routing.Router
     priority: priorities.Priority
+    hold_share: float = 0.0
 
 
 def make_policy(name: str) -> Policy:
@@ -40,6 +46,22 @@
     return Policy(routing.LeastCost(), priorities.EarliestProgramDeadline())
 
 
+def _hold() -> Policy:
+    return Policy(
+        routing.StayOrLeastLoaded(),
+        priorities.EarliestProgramDeadline(),
+        HOLD_SHARE,
+    )
+
+
+def _hold_least_cost() -> Policy:
+    return Policy(
+        routing.LeastCost(),
+        priorities.EarliestProgramDeadline(),
+        HOLD_SHARE,
+    )
+
+
 def _fcfs_least_loaded() -> Policy:
     return Policy(routing.LeastLoaded(), priorities.FirstComeFirstServed())
 
@@ -50,6 +72,8 @@
 
 _MAKERS = {
     STANDARD: _standard,
+    'hold': _hold,
+    'hold-least-cost': _hold_least_cost,
     'least-cost': _least_cost,
     'fcfs-least-loaded': _fcfs_least_loaded,
     'fcfs-hash': _fcfs_hash,
--- a/packages/magnoliawood/magnoliawood/scheduling/residency.py
+++ b/packages/magnoliawood/magnoliawood/scheduling/residency.py
@@ -11,7 +11,8 @@
 
 @dataclasses.dataclass(slots=True)
 class _Resident:
-    tokens: int
+    prompt_tokens: int
+    room_tokens: int
     used_at: datetime.datetime
 
 
@@ -31,12 +32,12 @@
     >>> now = datetime.datetime(2026, 1, 1)
     >>> table = ResidencyTable()
     >>> program = identity.ProgramKey('kessick', 'chat-1')
-    >>> table.use(program, 300, now)
+    >>> table.use(program, 300, 500, now)
     300
-    >>> table.use(program, 340, now)
+    >>> table.use(program, 340, 500, now)
     40
     >>> table.tokens
-    340
+    500
     >>> table.release(program)
     >>> table.tokens
     0
@@ -54,28 +55,33 @@
 
     @property
     def tokens(self) -> int:
-        """Tokens of all programs in the table."""
+        """Room that all programs in the table take, in tokens."""
         return self._tokens
 
     def use(
         self,
         program: identity.ProgramKey,
-        tokens: int,
+        prompt_tokens: int,
+        room_tokens: int,
         now: datetime.datetime,
     ) -> int:
-        """Note a prompt and return how many of its tokens are new."""
+        """Note a prompt and return how many of its tokens are new.
+
+        :param room_tokens: room that the program takes while it lives
+        """
         self._expire(now)
-        known = self._residents.pop(program, None)
-        held = 0 if known is None else known.tokens
-        self._residents[program] = _Resident(tokens, now)
-        self._tokens += tokens - held
-        return max(0, tokens - held)
+        known = self._residents.get(program)
+        held = 0 if known is None else known.prompt_tokens
+        self.release(program)
+        self._residents[program] = _Resident(prompt_tokens, room_tokens, now)
+        self._tokens += room_tokens
+        return max(0, prompt_tokens - held)
 
     def release(self, program: identity.ProgramKey) -> None:
         """Forget a program that ended or moved away."""
         known = self._residents.pop(program, None)
         if known is not None:
-            self._tokens -= known.tokens
+            self._tokens -= known.room_tokens
 
     def _expire(self, now: datetime.datetime) -> None:
         while self._residents:
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/scheduling/tests/test_cache_admission.py
@@ -0,0 +1,49 @@
+"""Tests of the wait for room in a cache."""
+
+import datetime
+
+import pytest
+
+from magnoliawood.scheduling import cache_admission
+
+NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+LATER = NOW + datetime.timedelta(seconds=10)
+CAPACITY = 6_000
+
+
+def admits(
+    resident, now=NOW, is_first=True, expected=1_000, capacity=CAPACITY
+):
+    demand = cache_admission.CacheDemand(is_first, 100, expected, LATER)
+    policy = cache_admission.HoldForRoom()
+    return policy.admits(demand, resident, capacity, now)
+
+
+@pytest.mark.parametrize(
+    ('resident', 'expected'), [(5_500, True), (5_501, False)]
+)
+def test_room_decides(resident, expected):
+    assert admits(resident) is expected
+
+
+def test_no_program_waits_longer_than_its_time():
+    assert not admits(CAPACITY)
+    assert admits(CAPACITY, now=LATER)
+
+
+def test_programs_under_way_never_wait():
+    assert admits(CAPACITY * 2, is_first=False)
+
+
+def test_small_programs_never_wait():
+    assert admits(CAPACITY * 2, expected=100)
+
+
+def test_an_unknown_cache_holds_nobody():
+    assert admits(CAPACITY, capacity=0)
+
+
+def test_the_baseline_holds_nobody():
+    demand = cache_admission.CacheDemand(True, 100, 1_000, LATER)
+    policy = cache_admission.AlwaysAdmit()
+    assert policy.admits(demand, CAPACITY, CAPACITY, NOW)
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/scheduling/tests/test_routing.py
@@ -0,0 +1,53 @@
+"""Tests of the routers."""
+
+import pytest
+
+from magnoliawood.programs import identity
+from magnoliawood.scheduling import routing
+
+PROGRAM = identity.ProgramKey('red-clay', 'pour-7')
+
+
+def view(name: str, waiting: int, resident: int = 1_000):
+    return routing.UpstreamView(name, 'dc-1', waiting, 0.05, resident, 0.001)
+
+
+def choose(router, candidates, last='', tokens=100):
+    demand = routing.Demand(PROGRAM, last, tokens)
+    return router.choose(demand, candidates).name
+
+
+def test_least_loaded_takes_the_fewest_calls():
+    candidates = [view('a', 3), view('b', 1), view('c', 2)]
+    assert choose(routing.LeastLoaded(), candidates, last='a') == 'b'
+
+
+def test_hash_ignores_load_and_order():
+    candidates = [view('a', 3), view('b', 1), view('c', 2)]
+    busy = [view('c', 0), view('b', 90), view('a', 0)]
+    router = routing.HashAffinity()
+    assert choose(router, candidates) == choose(router, busy)
+
+
+@pytest.mark.parametrize(('waiting', 'chosen'), [(4, 'a'), (5, 'b')])
+def test_stay_ends_when_the_last_is_clearly_busier(waiting, chosen):
+    candidates = [view('a', waiting), view('b', 0)]
+    router = routing.StayOrLeastLoaded()
+    assert choose(router, candidates, last='a') == chosen
+
+
+def test_least_cost_moves_only_what_is_cheap_to_move():
+    candidates = [view('a', 6), view('b', 0)]
+    router = routing.LeastCost()
+    assert choose(router, candidates, last='a', tokens=1_000) == 'a'
+    assert choose(router, candidates, last='a', tokens=50) == 'b'
+
+
+def test_least_cost_starts_where_the_cache_is_emptiest():
+    candidates = [view('a', 0, 3_000), view('b', 1, 200)]
+    assert choose(routing.LeastCost(), candidates) == 'b'
+
+
+def test_least_cost_works_before_anything_is_known():
+    candidates = [routing.UpstreamView(name, 'dc-1', 0) for name in 'ab']
+    assert choose(routing.LeastCost(), candidates, last='gone') == 'a'
