Confirm ownership with the peers after a pause

Cause: an owner that was paused, lost its shards and woke while the store was down could not learn of it. Ruled out: lost records, since the new owner's history was whole.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -27,6 +27,7 @@
 from magnoliawood_server.entry import journal_writer
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import owner_service
+from magnoliawood_server.entry import ownership_guard
 from magnoliawood_server.entry import record_holder
 from magnoliawood_server.entry import routes
 from magnoliawood_server.entry import shard_keeper
@@ -87,6 +88,8 @@
                 self._configuration.watch_forever,
                 self._keeper.follow_map_forever,
                 self._keeper.reconcile_forever,
+                self._guard.tick_forever,
+                self._guard.confirm_forever,
                 self._recorder.forget_forever,
             ):
                 await group.spawn(background)
@@ -163,7 +166,16 @@
             policy.hold_share,
             self._recorder.record_intent,
         )
-        self._service.connect(self._keeper, executor, self._recorder)
+        self._guard = ownership_guard.OwnershipGuard(
+            self._keeper,
+            self._membership,
+            self._pool,
+            self._clock,
+            self._metrics,
+        )
+        self._service.connect(
+            self._keeper, executor, self._recorder, self._guard
+        )
         self._gateway = gateways.Gateway(
             self._settings.name,
             self._service,
@@ -290,6 +302,11 @@
     ) -> None:
         if isinstance(message, messages.Probe):
             await stream.send(self._probe_reply())
+        elif isinstance(message, messages.GetShardMap):
+            shard_map = self._keeper.map
+            await stream.send(
+                messages.ShardMapText(shard_map.version, shard_map.to_text())
+            )
         elif self._held.handles(message):
             await self._held.handle_peer(stream, message)
         elif self._fleet.handles(message):
--- a/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
@@ -29,6 +29,11 @@
     reply: messages.ProbeReply | None = None
 
 
+def map_version_of(state: EntryState) -> int:
+    """Return the version of the shard map that an entry told last."""
+    return state.reply.map_version if state.reply is not None else 0
+
+
 class Membership:
     """Probes the other entries and reads the platform's host list.
 
@@ -107,11 +112,15 @@
     async def probe_forever(self) -> None:
         """Probe the other entries again and again."""
         while True:
-            async with curio.TaskGroup() as group:
-                for state in list(self._entries.values()):
-                    await group.spawn(self._probe, state)
+            await self.probe_all()
             await curio.sleep(PROBE_INTERVAL.total_seconds())
 
+    async def probe_all(self) -> None:
+        """Probe the other entries once."""
+        async with curio.TaskGroup() as group:
+            for state in self.others():
+                await group.spawn(self._probe, state)
+
     def _is_alive(self, state: EntryState) -> bool:
         silence = self._clock.monotonic() - state.last_heard
         return silence <= self._suspicion
--- a/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
@@ -20,6 +20,7 @@
 from magnoliawood_server.entry import call_executor
 from magnoliawood_server.entry import call_recorder
 from magnoliawood_server.entry import configuration_keeper
+from magnoliawood_server.entry import ownership_guard
 from magnoliawood_server.entry import shard_keeper
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.entry import takeover_reader
@@ -53,6 +54,7 @@
         self._metrics = metrics
         self._executions: dict[identity.CallId, call_executor.Execution] = {}
         self._keeper: shard_keeper.ShardKeeper | None = None
+        self._guard: ownership_guard.OwnershipGuard | None = None
         self._executor: call_executor.CallExecutor | None = None
         self._adopted_next: dict[identity.ProgramKey, int] = {}
         self._recorder: call_recorder.CallRecorder | None = None
@@ -62,9 +64,11 @@
         keeper: shard_keeper.ShardKeeper,
         executor: call_executor.CallExecutor,
         recorder: call_recorder.CallRecorder,
+        guard: ownership_guard.OwnershipGuard,
     ) -> None:
         """Set the parts that refer back to this service."""
         self._keeper = keeper
+        self._guard = guard
         self._executor = executor
         self._recorder = recorder
 
@@ -183,7 +187,8 @@
         )
 
     def _check_owner(self, key: identity.ProgramKey) -> None:
-        if not self._keeper.serves(key.shard):
+        is_owner = self._keeper.serves(key.shard)
+        if not (is_owner and self._guard.is_confirmed):
             raise shard_keeper.refusal_of_foreign(key.shard)
 
     def _join(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/shard_keeper.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/shard_keeper.py
@@ -133,10 +133,16 @@
     async def refresh_map(self) -> None:
         """Read the shard map from the store."""
         found = await self._objects.get(shard_maps.MAP_NAME)
-        if found is not None and found.version > self._map.version:
-            self._accept(
-                shard_maps.ShardMap.from_text(found.version, found.value)
-            )
+        if found is not None:
+            self.accept_text(found.version, found.value)
+
+    def accept_text(self, version: int, text: str) -> None:
+        """Take over the stored form of a map if it is newer.
+
+        :raises pydantic.ValidationError: if it is malformed
+        """
+        if version > self._map.version:
+            self._accept(shard_maps.ShardMap.from_text(version, text))
 
     async def reconcile_forever(self) -> None:
         """Acquire and release shards as membership changes."""
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -421,7 +421,25 @@
     values: dict[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetShardMap:
+    """Asks an entry for its newest shard map."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardMapText:
+    """Stored form of a shard map.
+
+    :param version: version of the store's object
+    """
+
+    version: int
+    text: str
+
+
 MESSAGE_TYPES = (
+    GetShardMap,
+    ShardMapText,
     Ping,
     Challenge,
     ChallengeReply,
