Explore the interleavings of ownership and mend what it found

A hypothesis state machine drives owners, sidecars, a store that loses replies and peers that hold records through the decision code, and checks that no call runs twice, no false not_run is told and no answered call is lost. It found that a withdrawal of an earlier order took back a later one when logs were read in another order; withdrawals now name their order. A review of the same path found that an owner left its own log out when it got a shard back, and that it did not notice a seal before its next write.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/journal_writer.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/journal_writer.py
@@ -122,7 +122,7 @@
         """
         async with curio.ignore_after(COVER_PATIENCE.total_seconds()):
             await self.wait_durable(position)
-        if self._buffer.durable >= position:
+        if self._buffer.is_covered(position):
             return True
         if self._is_sealed:
             return False
@@ -185,6 +185,12 @@
             # An earlier try took effect although its reply was lost.
             await self._confirm(batch)
             return
+        await self.notice_seal()
+
+    async def notice_seal(self) -> None:
+        """Give the log up after another entry sealed it."""
+        if self._is_sealed:
+            return
         self._is_sealed = True
         _log.warning('journal sealed', extra={'log': self._log})
         await self._notify()
@@ -236,6 +242,12 @@
     ]
 
 
+async def is_sealed(objects: store.ObjectStore, log: str) -> bool:
+    """Return whether a log was sealed."""
+    listing = await objects.scan(f'{journal.JOURNAL_PREFIX}{log}/')
+    return any(item.value == journal.SEAL for item in listing.objects)
+
+
 async def seal_log(objects: store.ObjectStore, log: str) -> None:
     """Make every later write to a log fail."""
     while True:
--- a/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
@@ -349,7 +349,7 @@
         if self._programs.find(program.key) is not program:
             outcome = _lost()
         elif outcome.verdict is verdicts.Verdict.NOT_RUN:
-            record = records.Withdrawn(call.id)
+            record = records.Withdrawn(call.id, call.attempt)
             program.apply(record)
             outcome = await self._record_withdrawal(record, outcome)
         elif outcome.code != errors.ErrorCode.NOT_OWNER:
--- a/packages/magnoliawood-server/magnoliawood_server/entry/record_holder.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/record_holder.py
@@ -40,7 +40,6 @@
         self._lock = curio.Lock()
         self._log = ''
         self._peer = ''
-        self._held = 0
 
     async def hold(
         self, log: str, buffer: journal.JournalBuffer, position: int
@@ -61,15 +60,15 @@
     async def trim(self, log: str, buffer: journal.JournalBuffer) -> None:
         """Let the holder drop the records that are stored by now."""
         async with self._lock:
-            if self._log != log or not self._held:
+            if self._log != log or not buffer.held:
                 return
             try:
-                await self._send(log, buffer.durable + 1, [], buffer.durable)
+                await self._send(log, buffer, [])
             except errors.MagnoliawoodError:
                 # The new owner releases the records of a sealed log.
-                self._held = 0
-            if self._held <= buffer.durable:
-                self._held = 0
+                return
+            if buffer.held <= buffer.durable:
+                buffer.note_held(0)
 
     def _candidates(self, log: str) -> list[store.Host]:
         alive = [
@@ -95,37 +94,38 @@
         position: int,
     ) -> bool:
         if (self._peer, self._log) != (peer.name, log):
-            self._peer, self._log, self._held = peer.name, log, 0
+            self._peer, self._log = peer.name, log
+            buffer.note_held(0)
         # The peer is asked even if it had all: it may have restarted.
         while True:
-            start = max(self._held, buffer.durable)
+            start = max(buffer.held, buffer.durable)
             part = buffer.after(start)[:RECORDS_PER_MESSAGE]
-            durable = buffer.durable
-            if not await self._send(log, start + 1, part, durable):
+            if not await self._send(log, buffer, part):
                 return False
             self._metrics.count('records_held_total', len(part))
-            if max(self._held, buffer.durable) >= position:
+            if buffer.is_covered(position):
                 return True
 
     async def _send(
         self,
         log: str,
-        first: int,
+        buffer: journal.JournalBuffer,
         part: list[records.Record],
-        durable: int,
     ) -> bool:
+        start = max(buffer.held, buffer.durable)
         try:
             reply = await self._pool.ask(
                 self._membership.address_of(self._peer),
-                messages.HoldRecords(log, first, part, durable),
+                messages.HoldRecords(log, start + 1, part, buffer.durable),
                 sidecar_directory.ANSWER_TIMEOUT,
             )
         except errors.MagnoliawoodError as error:
             self._peer = ''
+            buffer.note_held(0)
             if error.code == errors.ErrorCode.STALE_EPOCH:
                 raise
             return False
-        self._held = reply.position
+        buffer.note_held(reply.position)
         return True
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/entry/shard_keeper.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/shard_keeper.py
@@ -268,9 +268,10 @@
         """Read journals and witnesses of shards and start serving them."""
         for shard in shards:
             self._advance(shard, 'acquire')
-        logs = self._foreign_logs(shards)
+        logs = self._logs(shards)
         sealed = [log for log in logs if log in self._sealed]
         try:
+            await self._check_own_log()
             found = await self._reader.collect(
                 logs, sealed, self._epochs(shards)
             )
@@ -301,15 +302,27 @@
         if sealed:
             await curio.spawn(self._release_held, sealed, loaded, daemon=True)
 
-    def _foreign_logs(self, shards: list[int]) -> list[str]:
+    def _logs(self, shards: list[int]) -> list[str]:
+        """Return all logs of shards, the own one from earlier times too."""
         names = dict.fromkeys(
             log
             for shard in shards
             for log in self._map.assignments[shard].logs
-            if log != self._writer.log
         )
         return list(names)
 
+    async def _check_own_log(self) -> None:
+        """Find out whether another entry sealed the log meanwhile.
+
+        :raises MagnoliawoodError: with ``not_owner`` if so
+        """
+        log = self._writer.log
+        if await journal_writer.is_sealed(self._objects, log):
+            await self._writer.notice_seal()
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.NOT_OWNER, f'log {log} was sealed'
+            )
+
     def _epochs(self, shards: list[int]) -> list[messages.ShardEpoch]:
         return [
             messages.ShardEpoch(shard, self.epoch(shard)) for shard in shards
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/takeover_bench.py
@@ -0,0 +1,140 @@
+"""Kills processes around calls and reports verdicts and times.
+
+Run with ``python -m magnoliawood_testing.promises.takeover_bench``.
+"""
+
+import argparse
+import collections
+import dataclasses
+import random
+import signal
+import statistics
+import time
+
+from magnoliawood_testing import cluster
+from magnoliawood_testing.promises import scenario as scenarios
+
+FAULTS = (
+    'owner killed',
+    'sidecar killed',
+    'owner and sidecar killed',
+    'owner frozen',
+    'reply of the service lost',
+)
+_MOMENT_LIMIT_SECONDS = 0.08
+_RUN_SECONDS = 0.03
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """What all rounds of one fault gave.
+
+    :param verdicts: final verdicts of the bookings
+    :param early_verdicts: verdicts of answers that were not final
+    :param broken: rounds in which a verdict did not fit the count
+    :param seconds: times from the fault to the next answer
+    """
+
+    verdicts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    early_verdicts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    broken: int = 0
+    seconds: list[float] = dataclasses.field(default_factory=list)
+
+
+def run_round(
+    scenario: scenarios.Scenario, fault: str, seed: int, report: Report
+) -> None:
+    """Cause a fault at a moment that the seed gives and add the result."""
+    chance = random.Random(f'{fault} {seed}')
+    name = scenario.open()
+    owner = scenario.owner_of(name)
+    for node in scenario.services():
+        scenario.deployment.set_faults(
+            node,
+            delay_seconds=_RUN_SECONDS,
+            lost_replies=int(fault.startswith('reply')),
+        )
+    others = [node for node in scenario.live_entries() if node is not owner]
+    booking = scenario.start_booking(name, 1, others)
+    time.sleep(chance.uniform(0, _MOMENT_LIMIT_SECONDS))
+    started = time.monotonic()
+    _cause(scenario, fault, owner, chance)
+    answer = booking.result()
+    report.seconds.append(time.monotonic() - started)
+    owner.process.send_signal(signal.SIGCONT)
+    for node in scenario.services():
+        scenario.deployment.set_faults(node, lost_replies=0)
+    scenario.book(name, 2)
+    runs = scenario.runs(name, 1)
+    is_broken = runs > 1 or (answer.verdict == 'ran' and runs != 1)
+    report.broken += is_broken or answer.false_verdicts > 0
+    report.verdicts[answer.verdict] += 1
+    report.early_verdicts.update(answer.verdicts[:-1])
+
+
+def _cause(
+    scenario: scenarios.Scenario,
+    fault: str,
+    owner: scenarios.deployments.Node,
+    chance: random.Random,
+) -> None:
+    sidecar = scenario.sidecar_of(chance.choice(scenario.services()).name)
+    if fault == 'owner frozen':
+        owner.process.send_signal(signal.SIGSTOP)
+    if fault.startswith('owner') and fault.endswith('killed'):
+        owner.process.kill()
+    if 'sidecar' in fault:
+        sidecar.process.kill()
+        sidecar.process.start()
+
+
+def print_reports(reports: dict[str, Report]) -> None:
+    """Print the table of verdicts and the distribution of times."""
+    print('| fault | rounds | ran | may_have_run | false | earlier answers |')
+    print('|---|---|---|---|---|---|')
+    for fault, report in reports.items():
+        early = ', '.join(
+            f'{name} {count}' for name, count in report.early_verdicts.items()
+        )
+        print(
+            f'| {fault} | {len(report.seconds)} | {report.verdicts["ran"]} | '
+            f'{report.verdicts["may_have_run"]} | {report.broken} | {early} |'
+        )
+    print('\n| fault | median s | p95 s | max s |\n|---|---|---|---|')
+    for fault, report in reports.items():
+        times = sorted(report.seconds)
+        late = times[min(len(times) - 1, int(len(times) * 0.95))]
+        print(
+            f'| {fault} | {statistics.median(times):.2f} | {late:.2f} | '
+            f'{times[-1]:.2f} |'
+        )
+
+
+def main() -> None:
+    """Run all faults with the seeds 0 to N-1."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--rounds', type=int, default=20)
+    parser.add_argument('--suspicion-seconds', type=float, default=2.0)
+    options = parser.parse_args()
+    reports = {fault: Report() for fault in FAULTS}
+    with cluster.Deployment(
+        engines=1,
+        entries=3,
+        service_pool=2,
+        entry_settings={'suspicion_seconds': options.suspicion_seconds},
+    ) as deployment:
+        scenario = scenarios.Scenario(deployment)
+        scenario.prepare()
+        for fault, report in reports.items():
+            for seed in range(options.rounds):
+                run_round(scenario, fault, seed, report)
+                scenario.heal()
+    print_reports(reports)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/magnoliawood/magnoliawood/ownership/journal.py
+++ b/packages/magnoliawood/magnoliawood/ownership/journal.py
@@ -68,6 +68,7 @@
         self._in_flight: list[records.Record] = []
         self._appended = 0
         self._durable = 0
+        self._held = 0
 
     @property
     def appended(self) -> int:
@@ -79,6 +80,11 @@
         """Position up to which all records are stored."""
         return self._durable
 
+    @property
+    def held(self) -> int:
+        """Position up to which a peer holds what is not stored."""
+        return self._held
+
     @property
     def backlog(self) -> int:
         """Number of records that are not stored yet."""
@@ -94,6 +100,18 @@
         unstored = [*self._in_flight, *self._waiting]
         return unstored[max(0, position - self._durable) :]
 
+    def note_held(self, position: int) -> None:
+        """Note up to which record a living peer holds them; 0 for none."""
+        self._held = position
+
+    def is_covered(self, position: int) -> bool:
+        """Whether a record outlives this process.
+
+        Only then may the owner act on it: send the order that an intent
+        announces, or tell a caller an outcome.
+        """
+        return position <= max(self._durable, self._held)
+
     def append(self, record: records.Record) -> int:
         """Add a record and return its position."""
         self._waiting.append(record)
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/ownership/tests/ownership_model.py
@@ -0,0 +1,292 @@
+"""A model of owners, sidecars and a store around the decision code."""
+
+import dataclasses
+import datetime
+import itertools
+
+from magnoliawood.core import errors
+from magnoliawood.core import verdict as verdicts
+from magnoliawood.ownership import fence as fences
+from magnoliawood.ownership import held_records
+from magnoliawood.ownership import journal
+from magnoliawood.ownership import takeover
+from magnoliawood.ownership import witness as witnesses
+from magnoliawood.programs import budget as budgets
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import identity
+from magnoliawood.programs import records
+from magnoliawood.programs import table as tables
+
+KEY = identity.ProgramKey('red-clay', 'pour')
+BOOKING = calls.ServiceRequest('pours', 'book', '{}', False)
+OPENED = records.Opened(
+    KEY,
+    'booking',
+    budgets.Budget(100, 1000, 60.0),
+    datetime.datetime(2026, 5, 1, tzinfo=datetime.UTC),
+)
+UNKNOWN = calls.CallOutcome(
+    verdicts.Verdict.MAY_HAVE_RUN, code='outcome_unknown'
+)
+NOT_RUN = calls.CallOutcome(
+    verdicts.Verdict.NOT_RUN, code='upstream_unavailable'
+)
+
+
+@dataclasses.dataclass
+class Order:
+    """An order on its way to a sidecar."""
+
+    intended: records.Intended
+    epoch: int
+
+
+class Sidecar:
+    """Accepts orders as the sidecar process does."""
+
+    def __init__(self, model, name):
+        self.model = model
+        self.name = name
+        self.generation = 0
+        self.restart()
+
+    @property
+    def incarnation(self):
+        return f'{self.name}.{self.generation}'
+
+    def restart(self):
+        self.generation += 1
+        self.fences = fences.FenceTable()
+        self.witness = witnesses.WitnessTable()
+        self.barred = {}
+
+    def check_epoch(self, epoch):
+        if 'no fence' not in self.model.planted:
+            self.fences.check(KEY.shard, epoch)
+
+    def accept(self, order):
+        intended = order.intended
+        if intended.upstream_incarnation != self.incarnation:
+            return
+        self.check_epoch(order.epoch)
+        if self.witness.find(intended.call) is not None:
+            return
+        is_barred = intended.attempt <= self.barred.get(intended.call, 0)
+        if is_barred and 'no bar' not in self.model.planted:
+            return
+        self.witness.accept(OPENED, intended)
+        self.model.runs[intended.call.sequence] += 1
+        ran = calls.CallOutcome(verdicts.Verdict.RAN, f'run {order.epoch}')
+        self.witness.settle(intended.call, ran)
+
+    def attach(self, call, epoch):
+        """Return what became of a call, or bar it."""
+        if call.upstream_incarnation != self.incarnation:
+            return UNKNOWN
+        self.check_epoch(epoch)
+        known = self.witness.find(call.id)
+        if known is not None:
+            return known.outcome
+        self.barred[call.id] = max(call.attempt, self.barred.get(call.id, 0))
+        return NOT_RUN
+
+
+class Store:
+    """Conditional writes whose reply may be lost."""
+
+    def __init__(self):
+        self.is_up = True
+        self.owner = ''
+        self.epoch = 0
+        self.logs = []
+        self.segments = {}
+
+    def put(self, log, number, text):
+        """Return what is stored under a number after the write."""
+        return self.segments.setdefault((log, number), text)
+
+    def content(self, log):
+        found = sorted(
+            (number, text)
+            for (name, number), text in self.segments.items()
+            if name == log
+        )
+        return [text for _, text in found]
+
+    def seal(self, log):
+        if journal.SEAL not in self.content(log):
+            self.put(log, len(self.content(log)) + 1, journal.SEAL)
+
+
+class Owner:
+    """An entry that may believe that it owns the program."""
+
+    _logs = itertools.count(1)
+
+    def __init__(self, model, name):
+        self.model = model
+        self.name = name
+        self.restart()
+
+    def __repr__(self):
+        return self.name
+
+    def restart(self):
+        self.held = held_records.HeldRecords()
+        self.lose()
+
+    def lose(self):
+        self.program = None
+        self.table = tables.ProgramTable()
+        self.epoch = 0
+        self.log = f'{self.name}~{next(self._logs)}'
+        self.segment = 1
+        self.buffer = journal.JournalBuffer()
+        self.intent_position = 0
+        self.is_ordered = False
+        self.untold = None
+
+    @property
+    def pending(self):
+        return self.program.pending if self.program else None
+
+    def append(self, record):
+        self.table.apply(record)
+        self.program = self.table.find(KEY)
+        return self.buffer.append(record)
+
+    def intend(self, sidecar, attempt, sequence):
+        self.intent_position = self.append(
+            records.Intended(
+                identity.CallId(KEY, sequence),
+                f'key-{sequence}',
+                BOOKING,
+                0,
+                sidecar.name,
+                sidecar.incarnation,
+                attempt,
+            )
+        )
+        self.is_ordered = False
+
+    def write(self, is_reply_lost):
+        """Write a batch; learn of the seal on a conflict."""
+        batch = self.buffer.take_batch()
+        if not batch or not self.model.store.is_up:
+            return
+        text = journal.encode_batch(batch)
+        stored = self.model.store.put(self.log, self.segment, text)
+        if is_reply_lost:
+            return
+        if stored == text or 'no seal in the store' in self.model.planted:
+            self.buffer.confirm_batch()
+            self.segment += 1
+            return
+        self.lose()
+
+    def hold_at(self, peer):
+        """Have a peer hold what the store lacks."""
+        start = self.buffer.durable
+        try:
+            position = peer.held.hold(
+                self.log, start + 1, self.buffer.after(start), start
+            )
+        except errors.MagnoliawoodError:
+            return
+        self.buffer.note_held(position)
+
+    def may_send(self):
+        if 'order before cover' in self.model.planted:
+            return True
+        return self.buffer.is_covered(self.intent_position)
+
+    def settle(self, outcome):
+        """Record an outcome, or withdraw what did not run."""
+        call = self.pending
+        if outcome.verdict is verdicts.Verdict.NOT_RUN:
+            record = records.Withdrawn(call.id, call.attempt)
+        else:
+            record = records.Settled(call.id, outcome, call.attempt)
+        position = self.append(record)
+        self.untold = (position, call.id.sequence, call.attempt, outcome)
+
+    def take_over(self, silent):
+        """Seal, write the map, collect and settle the pending call."""
+        store = self.model.store
+        former = list(store.logs)
+        self.lose()
+        for log in former:
+            store.seal(log)
+        store.owner = self.name
+        store.epoch += 1
+        store.logs.append(self.log)
+        self.epoch = store.epoch
+        found = [
+            record
+            for log in former
+            for text in store.content(log)
+            if text != journal.SEAL
+            for record in journal.decode_batch(text)
+        ]
+        found += self.collect_held(former)
+        reached = [s for s in self.model.sidecars if s.name not in silent]
+        found += takeover.records_of_witnesses(self.fence(reached))
+        for record in found or [OPENED]:
+            self.table.apply(record)
+        self.program = self.table.find(KEY)
+        assert self.program is not None, 'the program is lost'
+        for record in self.program.snapshot():
+            self.buffer.append(record)
+        if self.pending is not None:
+            self.resume(silent)
+
+    def collect_held(self, logs):
+        if 'held records not collected' in self.model.planted:
+            return []
+        found = [
+            record
+            for owner in self.model.owners
+            for log in logs
+            for record in owner.held.seal(log)
+        ]
+        if 'no seal at the peers' in self.model.planted:
+            for owner in self.model.owners:
+                owner.held = held_records.HeldRecords()
+        return found
+
+    def fence(self, reached):
+        for sidecar in reached:
+            sidecar.check_epoch(self.epoch)
+        return [
+            record
+            for sidecar in reached
+            for record in sidecar.witness.in_shard(KEY.shard)
+        ]
+
+    def resume(self, silent):
+        call = self.pending
+        if call.upstream in silent:
+            self.settle(UNKNOWN)
+            return
+        sidecar = self.model.sidecar(call.upstream)
+        self.settle(sidecar.attach(call, self.epoch))
+
+
+class Model:
+    """Three entries, two sidecars, one program.
+
+    :param planted: mechanisms that are switched off
+    """
+
+    def __init__(self, planted=()):
+        self.planted = planted
+        self.store = Store()
+        self.runs = dict.fromkeys(range(1, 1000), 0)
+        self.told = {}
+        self.sidecars = [Sidecar(self, 'pours-1'), Sidecar(self, 'pours-2')]
+        self.owners = [Owner(self, f'entry-{n}') for n in (1, 2, 3)]
+        self.network = []
+        self.owners[0].take_over(frozenset())
+
+    def sidecar(self, name):
+        return next(s for s in self.sidecars if s.name == name)
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/ownership/tests/test_ownership.py
@@ -0,0 +1,214 @@
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from magnoliawood.core import errors
+from magnoliawood.core import verdict as verdicts
+from magnoliawood.ownership import takeover
+from magnoliawood.ownership.tests import ownership_model as models
+
+CALLS = 2
+SETTINGS = hypothesis.settings(
+    max_examples=1000,
+    stateful_step_count=40,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=[hypothesis.Phase.generate],
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def may_call(owner):
+    return (
+        owner.program is not None
+        and not owner.pending
+        and owner.untold is None
+        and owner.program.next_sequence <= CALLS
+    )
+
+
+def has_backlog(owner):
+    return owner.buffer.backlog > 0
+
+
+def may_order(owner):
+    return bool(owner.pending) and not owner.is_ordered and owner.may_send()
+
+
+def has_ordered(owner):
+    return bool(owner.pending) and owner.is_ordered
+
+
+def may_tell(owner):
+    if owner.untold is None:
+        return False
+    if 'answer before cover' in owner.model.planted:
+        return True
+    return owner.buffer.is_covered(owner.untold[0])
+
+
+def rule_of(condition, **strategies_by_name):
+    """Return a rule for an owner drawn from those a condition allows."""
+
+    def decorate(function):
+        def body(self, data, **drawn):
+            fitting = [o for o in self.model.owners if condition(o)]
+            function(
+                self, data.draw(strategies.sampled_from(fitting)), **drawn
+            )
+
+        body.__name__ = function.__name__
+        guarded = stateful.precondition(
+            lambda self: any(condition(o) for o in self.model.owners)
+        )
+        rule = stateful.rule(data=strategies.data(), **strategies_by_name)
+        return guarded(rule(body))
+
+    return decorate
+
+
+SIDECARS = strategies.integers(0, 1)
+
+
+class Ownership(stateful.RuleBasedStateMachine):
+    """Interleavings of owners, orders, writes, losses and takeovers."""
+
+    planted: tuple[str, ...] = ()
+
+    def __init__(self):
+        super().__init__()
+        self.model = models.Model(self.planted)
+
+    @rule_of(may_call, sidecar=SIDECARS)
+    def call(self, owner, sidecar):
+        """A caller's request or its repeat reaches an entry."""
+        owner.intend(
+            self.model.sidecars[sidecar],
+            owner.program.next_attempt,
+            owner.program.next_sequence,
+        )
+
+    @rule_of(has_backlog, is_reply_lost=strategies.booleans())
+    def write(self, owner, is_reply_lost):
+        owner.write(is_reply_lost)
+
+    @rule_of(has_backlog, peer=strategies.integers(0, 2))
+    def hold(self, owner, peer):
+        if owner is not self.model.owners[peer]:
+            owner.hold_at(self.model.owners[peer])
+
+    @rule_of(may_order)
+    def send_order(self, owner):
+        owner.is_ordered = True
+        intended = owner.program.snapshot()[-1]
+        assert intended.call == owner.pending.id
+        self.model.network.append(models.Order(intended, owner.epoch))
+
+    @stateful.precondition(lambda self: self.model.network)
+    @stateful.rule(data=strategies.data())
+    def deliver(self, data):
+        """An order arrives, in any order, once."""
+        network = self.model.network
+        order = network.pop(
+            data.draw(strategies.integers(0, len(network) - 1))
+        )
+        try:
+            self.model.sidecar(order.intended.upstream).accept(order)
+        except errors.MagnoliawoodError as error:
+            assert error.code == errors.ErrorCode.STALE_EPOCH
+
+    @rule_of(has_ordered, is_silent=strategies.booleans())
+    def ask(self, owner, is_silent):
+        """An owner asks its sidecar what became of its order."""
+        call = owner.pending
+        outcome = models.UNKNOWN
+        if not is_silent:
+            try:
+                sidecar = self.model.sidecar(call.upstream)
+                outcome = sidecar.attach(call, owner.epoch)
+            except errors.MagnoliawoodError:
+                owner.lose()
+                return
+        is_safe = takeover.may_send_again(call.request, outcome)
+        if is_safe or 'unknown sent again' in self.planted:
+            other = self.model.sidecars[call.upstream == 'pours-1']
+            owner.intend(other, call.attempt + 1, call.id.sequence)
+        else:
+            owner.settle(outcome)
+
+    @rule_of(may_tell)
+    def tell(self, owner):
+        """A covered outcome goes to the caller."""
+        _, sequence, attempt, outcome = owner.untold
+        owner.untold = None
+        runs = self.model.runs[sequence]
+        if outcome.verdict is verdicts.Verdict.NOT_RUN:
+            assert runs == 0, 'told not_run of a call that ran'
+            return
+        if outcome.verdict is verdicts.Verdict.RAN:
+            assert runs == 1
+        known = self.model.told.setdefault(sequence, outcome)
+        assert known == outcome, 'two answers to one call'
+
+    @stateful.precondition(lambda self: self.model.store.is_up)
+    @stateful.rule(
+        number=strategies.integers(0, 2), silent=strategies.sets(SIDECARS)
+    )
+    def take_over(self, number, silent):
+        """Suspicion may be wrong: the former owner may live."""
+        owner = self.model.owners[number]
+        if self.model.store.owner == owner.name and owner.program:
+            return
+        owner.take_over(frozenset(self.model.sidecars[n].name for n in silent))
+        known = {call.id.sequence: call for call in owner.program.calls}
+        for sequence, outcome in self.model.told.items():
+            assert sequence in known, 'an answered call is lost'
+            assert known[sequence].outcome == outcome
+
+    @stateful.rule(data=strategies.data())
+    def break_something(self, data):
+        """A sidecar or an entry is killed, or the store comes or goes.
+
+        No entry is killed that holds records of another one.
+        """
+        model = self.model
+        killable = [o for o in model.owners if len(o.held) == 0]
+        victims = [*killable, *model.sidecars, model.store]
+        victim = data.draw(strategies.sampled_from(victims))
+        if victim is model.store:
+            model.store.is_up = not model.store.is_up
+        else:
+            victim.restart()
+
+    @stateful.invariant()
+    def runs_at_most_once(self):
+        assert max(self.model.runs.values()) <= 1
+
+
+def run(planted):
+    machine = type('Planted', (Ownership,), {'planted': planted})
+    stateful.run_state_machine_as_test(machine, settings=SETTINGS)
+
+
+def test_promises_hold_in_all_interleavings():
+    run(())
+
+
+@pytest.mark.parametrize(
+    'planted',
+    [
+        ('no fence', 'no bar'),
+        ('order before cover',),
+        ('no seal in the store',),
+        ('no seal at the peers',),
+        ('held records not collected',),
+        ('answer before cover',),
+        ('unknown sent again',),
+    ],
+    ids=' and '.join,
+)
+def test_planted_fault_is_found(planted):
+    with pytest.raises(AssertionError):
+        run(planted)
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/ownership/tests/test_takeover.py
@@ -0,0 +1,74 @@
+import datetime
+
+from magnoliawood.core import verdict as verdicts
+from magnoliawood.ownership import takeover
+from magnoliawood.ownership import witness as witnesses
+from magnoliawood.programs import budget as budgets
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import identity
+from magnoliawood.programs import records
+from magnoliawood.programs import table as tables
+
+PARENT = identity.ProgramKey('red-clay', 'pour')
+CHILD = identity.ProgramKey('red-clay', 'pour:pump')
+BOOKING = calls.ServiceRequest('pours', 'book', '{}', False)
+
+
+def witnessed(program, sequence, attempt=1, outcome=None):
+    opened = records.Opened(
+        program,
+        'booking',
+        budgets.Budget(100, 10, 60.0),
+        datetime.datetime(2026, 5, 1, tzinfo=datetime.UTC),
+    )
+    intended = records.Intended(
+        identity.CallId(program, sequence),
+        f'key-{sequence}',
+        BOOKING,
+        0,
+        f'service-{attempt}',
+        'run-1',
+        attempt,
+    )
+    return witnesses.WitnessRecord(opened, intended, outcome)
+
+
+def adopt(*found):
+    table = tables.ProgramTable()
+    for record in takeover.records_of_witnesses(list(found)):
+        table.apply(record)
+    return table
+
+
+def outcome(verdict, code=''):
+    return calls.CallOutcome(verdict, 'booked', code=code)
+
+
+def test_parents_come_before_children():
+    ran = outcome(verdicts.Verdict.RAN)
+    table = adopt(
+        witnessed(CHILD, 1, outcome=ran), witnessed(PARENT, 1, outcome=ran)
+    )
+    assert table.get(PARENT).ledger.calls_made == 2
+
+
+def test_outcome_of_an_earlier_order_does_not_settle_a_later_one():
+    failed = outcome(verdicts.Verdict.NOT_RUN, 'upstream_unavailable')
+    table = adopt(
+        witnessed(PARENT, 1, attempt=2),
+        witnessed(PARENT, 1, attempt=1, outcome=failed),
+    )
+    pending = table.get(PARENT).pending
+    assert pending.attempt == 2
+
+
+def test_unknown_outcome_of_a_booking_is_final():
+    lost = outcome(verdicts.Verdict.MAY_HAVE_RUN, 'outcome_unknown')
+    table = adopt(witnessed(PARENT, 1, outcome=lost))
+    assert table.get(PARENT).call(1).outcome == lost
+
+
+def test_order_that_never_ran_stays_pending():
+    failed = outcome(verdicts.Verdict.NOT_RUN, 'overloaded')
+    table = adopt(witnessed(PARENT, 1, outcome=failed))
+    assert table.get(PARENT).pending is not None
--- a/packages/magnoliawood/magnoliawood/programs/program.py
+++ b/packages/magnoliawood/magnoliawood/programs/program.py
@@ -198,7 +198,9 @@
 
     def _apply_withdrawn(self, record: records.Withdrawn) -> None:
         pending = self.pending
-        if pending is not None and pending.id == record.call:
+        if pending is None or pending.id != record.call:
+            return
+        if record.attempt in (0, pending.attempt):
             self._withdrawn = self._calls.pop()
             self._ledger.withdraw(pending.reserved)
 
@@ -245,7 +247,7 @@
 ) -> list[records.Record]:
     if call is None:
         return []
-    return [*_call_records(call), records.Withdrawn(call.id)]
+    return [*_call_records(call), records.Withdrawn(call.id, call.attempt)]
 
 
 def _history_of(
--- a/packages/magnoliawood/magnoliawood/programs/records.py
+++ b/packages/magnoliawood/magnoliawood/programs/records.py
@@ -53,9 +53,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Withdrawn:
-    """A call certainly did not run and is taken back."""
+    """A call certainly did not run and is taken back.
+
+    :param attempt: number of its last order; 0 stands for any
+    """
 
     call: identity.CallId
+    attempt: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/magnoliawood/magnoliawood/programs/tests/test_program.py
+++ b/packages/magnoliawood/magnoliawood/programs/tests/test_program.py
@@ -1,3 +1,4 @@
+import dataclasses
 import datetime
 
 import hypothesis
@@ -171,3 +172,79 @@
     assert root.tokens_spent <= 100
     assert root.calls_made <= 20
     assert root.tokens_spent == sum(c.tokens_spent for c in children)
+
+
+def withdrawn(sequence):
+    return records.Withdrawn(identity.CallId(KEY, sequence))
+
+
+def rebuilt(program):
+    copy = programs.Program(program.opened)
+    for record in program.snapshot():
+        copy.apply(record)
+    return copy
+
+
+def test_orders_are_numbered_on_after_a_withdrawal():
+    program = open_program()
+    program.apply(intended(1, attempt=2))
+    program.apply(withdrawn(1))
+    assert program.next_attempt == rebuilt(program).next_attempt == 3
+    program.apply(intended(1, attempt=2))
+    assert program.pending is None
+    program.apply(intended(1, attempt=3))
+    assert program.pending.attempt == 3
+    assert program.ledger.calls_made == 1
+
+
+def test_snapshot_after_a_lost_withdrawal_replaces_the_call():
+    program = open_program()
+    program.apply(intended(1, tokens=10))
+    changed = dataclasses.replace(
+        intended(1, tokens=7, attempt=2), key='other'
+    )
+    program.apply(changed)
+    assert program.pending.key == 'other'
+    assert program.ledger.tokens_left == 93
+    assert program.ledger.calls_made == 1
+
+
+def test_lost_tokens_are_spent_and_kept():
+    program = open_program(tokens=60)
+    program.apply(intended(1, tokens=40))
+    again = dataclasses.replace(
+        intended(1, tokens=40, attempt=2), reserved=20, wasted=40
+    )
+    program.apply(again)
+    assert program.ledger.tokens_spent == 40
+    assert program.ledger.tokens_left == 0
+    program.apply(settled(1, tokens=15))
+    for found in (program, rebuilt(program)):
+        assert found.ledger.tokens_spent == 55
+        assert found.ledger.tokens_left == 5
+
+
+def test_withdrawal_of_an_earlier_order_is_ignored():
+    program = open_program()
+    program.apply(intended(1, attempt=2))
+    program.apply(dataclasses.replace(withdrawn(1), attempt=1))
+    assert program.pending is not None
+
+
+def test_outcome_of_another_order_is_ignored():
+    program = open_program()
+    program.apply(intended(1, attempt=2))
+    program.apply(dataclasses.replace(settled(1), attempt=1))
+    assert program.pending is not None
+    program.apply(dataclasses.replace(settled(1), attempt=2))
+    assert program.pending is None
+
+
+def test_mixed_histories_are_found_by_their_digest():
+    program = open_program()
+    program.apply(intended(1))
+    digest = conversation.chain_digest(
+        '', [conversation.Message('user', 'of another program')]
+    )
+    program.apply(dataclasses.replace(settled(1), digest=digest))
+    assert program.is_damaged
