--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,14 @@
 demo: setup
 	$(BIN)/python -m magnoliawood_testing.demo
 
+.PHONY: serve docs
+serve: setup
+	$(BIN)/python -m magnoliawood_testing.serve --env-file .serve/env
+
+docs: setup
+	$(BIN)/python bin/make_settings_reference.py
+	$(BIN)/python bin/make_openapi.py
+
 test: setup
 	$(BIN)/python bin/run_tests.py
 
@@ -27,7 +35,11 @@
 	$(BIN)/ruff format --check packages bin
 	$(BIN)/ruff check packages bin
 	$(BIN)/flake8 packages bin
+	$(BIN)/mypy
 	$(BIN)/python bin/check_imports.py
+	$(BIN)/python bin/make_settings_reference.py --check
+	$(BIN)/python bin/make_openapi.py --check
+	$(BIN)/python bin/check_metrics_page.py
 
 format: setup
 	$(BIN)/ruff check --fix-only --quiet packages bin
@@ -36,3 +48,6 @@
 .PHONY: capacity
 capacity: setup
 	$(BIN)/python -m magnoliawood_testing.capacity
+
+bench: setup
+	$(BIN)/python -m magnoliawood_testing.load.bench
--- a/packages/magnoliawood-server/magnoliawood_server/entry/admin_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/admin_api.py
@@ -1,100 +1,219 @@
 """Administration API."""
 
-import json
-import typing
-
-import pydantic
-
 from magnoliawood.config import account as accounts
-from magnoliawood.config import configuration as configurations
-from magnoliawood.config import work_class as work_classes
+from magnoliawood.config import drain as drains
+from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.platform import store
+from magnoliawood_server.entry import admin_fleet
+from magnoliawood_server.entry import admin_objects
 from magnoliawood_server.entry import bodies
-from magnoliawood_server.entry import configuration_keeper
+from magnoliawood_server.entry import routes
 from magnoliawood_server.http import message as http_message
 
-_KINDS: dict[str, tuple[str, type[pydantic.BaseModel]]] = {
-    'classes': (configurations.CLASS_PREFIX, work_classes.WorkClass),
-    'accounts': (configurations.ACCOUNT_PREFIX, accounts.Account),
-}
+_PREFIX = '/admin/v1'
 _READERS = frozenset({accounts.Role.VIEWER, accounts.Role.OPERATOR})
 
 
 class AdminApi:
-    """Classes and accounts under ``/admin/v1``."""
+    """Operations under ``/admin/v1``."""
 
     def __init__(
         self,
-        objects: store.ObjectStore,
-        configuration: configuration_keeper.ConfigurationKeeper,
+        objects: admin_objects.ConfigurationObjects,
+        fleet: admin_fleet.AdminFleet,
+        clock: clocks.Clock,
     ) -> None:
         self._objects = objects
-        self._configuration = configuration
+        self._fleet = fleet
+        self._clock = clock
+        self._router = routes.Router(
+            [
+                *self._object_routes('classes', admin_objects.CLASSES),
+                *self._object_routes('accounts', admin_objects.ACCOUNTS),
+                *self._deletions(),
+                *self._credential_routes(),
+                *self._fleet_routes(),
+                *self._drain_routes(),
+            ]
+        )
+
+    @property
+    def router(self) -> routes.Router:
+        """The operations."""
+        return self._router
 
     async def handle(
         self, request: http_message.Request, account: accounts.Account
     ) -> http_message.Response:
         """Serve one request of an authenticated operator."""
         _check_role(request, account)
-        match (request.method, request.segments[2:]):
-            case ('GET', [kind]) if kind in _KINDS:
-                return await self._list(kind)
-            case ('GET', [kind, name]) if kind in _KINDS:
-                return await self._show(kind, name)
-            case ('PUT', [kind, name]) if kind in _KINDS:
-                return await self._put(kind, name, request)
-            case ('DELETE', [kind, name]) if kind in _KINDS:
-                return await self._delete(kind, name, request)
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.NOT_FOUND,
-            f'no operation {request.method} {request.path}',
+        return await self._router.serve(request, account)
+
+    def _object_routes(
+        self, name: str, kind: admin_objects.ObjectKind
+    ) -> list[routes.Route]:
+        objects = self._objects
+        path = f'{_PREFIX}/{name}'
+
+        async def read_all(
+            request: routes.RoutedRequest,
+        ) -> http_message.Response:
+            return await objects.list(kind)
+
+        async def show(request: routes.RoutedRequest) -> http_message.Response:
+            return await objects.show(kind, request.parameters[0])
+
+        async def put(request: routes.RoutedRequest) -> http_message.Response:
+            return await objects.put(
+                kind, request.parameters[0], request.http, request.account.name
+            )
+
+        async def history(
+            request: routes.RoutedRequest,
+        ) -> http_message.Response:
+            return await objects.history(kind, request.parameters[0])
+
+        return [
+            routes.Route('GET', path, read_all),
+            routes.Route('GET', f'{path}/{{name}}', show),
+            routes.Route('PUT', f'{path}/{{name}}', put),
+            routes.Route('GET', f'{path}/{{name}}/history', history),
+        ]
+
+    def _deletions(self) -> list[routes.Route]:
+        return [
+            routes.Route(
+                'DELETE', f'{_PREFIX}/classes/{{name}}', self._delete_class
+            ),
+            routes.Route(
+                'DELETE', f'{_PREFIX}/accounts/{{name}}', self._delete_account
+            ),
+        ]
+
+    def _credential_routes(self) -> list[routes.Route]:
+        path = f'{_PREFIX}/accounts/{{name}}/credentials'
+        return [
+            routes.Route('POST', path, self._add_credential),
+            routes.Route(
+                'DELETE', f'{path}/{{credential}}', self._drop_credential
+            ),
+        ]
+
+    def _fleet_routes(self) -> list[routes.Route]:
+        fleet = self._fleet
+        program = f'{_PREFIX}/programs/{{caller}}/{{program}}'
+        return [
+            routes.Route('GET', f'{_PREFIX}/programs', fleet.programs),
+            routes.Route('GET', program, fleet.show_program),
+            routes.Route('DELETE', program, fleet.cancel_program),
+            routes.Route('GET', f'{_PREFIX}/entries', fleet.entries),
+            routes.Route('GET', f'{_PREFIX}/hosts', fleet.hosts),
+            routes.Route('GET', f'{_PREFIX}/data-centres', fleet.data_centres),
+            routes.Route('GET', f'{_PREFIX}/upstreams', fleet.upstreams),
+            routes.Route('GET', f'{_PREFIX}/counters', fleet.counters),
+        ]
+
+    def _drain_routes(self) -> list[routes.Route]:
+        path = f'{_PREFIX}/upstreams/{{name}}/drain'
+        return [
+            routes.Route('PUT', path, self._drain),
+            routes.Route('DELETE', path, self._undrain),
+        ]
+
+    async def _delete_class(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
+        (name,) = request.parameters
+        await self._fleet.check_class_unused(name)
+        return await self._objects.delete(
+            admin_objects.CLASSES, name, request.http, request.account.name
         )
 
-    async def _list(self, kind: str) -> http_message.Response:
-        prefix, _ = _KINDS[kind]
-        listing = await self._objects.scan(prefix)
-        return http_message.Response.from_json(
-            {'items': [_document(item) for item in listing.objects]}
+    async def _delete_account(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
+        (name,) = request.parameters
+        return await self._objects.delete(
+            admin_objects.ACCOUNTS, name, request.http, request.account.name
         )
 
-    async def _show(self, kind: str, name: str) -> http_message.Response:
-        return _response(await self._get(kind, name))
+    async def _add_credential(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
+        (name,) = request.parameters
+        body = bodies.parse_body(bodies.CredentialBody, request.http)
+        found, account = await self._objects.account(name)
+        hashes = list(dict.fromkeys([*account.token_hashes, body.token_hash]))
+        if len(hashes) > accounts.CREDENTIAL_LIMIT:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.MALFORMED_REQUEST,
+                f'account {name} has {accounts.CREDENTIAL_LIMIT} credentials '
+                'already; drop one first',
+            )
+        return await self._write_credentials(request, found, account, hashes)
 
-    async def _put(
-        self, kind: str, name: str, request: http_message.Request
+    async def _drop_credential(
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
-        prefix, model = _KINDS[kind]
-        value = bodies.parse_body(model, request)
-        if value.name != name:
+        name, credential = request.parameters
+        found, account = await self._objects.account(name)
+        kept = [
+            digest
+            for digest in account.token_hashes
+            if accounts.credential_id(digest) != credential
+        ]
+        if len(kept) == len(account.token_hashes):
             raise errors.MagnoliawoodError(
-                errors.ErrorCode.MALFORMED_BODY,
-                f'name: the path says {name!r}, the body {value.name!r}',
+                errors.ErrorCode.NOT_FOUND,
+                f'account {name} has no credential {credential!r}',
             )
-        written = await self._objects.put(
-            prefix + name,
-            value.model_dump_json(),
-            _expected_version(request),
+        return await self._write_credentials(request, found, account, kept)
+
+    async def _write_credentials(
+        self,
+        request: routes.RoutedRequest,
+        found: store.StoredObject,
+        account: accounts.Account,
+        hashes: list[str],
+    ) -> http_message.Response:
+        return await self._objects.write(
+            admin_objects.ACCOUNTS,
+            account.name,
+            account.model_copy(update={'token_hashes': hashes}),
+            found.version,
+            request.account.name,
+        )
+
+    async def _drain(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
+        (name,) = request.parameters
+        by = request.account.name
+        if not self._fleet.knows_upstream(name):
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.NOT_FOUND, f'there is no upstream {name!r}'
+            )
+        known = await self._objects.find(admin_objects.DRAINS, name)
+        if known is not None:
+            return await self._objects.show(admin_objects.DRAINS, name)
+        drain = drains.Drain(upstream=name, by=by, at=self._clock.now())
+        return await self._objects.write(
+            admin_objects.DRAINS, name, drain, store.ABSENT, by
         )
-        await self._configuration.refresh()
-        return _response(written)
 
-    async def _delete(
-        self, kind: str, name: str, request: http_message.Request
+    async def _undrain(
+        self, request: routes.RoutedRequest
     ) -> http_message.Response:
-        found = await self._get(kind, name)
-        await self._objects.delete(found.name, _expected_version(request))
-        await self._configuration.refresh()
-        return http_message.Response(204)
-
-    async def _get(self, kind: str, name: str) -> store.StoredObject:
-        prefix, _ = _KINDS[kind]
-        found = await self._objects.get(prefix + name)
-        if found is None:
+        (name,) = request.parameters
+        known = await self._objects.find(admin_objects.DRAINS, name)
+        if known is None:
             raise errors.MagnoliawoodError(
-                errors.ErrorCode.NOT_FOUND, f'{kind} has no {name!r}'
+                errors.ErrorCode.NOT_FOUND, f'upstream {name} is not drained'
             )
-        return found
+        return await self._objects.remove(
+            known, known.version, request.account.name
+        )
 
 
 def _check_role(
@@ -106,26 +225,3 @@
             errors.ErrorCode.FORBIDDEN,
             f'the role {account.role} may not do this',
         )
-
-
-def _expected_version(request: http_message.Request) -> int:
-    if request.header('if-none-match') == '*':
-        return store.ABSENT
-    text = request.header('if-match').strip('"')
-    if not (text.isascii() and text.isdigit()):
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.MALFORMED_REQUEST,
-            'a change needs If-Match with the version it is based on, or '
-            'If-None-Match: * to create',
-        )
-    return int(text)
-
-
-def _document(item: store.StoredObject) -> dict[str, typing.Any]:
-    return {'version': item.version, **json.loads(item.value)}
-
-
-def _response(item: store.StoredObject) -> http_message.Response:
-    return http_message.Response.from_json(
-        _document(item), etag=f'"{item.version}"'
-    )
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -18,6 +18,34 @@
     """Heartbeat."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Challenge:
+    """Opens a connection.
+
+    :param nonce: random bytes that the proofs cover
+    :param key_ids: public names of the secrets that the sender knows
+    """
+
+    nonce: bytes
+    key_ids: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChallengeReply:
+    """The listener's nonce, the secret that it chose and its proof."""
+
+    nonce: bytes
+    key_id: str
+    proof: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """Proof of the process that connected."""
+
+    proof: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello:
     """Asks a sidecar what it stands beside."""
@@ -25,6 +53,11 @@
     sender: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AwaitLeaving:
+    """Asks a sidecar for a :class:`HelloReply` once it is leaving."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HelloReply:
     """What a sidecar stands beside.
@@ -33,6 +66,9 @@
     :param kind: ``engine`` or ``service``
     :param names: models or the service that the upstream serves
     :param waiting: calls that wait or run there
+    :param resident_tokens: prompts of live programs placed there
+    :param seconds_per_call: time in which one waiting call fewer waits
+    :param prefill_seconds: time to take in one token that is not cached
     """
 
     host: str
@@ -42,6 +78,9 @@
     names: list[str]
     waiting: int
     leaving: bool
+    resident_tokens: int = 0
+    seconds_per_call: float = 0.0
+    prefill_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -320,9 +359,73 @@
     digest: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListPrograms:
+    """Asks an entry for the programs that it owns, in order of their keys.
+
+    Empty filters match everything.
+
+    :param after: only keys greater than this one, written ``caller/name``
+    :param limit: the most programs to return
+    """
+
+    caller: str = ''
+    work_class: str = ''
+    state: str = ''
+    after: str = ''
+    limit: int = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProgramPage:
+    """Programs of one entry, in order of their keys."""
+
+    programs: list[ProgramStatus]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetEntryStatus:
+    """Asks an entry for its state; it tries the store before it answers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryStatus:
+    """State of an entry.
+
+    :param store: ``available`` or the error of the last try
+    """
+
+    name: str
+    incarnation: str
+    data_centre: str
+    leaving: bool
+    store: str
+    map_version: int
+    configuration_version: int
+    shards: int
+    programs: int
+    calls_under_way: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetCounters:
+    """Asks a process for its counters."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counters:
+    """Counters of a process by name and labels in their text form."""
+
+    values: dict[str, int]
+
+
 MESSAGE_TYPES = (
     Ping,
+    Challenge,
+    ChallengeReply,
+    Proof,
     Hello,
+    AwaitLeaving,
     HelloReply,
     Order,
     Attach,
@@ -351,6 +454,12 @@
     EndProgram,
     ProgramStatus,
     History,
+    ListPrograms,
+    ProgramPage,
+    GetEntryStatus,
+    EntryStatus,
+    GetCounters,
+    Counters,
 )
 
 ADAPTERS = {
--- a/packages/magnoliawood-testing/magnoliawood_testing/capacity/tests/test_projection.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/capacity/tests/test_projection.py
@@ -1,3 +1,4 @@
+from magnoliawood_testing.capacity import chart_slopes
 from magnoliawood_testing.capacity import projection
 from magnoliawood_testing.capacity import state_slopes
 from magnoliawood_testing.capacity import wire_slopes
@@ -7,14 +8,20 @@
     'memory of a sidecar': 40.0,
     'idle entry': 1.0,
     'idle sidecar': 1.0,
-    'entry path': 50.0,
-    'sidecar path': 50.0,
+    'entry token': 50.0,
+    'entry turn': 500.0,
+    'sidecar token': 50.0,
+    'sidecar turn': 500.0,
     'idle store calls': 3.0,
 }
 
 
 def test_every_slope_is_positive_and_projected():
-    measured = [*state_slopes.measure(), *wire_slopes.measure()]
+    measured = [
+        *chart_slopes.measure(),
+        *state_slopes.measure(),
+        *wire_slopes.measure(),
+    ]
     assert all(slope.value > 0 for slope in measured)
     measured += [
         projection.slopes.Slope(name, value, '')
--- a/packages/magnoliawood/magnoliawood/ownership/takeover.py
+++ b/packages/magnoliawood/magnoliawood/ownership/takeover.py
@@ -27,11 +27,10 @@
     ]
     for record in ordered:
         result.append(record.intended)
-        if _is_final(record):
+        outcome = _final_outcome(record)
+        if outcome is not None:
             result.append(
-                records.Settled(
-                    record.call, record.outcome, record.intended.attempt
-                )
+                records.Settled(record.call, outcome, record.intended.attempt)
             )
     return result
 
@@ -59,8 +58,12 @@
     return (call.program.name, call.sequence, record.intended.attempt)
 
 
-def _is_final(record: witnesses.WitnessRecord) -> bool:
+def _final_outcome(
+    record: witnesses.WitnessRecord,
+) -> calls.CallOutcome | None:
     outcome = record.outcome
     if outcome is None or outcome.verdict is verdicts.Verdict.NOT_RUN:
-        return False
-    return not may_send_again(record.intended.request, outcome)
+        return None
+    if may_send_again(record.intended.request, outcome):
+        return None
+    return outcome
