Find silent connections on every link and settle their calls

Cause: a connection frozen in one direction was found only when the other side gave up, after the entries had held each other for dead and taken 33 shards over; a write to a peer that read nothing held the write lock for good; a caller could not tell a silent connection from a long pause, and one that stopped reading was kept for ever; a lost reply to a store write was reported as not run although the write could still arrive.

Probes and polls are repeated on a new connection, which closes the old one if it answers; writes have deadlines; streams carry a comment each second without a token; the silence allowed to an upstream is a setting. A cancelled wait for the write lock no longer closes the connection. One slow entry no longer delays the probes of the others. A new configuration version is that of its newest change, not the store's, which differed between entries.

Ruled out: closing the connection on any unanswered question (an overloaded peer would lose its streams), and heartbeats alone (one-way silence).

--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -297,7 +297,7 @@
         is_ready = (
             self._membership.is_ready
             and '' not in owners
-            and self._configuration.current.version > 0
+            and self._configuration.is_loaded
             and not self._membership.is_leaving
         )
         return http_message.Response(
@@ -309,6 +309,7 @@
         gauge = self._metrics.set_gauge
         gauge('programs', len(self._programs))
         gauge('calls_under_way', self._service.calls_under_way)
+        gauge('entries_silent', self._membership.silent)
         gauge('sidecars_leaving', self._sidecars.leaving)
         gauge('map_version', self._keeper.map.version)
         gauge('configuration_version', self._configuration.current.version)
--- a/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
@@ -14,6 +14,7 @@
 from magnoliawood_server.entry import gateway as gateways
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.peer import messages
+from magnoliawood_server.runtime import pauses
 
 _NAME_LIMIT = 200
 _NAME_CHARACTERS = frozenset('-_.:')
@@ -114,6 +115,7 @@
         parts = self._gateway.answer(message)
         if not is_streamed:
             return await _whole_answer(message.call, message.offset, parts)
+        parts = pauses.with_pauses(parts)
         # The first part decides between a stream and an error status.
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(parts.aclose)
@@ -183,8 +185,8 @@
 
 async def _event_stream(
     call: identity.CallId,
-    first: gateways.AnswerPart,
-    rest: collections.abc.AsyncGenerator[gateways.AnswerPart],
+    first: gateways.AnswerPart | None,
+    rest: collections.abc.AsyncGenerator[gateways.AnswerPart | None],
 ) -> collections.abc.AsyncIterator[bytes]:
     async with contextlib.aclosing(rest):
         yield _event_of(call, first)
@@ -195,7 +197,11 @@
             yield _event('error', _problem(error))
 
 
-def _event_of(call: identity.CallId, part: gateways.AnswerPart) -> bytes:
+def _event_of(
+    call: identity.CallId, part: gateways.AnswerPart | None
+) -> bytes:
+    if part is None:
+        return pauses.COMMENT
     if isinstance(part, messages.Delta):
         return _event('delta', {'text': part.text})
     outcome = part.outcome
@@ -212,7 +218,7 @@
     return json.loads(http_message.Response.from_error(error).body)
 
 
-def _raise_failure(part: gateways.AnswerPart) -> None:
+def _raise_failure(part: gateways.AnswerPart | None) -> None:
     if isinstance(part, messages.Finished) and not part.outcome.is_success:
         raise part.outcome.to_error()
 
--- a/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
@@ -19,6 +19,7 @@
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.peer import messages
+from magnoliawood_server.runtime import pauses
 
 PROGRAM_HEADER = 'x-magnoliawood-program'
 CLASS_HEADER = 'x-magnoliawood-class'
@@ -95,6 +96,8 @@
         closing = _closing_parts(
             self._gateway, message.call, parts, ends_program=not name
         )
+        if body.stream:
+            closing = pauses.with_pauses(closing)
         first = await _first_part(closing)
         if body.stream:
             return http_message.Response(
@@ -178,8 +181,8 @@
 
     async def events(
         self,
-        first: gateways.AnswerPart,
-        rest: collections.abc.AsyncGenerator[gateways.AnswerPart],
+        first: gateways.AnswerPart | None,
+        rest: collections.abc.AsyncGenerator[gateways.AnswerPart | None],
     ) -> collections.abc.AsyncGenerator[bytes]:
         async with contextlib.aclosing(rest):
             yield self._event(first)
@@ -190,7 +193,9 @@
                 yield _data({'error': _openai_error(error)})
         yield b'data: [DONE]\n\n'
 
-    def _event(self, part: gateways.AnswerPart) -> bytes:
+    def _event(self, part: gateways.AnswerPart | None) -> bytes:
+        if part is None:
+            return pauses.COMMENT
         if isinstance(part, messages.Delta):
             delta = {'role': 'assistant', 'content': part.text}
             return _data(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/configuration_keeper.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/configuration_keeper.py
@@ -29,6 +29,7 @@
     ) -> None:
         self._objects = objects
         self._current = configurations.Configuration()
+        self._store_version: int | None = None
         self._operator = accounts.Account(
             name=_BOOTSTRAP_ACCOUNT,
             role=accounts.Role.OPERATOR,
@@ -49,13 +50,26 @@
             return self._operator
         return self._current.authenticate(token)
 
-    async def refresh(self) -> None:
-        """Read the configuration from the store."""
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the configuration was read once."""
+        return self._store_version is not None
+
+    async def refresh(self, changed_at: int = 0) -> None:
+        """Read the configuration from the store.
+
+        :param changed_at: version of a change that is known to be stored
+        """
         listing = await self._objects.scan(configurations.PREFIX)
-        if listing.version < self._current.version:
+        if listing.version < (self._store_version or 0):
             return
+        # The store's own version also rises with writes of other objects,
+        # so entries with the same configuration would show different ones.
+        versions = (item.version for item in listing.objects)
+        version = max(self._current.version, changed_at, *versions, 0)
+        self._store_version = listing.version
         self._current = configurations.Configuration.from_objects(
-            listing.version, listing.objects
+            version, listing.objects
         )
 
     async def watch_forever(self) -> None:
@@ -72,14 +86,14 @@
                 await curio.sleep(_RETRY_INTERVAL.total_seconds())
 
     async def _watch_once(self) -> None:
-        if self._current.version == 0:
+        if not self.is_loaded:
             await self.refresh()
         seen = self._current.version
         newest = await self._objects.watch(
             configurations.PREFIX, seen, WATCH_WAIT
         )
         if newest > seen:
-            await self.refresh()
+            await self.refresh(newest)
             _log.info(
                 'configuration in force',
                 extra={'version': self._current.version},
--- a/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
@@ -27,6 +27,7 @@
     host: store.Host
     last_heard: datetime.timedelta
     reply: messages.ProbeReply | None = None
+    is_probing: bool = False
 
 
 class Membership:
@@ -74,6 +75,15 @@
         state = self._entries.get(entry)
         return state is not None and self._is_alive(state)
 
+    @property
+    def silent(self) -> int:
+        """Entries that left the last probe or more without an answer."""
+        now = self._clock.monotonic()
+        return sum(
+            now - state.last_heard > 2 * PROBE_INTERVAL
+            for state in self._entries.values()
+        )
+
     def staying_entries(self) -> list[str]:
         """Return the live entries that may own shards."""
         others = [
@@ -99,9 +109,11 @@
     async def probe_forever(self) -> None:
         """Probe the other entries again and again."""
         while True:
-            async with curio.TaskGroup() as group:
-                for state in list(self._entries.values()):
-                    await group.spawn(self._probe, state)
+            # One that is slow to answer must not hold up the others.
+            for state in list(self._entries.values()):
+                if not state.is_probing:
+                    state.is_probing = True
+                    await curio.spawn(self._probe, state, daemon=True)
             await curio.sleep(PROBE_INTERVAL.total_seconds())
 
     def _is_alive(self, state: EntryState) -> bool:
@@ -128,11 +140,13 @@
 
     async def _probe(self, state: EntryState) -> None:
         try:
-            state.reply = await self._pool.ask(
+            state.reply = await self._pool.ask_twice(
                 state.host.address,
                 messages.Probe(self._entry),
                 PROBE_TIMEOUT,
             )
+            state.last_heard = self._clock.monotonic()
         except errors.MagnoliawoodError:
-            return
-        state.last_heard = self._clock.monotonic()
+            _log.debug('no answer', extra={'entry': state.host.name})
+        finally:
+            state.is_probing = False
--- a/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
@@ -25,6 +25,7 @@
     """One sidecar as last heard of.
 
     :param is_followed: whether it will say at once that it is leaving
+    :param is_polled: whether a question to it is under way
     :param orders: orders of this entry that are under way there
     """
 
@@ -32,6 +33,7 @@
     reply: messages.HelloReply | None = None
     is_reachable: bool = False
     is_followed: bool = False
+    is_polled: bool = False
     orders: int = 0
 
     @property
@@ -129,15 +131,23 @@
     async def poll_forever(self) -> None:
         """Ask each sidecar what it stands beside, again and again."""
         while True:
-            async with curio.TaskGroup() as group:
-                for sidecar in self.all():
-                    await group.spawn(self.poll, sidecar)
+            # One that is slow to answer must not hold up the others.
+            for sidecar in self.all():
+                if not sidecar.is_polled:
+                    await curio.spawn(self._poll_once, sidecar, daemon=True)
             await curio.sleep(POLL_INTERVAL.total_seconds())
 
+    async def _poll_once(self, sidecar: Sidecar) -> None:
+        sidecar.is_polled = True
+        try:
+            await self.poll(sidecar)
+        finally:
+            sidecar.is_polled = False
+
     async def poll(self, sidecar: Sidecar) -> None:
         """Ask one sidecar what it stands beside."""
         try:
-            sidecar.reply = await self._pool.ask(
+            sidecar.reply = await self._pool.ask_twice(
                 sidecar.host.address,
                 messages.Hello(self._entry),
                 ANSWER_TIMEOUT,
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -2,7 +2,9 @@
 
 import collections.abc
 import dataclasses
+import datetime
 import logging
+import typing
 
 import curio
 import h11
@@ -10,6 +12,8 @@
 from magnoliawood.core import errors
 from magnoliawood_server.http import message as messages
 
+IDLE_LIMIT = datetime.timedelta(seconds=75)
+PROGRESS_LIMIT = datetime.timedelta(seconds=10)
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 HEAD_LIMIT_BYTES = 32 * 1024
 _READ_SIZE_BYTES = 64 * 1024
@@ -37,8 +41,11 @@
 class _Connection:
     """h11 state of one connection together with its socket."""
 
-    def __init__(self, sock: curio.io.Socket) -> None:
+    def __init__(
+        self, sock: curio.io.Socket, progress_limit: datetime.timedelta
+    ) -> None:
         self._sock = sock
+        self._progress_limit = progress_limit
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=HEAD_LIMIT_BYTES
         )
@@ -52,12 +59,24 @@
                 await self.send(
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
-            self._h11.receive_data(await self._sock.recv(_READ_SIZE_BYTES))
+            self._h11.receive_data(await self._receive())
 
     async def send(self, event: h11.Event) -> None:
-        data = self._h11.send(event)
-        if data:
-            await self._sock.sendall(data)
+        data = memoryview(self._h11.send(event) or b'')
+        while data:
+            data = data[await self._send_some(data) :]
+
+    async def _send_some(self, data: memoryview) -> int:
+        try:
+            # Setting a timeout costs more than most writes do.
+            return self._sock._socket.send(data)
+        except BlockingIOError:
+            return await _within(self._progress_limit, self._sock.send, data)
+
+    async def _receive(self) -> bytes:
+        is_idle = self._h11.their_state is h11.IDLE
+        limit = IDLE_LIMIT if is_idle else self._progress_limit
+        return await _within(limit, self._sock.recv, _READ_SIZE_BYTES)
 
     async def wait_for_close(self) -> None:
         """Read ahead until the peer closes its side."""
@@ -79,10 +98,17 @@
 
 
 async def serve_connection(
-    sock: curio.io.Socket, handler: Handler, activity: Activity
+    sock: curio.io.Socket,
+    handler: Handler,
+    activity: Activity,
+    progress_limit: datetime.timedelta = PROGRESS_LIMIT,
 ) -> None:
-    """Serve requests of one connection until either side closes it."""
-    connection = _Connection(sock)
+    """Serve requests of one connection until either side closes it.
+
+    :param progress_limit: longest time in which a peer that is sending a
+        request sends nothing, or one that has data to read reads none
+    """
+    connection = _Connection(sock, progress_limit)
     try:
         while await _serve_request(connection, handler, activity):
             pass
@@ -90,6 +116,18 @@
         _log.debug('connection lost')
 
 
+async def _within(
+    limit: datetime.timedelta,
+    operation: collections.abc.Callable[..., collections.abc.Awaitable],
+    argument: object,
+) -> typing.Any:
+    try:
+        async with curio.timeout_after(limit.total_seconds()):
+            return await operation(argument)
+    except curio.TaskTimeout:
+        raise ConnectionResetError('the peer went silent') from None
+
+
 async def _serve_request(
     connection: _Connection, handler: Handler, activity: Activity
 ) -> bool:
--- a/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
@@ -1,3 +1,4 @@
+import datetime
 import json
 
 import curio
@@ -85,3 +86,47 @@
     answer = exchange(head.encode() + b'a' * size)
     assert answer.startswith(b'HTTP/1.1 413')
     assert b'message_too_large' in answer
+
+
+def test_caller_that_reads_nothing_is_dropped():
+    limit = datetime.timedelta(milliseconds=50)
+
+    async def endless():
+        while True:
+            yield b'x' * 65536
+
+    async def stream(request):
+        return messages.Response(200, parts=endless())
+
+    async def main():
+        client, peer = socket.socketpair()
+        activity = server.Activity()
+        task = await curio.spawn(
+            server.serve_connection, peer, stream, activity, limit
+        )
+        await client.sendall(REQUEST)
+        await task.join()
+        await client.close()
+        await peer.close()
+        return activity.requests
+
+    assert curio.run(main) == 0
+
+
+def test_caller_that_stops_within_its_request_is_dropped():
+    limit = datetime.timedelta(milliseconds=50)
+
+    async def main():
+        client, peer = socket.socketpair()
+        task = await curio.spawn(
+            server.serve_connection, peer, handler, server.Activity(), limit
+        )
+        await client.sendall(
+            b'PUT /a HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nab'
+        )
+        await task.join()
+        await client.close()
+        await peer.close()
+        return task.result
+
+    assert curio.run(main) is None
--- a/packages/magnoliawood-server/magnoliawood_server/peer/connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/connection.py
@@ -17,6 +17,7 @@
 
 HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=500)
 SILENCE_LIMIT = datetime.timedelta(seconds=2)
+WRITE_LIMIT = datetime.timedelta(seconds=2)
 _HEARTBEAT_STREAM = 0
 _READ_SIZE_BYTES = 256 * 1024
 
@@ -175,18 +176,30 @@
 
         :raises PeerLost: if the connection is gone
         """
-        data = frames.encode(frame)
-        self.check()
+        data = memoryview(frames.encode(frame))
+        async with self._write_lock:
+            self.check()
+            try:
+                while data:
+                    data = data[await self._send_some(data) :]
+            except OSError as error:
+                await self.close(str(error))
+                raise PeerLost(self._lost) from error
+            except curio.CancelledError:
+                # Part of the frame may be out: the stream of bytes is torn.
+                await self.close('a write was cancelled')
+                raise
+
+    async def _send_some(self, data: memoryview) -> int:
         try:
-            async with self._write_lock:
-                await self._sock.sendall(data)
-        except OSError as error:
-            await self.close(str(error))
-            raise PeerLost(self._lost) from error
-        except curio.CancelledError:
-            # Part of the frame may be out, so the stream of bytes is torn.
-            await self.close('a write was cancelled')
-            raise
+            # Setting a timeout costs more than most writes do.
+            return self._sock._socket.send(data)
+        except BlockingIOError:
+            pass
+        limit = WRITE_LIMIT.total_seconds()
+        async with curio.ignore_after(limit):
+            return await self._sock.send(data)
+        raise ConnectionResetError('the peer reads nothing')
 
     async def run(self) -> None:
         """Read frames until the connection is lost."""
--- a/packages/magnoliawood-server/magnoliawood_server/peer/pool.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/pool.py
@@ -49,29 +49,74 @@
         """
         try:
             async with curio.timeout_after(timeout.total_seconds()):
-                stream = await self.open_stream(address)
-                try:
-                    await stream.send(message)
-                    return await stream.receive()
-                finally:
-                    stream.close()
+                return await _ask(await self.open_stream(address), message)
         except curio.TaskTimeout:
             raise connections.PeerLost(f'no answer from {address}') from None
 
+    async def ask_twice(
+        self,
+        address: str,
+        message: typing.Any,
+        timeout: datetime.timedelta,
+    ) -> typing.Any:
+        """Ask a question that may be repeated, on a new connection then.
+
+        Explanation
+        ===========
+
+        A connection may go silent in one direction while heartbeats still
+        arrive in the other. If a new connection answers, the old one is at
+        fault and closed; if neither does, the peer is slow or gone, and
+        closing would only cost its streams.
+
+        :raises PeerLost: if no answer comes in time
+        """
+        doubted = self._connections.get(address)
+        try:
+            return await self.ask(address, message, timeout)
+        except connections.PeerLost:
+            if doubted is None or doubted.is_lost:
+                return await self.ask(address, message, timeout)
+        try:
+            async with curio.timeout_after(timeout.total_seconds()):
+                return await self._ask_anew(address, message, doubted)
+        except curio.TaskTimeout:
+            raise connections.PeerLost(f'no answer from {address}') from None
+
+    async def _ask_anew(
+        self,
+        address: str,
+        message: typing.Any,
+        doubted: connections.PeerConnection,
+    ) -> typing.Any:
+        fresh = await self._make(address)
+        try:
+            reply = await _ask(fresh.open_stream(), message)
+        except BaseException:
+            await fresh.close('no answer')
+            raise
+        self._connections[address] = fresh
+        await doubted.close('a newer connection answers')
+        return reply
+
     async def _connect(self, address: str) -> connections.PeerConnection:
         lock = self._locks.setdefault(address, curio.Lock())
         async with lock:
             known = self._connections.get(address)
             if known is not None and not known.is_lost:
                 return known
-            sock = await self._open(address)
-            made = connections.PeerConnection(
-                sock, self._clock, None, is_client=True
-            )
+            made = await self._make(address)
             self._connections[address] = made
-            await curio.spawn(made.run, daemon=True)
             return made
 
+    async def _make(self, address: str) -> connections.PeerConnection:
+        sock = await self._open(address)
+        made = connections.PeerConnection(
+            sock, self._clock, None, is_client=True
+        )
+        await curio.spawn(made.run, daemon=True)
+        return made
+
     async def _open(self, address: str) -> curio.io.Socket:
         sock = await _connect_socket(address)
         try:
@@ -85,6 +130,14 @@
         return sock
 
 
+async def _ask(stream: connections.Stream, message: typing.Any) -> typing.Any:
+    try:
+        await stream.send(message)
+        return await stream.receive()
+    finally:
+        stream.close()
+
+
 async def _connect_socket(address: str) -> curio.io.Socket:
     host, _, port = address.rpartition(':')
     try:
--- a/packages/magnoliawood-server/magnoliawood_server/peer/tests/test_connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/tests/test_connection.py
@@ -1,3 +1,5 @@
+import datetime
+
 import curio
 from curio import socket
 import pytest
@@ -80,3 +82,37 @@
         return server.is_lost
 
     assert curio.run(main)
+
+
+def test_peer_that_reads_nothing_is_lost(monkeypatch):
+    limit = datetime.timedelta(milliseconds=50)
+    monkeypatch.setattr(connections, 'WRITE_LIMIT', limit)
+
+    async def main():
+        left, right = socket.socketpair()
+        client = connections.PeerConnection(
+            left, clocks.SystemClock(), None, is_client=True
+        )
+        stream = client.open_stream()
+        try:
+            while True:
+                await stream.send(messages.Hello('x' * 65536))
+        finally:
+            await left.close()
+            await right.close()
+
+    with pytest.raises(connections.PeerLost):
+        curio.run(main)
+
+
+def test_cancelled_wait_for_the_write_lock_closes_nothing():
+    async def main():
+        client, _ = await connected(echo)
+        async with client._write_lock:
+            async with curio.ignore_after(0.01):
+                await client.open_stream().send(messages.Hello('late'))
+        stream = client.open_stream()
+        await stream.send(messages.Hello('entry-1'))
+        return await stream.receive()
+
+    assert curio.run(main).sender == 'entry-1'
--- a/packages/magnoliawood-server/magnoliawood_server/platform/http_store.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/http_store.py
@@ -66,8 +66,21 @@
         return _stored(reply)
 
     async def delete(self, name: str, expected: int) -> None:
-        """Remove an object if it is at version ``expected``."""
-        await self._call('DELETE', _path(name), if_match=str(expected))
+        """Remove an object if it is at version ``expected``.
+
+        :raises VersionConflict: if it is not
+        """
+        try:
+            reply = await self._call(
+                'DELETE', _path(name), if_match=str(expected)
+            )
+        except _ReplyLost:
+            if await self._read(name) is None:
+                return
+            raise
+        # A conflict shows the object that is there, or nothing at all.
+        if 'value' in reply or not reply:
+            raise store.VersionConflict(name, _stored_or_none(reply))
 
     async def watch(
         self, prefix: str, after: int, wait: datetime.timedelta
@@ -103,7 +116,8 @@
         found = await self._read(name)
         if found is not None and found['write_id'] == write_id:
             return found
-        raise _unavailable('the reply to a write was lost')
+        # The write may still be on its way and take effect later.
+        raise _ReplyLost('the reply to a write was lost')
 
     async def _call(
         self,
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -136,6 +136,13 @@
         description='how long a stopping sidecar keeps outcomes that no '
         'journal covers yet',
     )
+    upstream_silence_seconds: float = pydantic.Field(
+        default=10.0,
+        gt=0,
+        le=3600,
+        description='silence of the upstream within an answer after which '
+        'its connection counts as lost',
+    )
     queue_limit: int = pydantic.Field(
         default=256,
         ge=0,
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -247,6 +247,7 @@
 def _make_upstream(
     settings: settings_models.SidecarSettings,
 ) -> upstreams.Upstream:
+    silence = datetime.timedelta(seconds=settings.upstream_silence_seconds)
     if settings.kind == 'engine':
-        return engine.EngineUpstream(settings.upstream)
-    return service.ServiceUpstream(settings.upstream)
+        return engine.EngineUpstream(settings.upstream, silence)
+    return service.ServiceUpstream(settings.upstream, silence)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
@@ -17,7 +17,6 @@
 from magnoliawood_server.sidecar import call_run
 
 CONTROL_TIMEOUT = datetime.timedelta(seconds=2)
-PROGRESS_TIMEOUT = datetime.timedelta(seconds=10)
 _END_OF_STREAM = '[DONE]'
 
 _log = logging.getLogger(__name__)
@@ -27,10 +26,12 @@
     """Client of one engine's streaming interface.
 
     :param address: IP number and port of the engine
+    :param silence: longest pause within an answer
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, silence: datetime.timedelta) -> None:
         self._client = http_client.HttpClient(address)
+        self._silence = silence
 
     async def run(self, run: call_run.CallRun) -> calls.CallOutcome:
         """Run a model turn, resuming after ``run.order.partial``."""
@@ -57,12 +58,17 @@
         request = http_client.json_request(
             'POST', '/v1/chat/completions', _body(run)
         )
-        async with self._client.open(request) as exchange:
-            async with curio.timeout_after(PROGRESS_TIMEOUT.total_seconds()):
+        silence = self._silence.total_seconds()
+        async with contextlib.AsyncExitStack() as stack:
+            async with curio.timeout_after(silence):
+                exchange = await stack.enter_async_context(
+                    self._client.open(request)
+                )
                 head = await exchange.read_head()
             if head.status != 200:
-                return await _refused(run, exchange, head.status)
-            return await _read_answer(run, exchange)
+                async with curio.timeout_after(silence):
+                    return await _refused(run, exchange, head.status)
+            return await _read_answer(run, exchange, silence)
 
 
 def _body(run: call_run.CallRun) -> dict[str, object]:
@@ -93,14 +99,14 @@
 
 
 async def _read_answer(
-    run: call_run.CallRun, exchange: http_client.Exchange
+    run: call_run.CallRun, exchange: http_client.Exchange, silence: float
 ) -> calls.CallOutcome:
     base_tokens = run.order.partial_tokens
     finish_reason = ''
     async with contextlib.aclosing(
         http_client.read_events(exchange.read_parts())
     ) as events:
-        while (data := await _next_event(events)) != _END_OF_STREAM:
+        while (data := await _next_event(events, silence)) != _END_OF_STREAM:
             chunk = json.loads(data)
             choice = chunk['choices'][0]
             tokens = base_tokens + chunk['usage']['completion_tokens']
@@ -118,9 +124,9 @@
 
 
 async def _next_event(
-    events: collections.abc.AsyncGenerator[str],
+    events: collections.abc.AsyncGenerator[str], silence: float
 ) -> str:
-    async with curio.timeout_after(PROGRESS_TIMEOUT.total_seconds()):
+    async with curio.timeout_after(silence):
         return await anext(events, _END_OF_STREAM)
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
@@ -13,22 +13,24 @@
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.sidecar import call_run
 
-CALL_TIMEOUT = datetime.timedelta(seconds=10)
-
 
 class ServiceUpstream:
     """Client of one plain service.
 
     :param address: IP number and port of the service
+    :param silence: longest time that a call may take
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, silence: datetime.timedelta) -> None:
         self._client = http_client.HttpClient(address)
+        self._silence = silence
 
     async def run(self, run: call_run.CallRun) -> calls.CallOutcome:
         """Run a service call once."""
         try:
-            reply, body = await self._client.fetch(_request(run), CALL_TIMEOUT)
+            reply, body = await self._client.fetch(
+                _request(run), self._silence
+            )
         except http_client.ConnectFailed as error:
             return _failed(
                 errors.ErrorCode.UPSTREAM_UNAVAILABLE,
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/answer_stream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/answer_stream.py
@@ -13,6 +13,7 @@
 
     :param address: HTTP address of an entry
     :param token: bearer token
+    :param silence_seconds: pause after which the answer is given up
     """
 
     def __init__(
@@ -22,9 +23,10 @@
         method: str,
         path: str,
         body: typing.Any = None,
+        silence_seconds: float = READ_TIMEOUT_SECONDS,
     ) -> None:
         self._connection = http.client.HTTPConnection(
-            address, timeout=READ_TIMEOUT_SECONDS
+            address, timeout=silence_seconds
         )
         self._request = (
             method,
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/__init__.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/__init__.py
@@ -1,1 +1,1 @@
-"""Proofs that the promises hold while real processes fail."""
+"""Scenarios that check the promises under failure."""
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/support.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/support.py
@@ -68,9 +68,9 @@
     }
 
 
-def stream(address, method, path, body=None):
+def stream(address, method, path, body=None, silence_seconds=30.0):
     return answer_stream.AnswerStream(
-        address, 'token-of-red-clay', method, path, body
+        address, 'token-of-red-clay', method, path, body, silence_seconds
     )
 
 
@@ -139,3 +139,16 @@
             next(turns), 'GET', f'{path}?stream=1&offset={len(text)}'
         )
     raise AssertionError(f'not whole: {part.failure} {part.last_event}')
+
+
+def put_class(node, name, target_seconds=30, version=None):
+    """Write a class; return the status and the answer."""
+    headers = {'authorization': f'Bearer {deployments.OPERATOR_TOKEN}'}
+    if version is None:
+        headers['if-none-match'] = '*'
+    else:
+        headers['if-match'] = str(version)
+    return deployments.call(
+        node.http, 'PUT', f'/admin/v1/classes/{name}',
+        {'name': name, 'target_seconds': target_seconds}, headers,
+    )  # fmt: skip
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_silent_connections.py
@@ -0,0 +1,202 @@
+import time
+
+import pytest
+
+from magnoliawood_testing import cluster
+from magnoliawood_testing.cluster import deployment as deployments
+from magnoliawood_testing.promises.tests import support
+
+PEER_BOUND_SECONDS = 3.0
+UPSTREAM_SILENCE_SECONDS = 2.0
+STORE_BOUND_SECONDS = 4.0
+CALLER_SILENCE_SECONDS = 3.0
+STEP_SECONDS = 0.04
+LINKS = {
+    'caller': ('callers', 'entry-1'),
+    'entry': ('entries', 'entry-2'),
+    'sidecar': ('entries', 'engine-1-sidecar'),
+    'pours': ('entries', 'pours-sidecar'),
+    'engine': ('engine-1-sidecar', 'engine-1'),
+    'service': ('pours-sidecar', 'pours'),
+    'platform': ('entry-1', 'platform'),
+}
+
+
+@pytest.fixture(scope='module')
+def deployment():
+    with cluster.Deployment(
+        engines=1,
+        step_seconds=STEP_SECONDS,
+        links=tuple(LINKS.values()),
+        sidecar_settings={
+            'upstream_silence_seconds': UPSTREAM_SILENCE_SECONDS
+        },
+    ) as started:
+        support.set_up(started)
+        yield started
+
+
+def freeze(deployment, link, direction='both'):
+    deployment.links.command(*LINKS[link], 'freeze', direction=direction)
+
+
+def shards_taken(deployment):
+    return [
+        deployment.metric(node, 'shards_taken_total')
+        for node in deployment.entries.values()
+    ]
+
+
+def stream_with_freeze(deployment, link, direction):
+    """Freeze a link within a stream; return what came and the pause."""
+    first = deployment.entries['entry-1']
+    deployments.wait_until(
+        lambda: (
+            not any(
+                deployment.metric(node, 'entries_silent')
+                for node in deployment.entries.values()
+            )
+        ),
+        'entries that hear each other',
+    )
+    path = support.open_program_of(deployment, 'entry-2')
+    question = support.long_question(1)
+    stream = support.stream(
+        first.http, 'PUT', f'{path}/calls/1',
+        support.turn(question, stream=True),
+    )  # fmt: skip
+    deployments.wait_until(lambda: len(stream.text) > 20, 'first tokens')
+    freeze(deployment, link, direction)
+    frozen_at = time.monotonic()
+    bound = max(PEER_BOUND_SECONDS, UPSTREAM_SILENCE_SECONDS + 1)
+    deployments.wait_until(
+        lambda: stream.is_done,
+        'a whole answer',
+        bound + 40 * STEP_SECONDS,
+    )
+    print(f'{link} {direction}: {time.monotonic() - frozen_at:.2f} s')
+    assert stream.is_whole, (stream.failure, stream.last_event)
+    assert stream.text == support.answer_to(question)
+    return path
+
+
+@pytest.mark.parametrize('direction', ['both', 'to_server', 'to_client'])
+@pytest.mark.parametrize('link', ['entry', 'sidecar'])
+def test_stream_goes_on_when_a_peer_link_freezes(deployment, link, direction):
+    before = shards_taken(deployment)
+    path = stream_with_freeze(deployment, link, direction)
+    requests = deployment.engine_state('engine-1')['requests']
+    assert requests[f'{support.name_of(path)}/1'] == 1
+    assert shards_taken(deployment) == before
+
+
+def test_stream_goes_on_when_the_engine_link_freezes(deployment):
+    stream_with_freeze(deployment, 'engine', 'both')
+
+
+@pytest.mark.parametrize('link', ['entry', 'pours'])
+def test_booking_runs_once_when_a_peer_link_freezes(deployment, link):
+    first = deployment.entries['entry-1']
+    pours = deployment.upstreams['pours']
+    deployment.set_faults(pours, delay_seconds=1.0)
+    path = support.open_program_of(deployment, 'entry-2')
+    call = f'{support.name_of(path)}/1'
+    stream = support.stream(
+        first.http, 'PUT', f'{path}/calls/1', support.booking(stream=True)
+    )
+    deployments.wait_until(
+        lambda: deployment.metric(
+            deployment.sidecars['pours-sidecar'], 'waiting_calls'
+        ) == 1,
+        'a booking under way',
+    )  # fmt: skip
+    freeze(deployment, link)
+    deployments.wait_until(
+        lambda: stream.is_done, 'the outcome', PEER_BOUND_SECONDS + 1
+    )
+    deployment.set_faults(pours, delay_seconds=0.005)
+    assert stream.is_whole, (stream.failure, stream.last_event)
+    assert deployment.runs('pours')[call] == 1
+
+
+def test_booking_is_not_repeated_when_the_service_link_freezes(deployment):
+    first = deployment.entries['entry-1']
+    pours = deployment.upstreams['pours']
+    deployment.set_faults(pours, delay_seconds=1.0)
+    path = support.open_program(first)
+    call = f'{support.name_of(path)}/1'
+    stream = support.stream(
+        first.http, 'PUT', f'{path}/calls/1', support.booking(stream=True)
+    )
+    deployments.wait_until(
+        lambda: deployment.metric(
+            deployment.sidecars['pours-sidecar'], 'waiting_calls'
+        ) == 1,
+        'a booking under way',
+    )  # fmt: skip
+    freeze(deployment, 'service')
+    deployments.wait_until(
+        lambda: stream.is_done,
+        'the outcome',
+        UPSTREAM_SILENCE_SECONDS + PEER_BOUND_SECONDS,
+    )
+    deployment.set_faults(pours, delay_seconds=0.005)
+    assert stream.last_event['verdict'] == 'may_have_run'
+    assert deployment.runs('pours').get(call, 0) <= 1
+
+
+@pytest.mark.parametrize('direction', ['both', 'to_server', 'to_client'])
+def test_entry_goes_on_when_its_platform_link_freezes(deployment, direction):
+    first, second = deployment.entries.values()
+    freeze(deployment, 'platform', direction)
+    name = f'class-{direction.replace("_", "-")}'
+    support.put_class(second, name)
+    deployments.wait_until(
+        lambda: len(set(deployment.configuration_versions())) == 1,
+        'the change in force',
+        STORE_BOUND_SECONDS,
+    )
+    path = support.open_program_of(deployment, 'entry-1')
+    status, _ = support.ask(first, 'PUT', f'{path}/calls/1', support.booking())
+    assert status == 200
+
+
+def test_caller_hears_from_its_entry_while_nothing_is_generated(deployment):
+    first = deployment.entries['entry-1']
+    engine = deployment.upstreams['engine-1']
+    deployment.set_faults(engine, step_seconds=1.5)
+    path = support.open_program(first)
+    stream = support.stream(
+        first.http, 'PUT', f'{path}/calls/1',
+        support.turn('hello', stream=True, max_tokens=2),
+    )  # fmt: skip
+    deployments.wait_until(
+        lambda: stream.comments and not stream.text,
+        'a comment before the first token',
+        CALLER_SILENCE_SECONDS,
+    )
+    deployments.wait_until(lambda: stream.is_done, 'the answer')
+    deployment.set_faults(engine, step_seconds=STEP_SECONDS)
+    assert stream.is_whole
+
+
+def test_caller_finds_a_frozen_link_and_reads_on(deployment):
+    first = deployment.entries['entry-1']
+    path = support.open_program(first)
+    question = support.long_question(3)
+    address = deployment.links.address(*LINKS['caller'], '')
+    stream = support.stream(
+        address, 'PUT', f'{path}/calls/1', support.turn(question, stream=True),
+        CALLER_SILENCE_SECONDS,
+    )  # fmt: skip
+    deployments.wait_until(lambda: len(stream.text) > 20, 'first tokens')
+    freeze(deployment, 'caller')
+    deployments.wait_until(
+        lambda: stream.is_done, 'noticed silence', CALLER_SILENCE_SECONDS + 1
+    )
+    assert stream.failure
+    rest = support.stream(
+        address, 'GET', f'{path}/calls/1?stream=1&offset={len(stream.text)}'
+    )
+    deployments.wait_until(lambda: rest.is_done, 'the rest')
+    assert stream.text + rest.text == support.answer_to(question)
--- a/packages/magnoliawood/magnoliawood/platform/store.py
+++ b/packages/magnoliawood/magnoliawood/platform/store.py
@@ -83,7 +83,10 @@
         ...
 
     async def delete(self, name: str, expected: int) -> None:
-        """Remove an object if it is at version ``expected``."""
+        """Remove an object if it is at version ``expected``.
+
+        :raises VersionConflict: if it is not
+        """
         ...
 
     async def watch(
