--- a/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
@@ -1,8 +1,10 @@
 """What an entry knows of the sidecars and their upstreams."""
 
+import collections.abc
 import dataclasses
 import datetime
 import logging
+import random
 
 import curio
 
@@ -10,6 +12,7 @@
 from magnoliawood.core import errors
 from magnoliawood.platform import store
 from magnoliawood.scheduling import routing
+from magnoliawood.scheduling import upstream_index
 from magnoliawood_server.peer import messages
 from magnoliawood_server.peer import pool as pools
 
@@ -27,6 +30,7 @@
     :param is_followed: whether it will say at once that it is leaving
     :param is_polled: whether a question to it is under way
     :param orders: orders of this entry that are under way there
+    :param placed_tokens: prompts placed there since the last reply
     """
 
     host: store.Host
@@ -35,6 +39,7 @@
     is_followed: bool = False
     is_polled: bool = False
     orders: int = 0
+    placed_tokens: int = 0
 
     @property
     def name(self) -> str:
@@ -64,15 +69,28 @@
 
 
 class SidecarDirectory:
-    """Sidecars by host name, refreshed in the background."""
+    """Sidecars by host name, refreshed in the background.
+
+    :param drained: names those that operators keep new work from
+    """
 
     def __init__(
-        self, entry: str, pool: pools.PeerPool, clock: clocks.Clock
+        self,
+        entry: str,
+        pool: pools.PeerPool,
+        clock: clocks.Clock,
+        drained: collections.abc.Callable[[], frozenset[str]] = frozenset,
     ) -> None:
+        self._drained = drained
         self._entry = entry
         self._pool = pool
         self._clock = clock
         self._sidecars: dict[str, Sidecar] = {}
+        # The draws need no seed: they decide nothing that must repeat.
+        self._random = random.Random()
+        self._index: upstream_index.UpstreamIndex[Sidecar] = (
+            upstream_index.UpstreamIndex()
+        )
 
     def all(self) -> list[Sidecar]:
         """Return all known sidecars."""
@@ -98,25 +116,59 @@
                 self._sidecars[name] = Sidecar(host)
             else:
                 known.host = host
+        self._reindex()
 
-    def candidates(self, kind: str, name: str) -> list[Sidecar]:
-        """Return the usable sidecars whose upstream serves a name.
+    def candidates(
+        self, kind: str, name: str, sample_size: int = 0, last: str = ''
+    ) -> list[Sidecar]:
+        """Return usable sidecars whose upstream serves a name.
 
+        :param sample_size: how many to draw, 0 for all
+        :param last: host that is among them if it is usable
         :raises MagnoliawoodError: with ``unknown_model``,
             ``unknown_service`` or ``upstream_unavailable``
         """
-        serving = [s for s in self.all() if s.serves(kind, name)]
+        serving = self._index.serving(kind, name)
         if not serving:
-            raise _unknown(kind, name)
-        usable = [sidecar for sidecar in serving if sidecar.is_usable]
+            raise self._unknown(kind, name)
+        usable = self._draw(kind, name, sample_size, last)
         if not usable:
-            raise errors.MagnoliawoodError(
-                errors.ErrorCode.UPSTREAM_UNAVAILABLE,
-                f'no upstream that serves {name} is available',
-                retry_after=RETRY_AFTER,
-            )
+            raise _unavailable(name)
         return usable
 
+    def _draw(
+        self, kind: str, name: str, sample_size: int, last: str
+    ) -> list[Sidecar]:
+        drained = self._drained()
+        drawn = self._undrained(kind, name, sample_size, drained)
+        if not drawn and drained:
+            drawn = self._undrained(kind, name, 0, drained)
+        known = self._sidecars.get(last)
+        if (
+            known
+            and known.is_usable
+            and known.serves(kind, name)
+            and last not in drained
+        ):
+            return [known, *(s for s in drawn if s is not known)]
+        return drawn
+
+    def _undrained(
+        self,
+        kind: str,
+        name: str,
+        sample_size: int,
+        drained: frozenset[str],
+    ) -> list[Sidecar]:
+        drawn = self._index.sample(kind, name, sample_size, self._random)
+        return [s for s in drawn if s.is_usable and s.name not in drained]
+
+    def _unknown(self, kind: str, name: str) -> errors.MagnoliawoodError:
+        # An entry that has just started has not heard of every upstream.
+        if not self._sidecars or any(s.reply is None for s in self.all()):
+            return _unavailable(name)
+        return _unknown(kind, name)
+
     def served_names(self, kind: str) -> list[str]:
         """Return the names that upstreams of a kind serve."""
         return sorted(
@@ -146,12 +198,14 @@
 
     async def poll(self, sidecar: Sidecar) -> None:
         """Ask one sidecar what it stands beside."""
+        before = _indexed_state(sidecar)
         try:
             sidecar.reply = await self._pool.ask_twice(
                 sidecar.host.address,
                 messages.Hello(self._entry),
                 ANSWER_TIMEOUT,
             )
+            sidecar.placed_tokens = 0
             is_reachable = True
         except errors.MagnoliawoodError:
             is_reachable = False
@@ -164,6 +218,19 @@
                 'sidecar reachability changed',
                 extra={'sidecar': sidecar.name, 'reachable': is_reachable},
             )
+        if _indexed_state(sidecar) != before:
+            self._reindex()
+
+    def _reindex(self) -> None:
+        self._index = upstream_index.UpstreamIndex()
+        for sidecar in self._sidecars.values():
+            if sidecar.reply is not None:
+                self._index.add(
+                    sidecar,
+                    sidecar.reply.kind,
+                    sidecar.reply.names,
+                    sidecar.is_usable,
+                )
 
     async def _follow_leaving(self, sidecar: Sidecar) -> None:
         """Note at once when a sidecar begins to leave."""
@@ -172,6 +239,7 @@
             try:
                 await stream.send(messages.AwaitLeaving())
                 sidecar.reply = await stream.receive()
+                self._reindex()
                 _log.info('sidecar leaves', extra={'sidecar': sidecar.name})
             finally:
                 stream.close()
@@ -184,12 +252,31 @@
 def view_of(sidecar: Sidecar) -> routing.UpstreamView:
     """Return what routing needs to know of a sidecar."""
     reply = sidecar.reply
-    waiting = sidecar.orders if reply is None else reply.waiting
+    if reply is None:
+        return routing.UpstreamView(
+            sidecar.name, sidecar.host.data_centre, sidecar.orders
+        )
     return routing.UpstreamView(
         sidecar.name,
         sidecar.host.data_centre,
-        max(waiting, sidecar.orders),
-        0.0,
+        max(reply.waiting, sidecar.orders),
+        reply.seconds_per_call,
+        reply.resident_tokens + sidecar.placed_tokens,
+        reply.prefill_seconds,
+    )
+
+
+def _indexed_state(sidecar: Sidecar) -> tuple[object, ...]:
+    reply = sidecar.reply
+    served = () if reply is None else (reply.kind, *reply.names)
+    return (*served, sidecar.is_usable)
+
+
+def _unavailable(name: str) -> errors.MagnoliawoodError:
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.UPSTREAM_UNAVAILABLE,
+        f'no upstream that serves {name} is available',
+        retry_after=RETRY_AFTER,
     )
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -66,6 +66,9 @@
     :param kind: ``engine`` or ``service``
     :param names: models or the service that the upstream serves
     :param waiting: calls that wait or run there
+    :param resident_tokens: prompts of live programs placed there
+    :param seconds_per_call: time in which one waiting call fewer waits
+    :param prefill_seconds: time to take in one token that is not cached
     """
 
     host: str
@@ -75,6 +78,9 @@
     names: list[str]
     waiting: int
     leaving: bool
+    resident_tokens: int = 0
+    seconds_per_call: float = 0.0
+    prefill_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,6 +193,53 @@
     calls: list[identity.CallId]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldRecords:
+    """Asks an entry to hold journal records that the store lacks.
+
+    :param log: log that the records belong to
+    :param first: position of the first record in the log
+    :param durable: position up to which held records may be dropped
+    """
+
+    log: str
+    first: int
+    records: list[records.Record]
+    durable: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SealHeld:
+    """Asks an entry to take no more records of logs and return its own."""
+
+    logs: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldUpTo:
+    """Answer to :class:`HoldRecords`.
+
+    :param position: position up to which no record is missing
+    """
+
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """Records that an entry held, in the order of their logs."""
+
+    records: list[records.Record]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseHeld:
+    """Sealed logs whose records the new owner of shards has stored."""
+
+    logs: list[str]
+    shards: list[int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReleaseProgram:
     """Frees the cache of a program that ended."""
@@ -306,6 +359,66 @@
     digest: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListPrograms:
+    """Asks an entry for the programs that it owns, in order of their keys.
+
+    Empty filters match everything.
+
+    :param after: only keys greater than this one, written ``caller/name``
+    :param limit: the most programs to return
+    """
+
+    caller: str = ''
+    work_class: str = ''
+    state: str = ''
+    after: str = ''
+    limit: int = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProgramPage:
+    """Programs of one entry, in order of their keys."""
+
+    programs: list[ProgramStatus]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetEntryStatus:
+    """Asks an entry for its state; it tries the store before it answers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryStatus:
+    """State of an entry.
+
+    :param store: ``available`` or the error of the last try
+    """
+
+    name: str
+    incarnation: str
+    data_centre: str
+    leaving: bool
+    store: str
+    map_version: int
+    configuration_version: int
+    shards: int
+    programs: int
+    calls_under_way: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetCounters:
+    """Asks a process for its counters."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counters:
+    """Counters of a process by name and labels in their text form."""
+
+    values: dict[str, int]
+
+
 MESSAGE_TYPES = (
     Ping,
     Challenge,
@@ -323,6 +436,11 @@
     Fence,
     Witnesses,
     Forget,
+    HoldRecords,
+    HeldUpTo,
+    SealHeld,
+    Held,
+    ReleaseHeld,
     ReleaseProgram,
     Done,
     Probe,
@@ -336,6 +454,12 @@
     EndProgram,
     ProgramStatus,
     History,
+    ListPrograms,
+    ProgramPage,
+    GetEntryStatus,
+    EntryStatus,
+    GetCounters,
+    Counters,
 )
 
 ADAPTERS = {
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -48,7 +48,7 @@
         self._answers_under_way = 0
         self._activity = http_server.Activity()
         self._runner = runners.CallRunner(
-            _make_upstream(settings),
+            _make_upstream(settings, clock),
             clock,
             self._metrics,
             settings.concurrency,
@@ -57,6 +57,7 @@
         self._handlers = {
             messages.Hello: self._hello,
             messages.AwaitLeaving: self._await_leaving,
+            messages.GetCounters: self._counters,
             messages.Order: self._order,
             messages.Attach: self._attach,
             messages.Cancel: self._cancel,
@@ -133,8 +134,16 @@
             settings.serves.split(','),
             self._runner.waiting,
             self._leaving.is_set(),
+            self._runner.residency.tokens,
+            self._runner.speed.seconds_per_call,
+            self._runner.speed.prefill_seconds_per_token,
         )
 
+    async def _counters(
+        self, stream: connections.Stream, message: messages.GetCounters
+    ) -> None:
+        await stream.send(messages.Counters(self._metrics.counters()))
+
     async def _order(
         self, stream: connections.Stream, message: messages.Order
     ) -> None:
@@ -245,9 +254,9 @@
 
 
 def _make_upstream(
-    settings: settings_models.SidecarSettings,
+    settings: settings_models.SidecarSettings, clock: clocks.Clock
 ) -> upstreams.Upstream:
     silence = datetime.timedelta(seconds=settings.upstream_silence_seconds)
     if settings.kind == 'engine':
-        return engine.EngineUpstream(settings.upstream, silence)
+        return engine.EngineUpstream(settings.upstream, clock, silence)
     return service.ServiceUpstream(settings.upstream, silence)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
 from magnoliawood.programs import call as calls
@@ -29,8 +30,14 @@
     :param silence: longest pause within an answer
     """
 
-    def __init__(self, address: str, silence: datetime.timedelta) -> None:
+    def __init__(
+        self,
+        address: str,
+        clock: clocks.Clock,
+        silence: datetime.timedelta,
+    ) -> None:
         self._client = http_client.HttpClient(address)
+        self._clock = clock
         self._silence = silence
 
     async def run(self, run: call_run.CallRun) -> calls.CallOutcome:
@@ -68,7 +75,7 @@
             if head.status != 200:
                 async with curio.timeout_after(silence):
                     return await _refused(run, exchange, head.status)
-            return await _read_answer(run, exchange, silence)
+            return await _read_answer(run, exchange, self._clock, silence)
 
 
 def _body(run: call_run.CallRun) -> dict[str, object]:
@@ -99,7 +106,10 @@
 
 
 async def _read_answer(
-    run: call_run.CallRun, exchange: http_client.Exchange, silence: float
+    run: call_run.CallRun,
+    exchange: http_client.Exchange,
+    clock: clocks.Clock,
+    silence: float,
 ) -> calls.CallOutcome:
     base_tokens = run.order.partial_tokens
     finish_reason = ''
@@ -107,6 +117,8 @@
         http_client.read_events(exchange.read_parts())
     ) as events:
         while (data := await _next_event(events, silence)) != _END_OF_STREAM:
+            if run.first_token_at is None:
+                run.first_token_at = clock.monotonic()
             chunk = json.loads(data)
             choice = chunk['choices'][0]
             tokens = base_tokens + chunk['usage']['completion_tokens']
