Put configuration in force though events, replies or the platform are lost

Cause: a watch that lost an event left an entry behind until another change, and an entry that started in an outage of the platform knew nothing and never became ready.

Entries compare versions on their probes and read the store when another is ahead, or ask that entry if the store does not answer; at a start they ask the entries of their settings for configuration, host list and shard map. A listing older than the change it should contain is not taken.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -30,6 +30,7 @@
 from magnoliawood_server.entry import record_holder
 from magnoliawood_server.entry import routes
 from magnoliawood_server.entry import shard_keeper
+from magnoliawood_server.entry import shared_state
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.http import server as http_server
@@ -88,6 +89,7 @@
                 self._keeper.follow_map_forever,
                 self._keeper.reconcile_forever,
                 self._recorder.forget_forever,
+                self._shared_state.follow_forever,
             ):
                 await group.spawn(background)
             await group.spawn(self._peer_listener.run)
@@ -152,6 +154,14 @@
             self._pool,
             self._metrics,
         )
+        self._shared_state = shared_state.SharedState(
+            self._configuration,
+            self._membership,
+            self._keeper,
+            self._pool,
+            self._metrics,
+            [item for item in self._settings.entries.split(',') if item],
+        )
         policy = policies.make_policy(self._settings.policy)
         executor = call_executor.CallExecutor(
             self._sidecars,
@@ -289,6 +299,8 @@
     ) -> None:
         if isinstance(message, messages.Probe):
             await stream.send(self._probe_reply())
+        elif isinstance(message, messages.SharedStateRequest):
+            await stream.send(self._shared_state.reply())
         elif self._held.handles(message):
             await self._held.handle_peer(stream, message)
         elif self._fleet.handles(message):
--- a/packages/magnoliawood-server/magnoliawood_server/entry/configuration_keeper.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/configuration_keeper.py
@@ -12,6 +12,8 @@
 from magnoliawood.platform import store
 
 WATCH_WAIT = datetime.timedelta(seconds=2)
+# Each so many watches the store is read even if no change was reported.
+WATCHES_PER_READ = 15
 _RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
 _BOOTSTRAP_ACCOUNT = 'bootstrap-operator'
 
@@ -29,7 +31,8 @@
     ) -> None:
         self._objects = objects
         self._current = configurations.Configuration()
-        self._store_version: int | None = None
+        self._watches = 0
+        self._listing: store.Listing | None = None
         self._operator = accounts.Account(
             name=_BOOTSTRAP_ACCOUNT,
             role=accounts.Role.OPERATOR,
@@ -53,7 +56,12 @@
     @property
     def is_loaded(self) -> bool:
         """Whether the configuration was read once."""
-        return self._store_version is not None
+        return self._listing is not None
+
+    @property
+    def listing(self) -> store.Listing:
+        """The stored objects that are in force."""
+        return self._listing or store.Listing(0, [])
 
     async def refresh(self, changed_at: int = 0) -> None:
         """Read the configuration from the store.
@@ -61,16 +69,25 @@
         :param changed_at: version of a change that is known to be stored
         """
         listing = await self._objects.scan(configurations.PREFIX)
-        if listing.version < (self._store_version or 0):
+        if listing.version >= changed_at:
+            self.learn(changed_at, listing)
+
+    def learn(self, changed_at: int, listing: store.Listing) -> None:
+        """Put a configuration in force unless a newer one is.
+
+        :param changed_at: version of a change that the listing contains
+        :raises pydantic.ValidationError: if an object is malformed
+        """
+        if self.is_loaded and listing.version < self.listing.version:
             return
         # The store's own version also rises with writes of other objects,
         # so entries with the same configuration would show different ones.
         versions = (item.version for item in listing.objects)
         version = max(self._current.version, changed_at, *versions, 0)
-        self._store_version = listing.version
         self._current = configurations.Configuration.from_objects(
             version, listing.objects
         )
+        self._listing = listing
 
     async def watch_forever(self) -> None:
         """Follow the store's changes."""
@@ -86,7 +103,8 @@
                 await curio.sleep(_RETRY_INTERVAL.total_seconds())
 
     async def _watch_once(self) -> None:
-        if not self.is_loaded:
+        self._watches += 1
+        if not self.is_loaded or self._watches % WATCHES_PER_READ == 0:
             await self.refresh()
         seen = self._current.version
         newest = await self._objects.watch(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
@@ -54,6 +54,36 @@
         self._entries: dict[str, EntryState] = {}
         self.is_leaving = False
         self._is_host_list_known = False
+        self._hosts: list[store.Host] = []
+
+    @property
+    def hosts(self) -> list[store.Host]:
+        """The host list as last read."""
+        return self._hosts
+
+    @property
+    def is_host_list_known(self) -> bool:
+        """Whether the host list was read or learnt."""
+        return self._is_host_list_known
+
+    def learn_hosts(self, hosts: list[store.Host]) -> None:
+        """Take another entry's host list if none was read yet."""
+        if hosts and not self._is_host_list_known:
+            self._update(hosts)
+
+    def newest_configuration(self) -> tuple[int, str]:
+        """Return the highest version that an entry answered with.
+
+        :returns: version and address of the entry, 0 if none is known
+        """
+        return max(
+            (
+                (state.reply.configuration_version, state.host.address)
+                for state in self._entries.values()
+                if state.reply is not None
+            ),
+            default=(0, ''),
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -131,6 +161,7 @@
     def _update(self, hosts: list[store.Host]) -> None:
         self._sidecars.update_hosts(hosts)
         self._is_host_list_known = True
+        self._hosts = hosts
         entries = {
             host.name: host
             for host in hosts
--- a/packages/magnoliawood-server/magnoliawood_server/entry/shard_keeper.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/shard_keeper.py
@@ -130,6 +130,11 @@
             except errors.MagnoliawoodError:
                 await curio.sleep(RECONCILE_INTERVAL.total_seconds())
 
+    def learn_map(self, new_map: shard_maps.ShardMap) -> None:
+        """Take another entry's map if it is newer."""
+        if new_map.version > self._map.version:
+            self._accept(new_map)
+
     async def refresh_map(self) -> None:
         """Read the shard map from the store."""
         found = await self._objects.get(shard_maps.MAP_NAME)
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/shared_state.py
@@ -0,0 +1,130 @@
+"""What entries learn from each other when the platform does not answer."""
+
+import datetime
+import logging
+
+import curio
+import pydantic
+
+from magnoliawood.core import errors
+from magnoliawood.ownership import shard_map as shard_maps
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import configuration_keeper
+from magnoliawood_server.entry import membership as memberships
+from magnoliawood_server.entry import shard_keeper
+from magnoliawood_server.peer import messages
+from magnoliawood_server.peer import pool as pools
+
+CHECK_INTERVAL = datetime.timedelta(milliseconds=200)
+ANSWER_TIMEOUT = datetime.timedelta(seconds=1)
+_ROUNDS_BEFORE_ASKING = 5
+
+_log = logging.getLogger(__name__)
+
+
+class SharedState:
+    """Catches up with the newest configuration that any entry knows.
+
+    Explanation
+    ===========
+
+    Probes carry the configuration's version. An entry that is behind, since
+    its watch lost an event or it was frozen, reads the store at once, and
+    asks the entry that is ahead if the store does not answer. An entry that
+    starts in an outage of the platform asks the entries of its settings for
+    the configuration, the host list and the shard map, and takes the highest
+    versions.
+
+    :param seeds: peer addresses of entries to ask before the host list is
+        known
+    """
+
+    def __init__(
+        self,
+        configuration: configuration_keeper.ConfigurationKeeper,
+        membership: memberships.Membership,
+        keeper: shard_keeper.ShardKeeper,
+        pool: pools.PeerPool,
+        metrics: registries.Registry,
+        seeds: list[str],
+    ) -> None:
+        self._configuration = configuration
+        self._membership = membership
+        self._keeper = keeper
+        self._pool = pool
+        self._metrics = metrics
+        self._seeds = seeds
+
+    def reply(self) -> messages.SharedStateReply:
+        """Return what this entry knows."""
+        listing = self._configuration.listing
+        return messages.SharedStateReply(
+            self._configuration.current.version,
+            listing.version,
+            listing.objects,
+            self._membership.hosts,
+            self._keeper.map.version,
+            self._keeper.map.to_text(),
+        )
+
+    async def follow_forever(self) -> None:
+        """Catch up again and again."""
+        rounds = 0
+        while True:
+            await curio.sleep(CHECK_INTERVAL.total_seconds())
+            # At a start the platform gets a chance first.
+            rounds += 1
+            if not self._is_complete and rounds > _ROUNDS_BEFORE_ASKING:
+                await self._ask(self._seeds)
+            if self._configuration.is_loaded:
+                await self._catch_up()
+
+    @property
+    def _is_complete(self) -> bool:
+        return (
+            self._configuration.is_loaded
+            and self._membership.is_host_list_known
+            and self._keeper.map.version > 0
+        )
+
+    async def _catch_up(self) -> None:
+        newest, address = self._membership.newest_configuration()
+        if newest <= self._configuration.current.version:
+            return
+        self._metrics.count('configuration_behind_total')
+        try:
+            await self._configuration.refresh(newest)
+        except errors.MagnoliawoodError:
+            await self._ask([address])
+        except pydantic.ValidationError as error:
+            _log.error('configuration malformed', extra={'error': str(error)})
+
+    async def _ask(self, addresses: list[str]) -> None:
+        async with curio.TaskGroup() as group:
+            for address in addresses:
+                await group.spawn(self._ask_one, address)
+
+    async def _ask_one(self, address: str) -> None:
+        try:
+            reply = await self._pool.ask(
+                address, messages.SharedStateRequest(), ANSWER_TIMEOUT
+            )
+            self._learn(reply)
+        except (errors.MagnoliawoodError, pydantic.ValidationError) as error:
+            _log.debug('nothing learnt', extra={'error': str(error)})
+
+    def _learn(self, reply: messages.SharedStateReply) -> None:
+        if reply.is_loaded:
+            self._configuration.learn(
+                reply.configuration_version,
+                configuration_keeper.store.Listing(
+                    reply.read_at, reply.objects
+                ),
+            )
+        self._membership.learn_hosts(reply.hosts)
+        if reply.map_version:
+            self._keeper.learn_map(
+                shard_maps.ShardMap.from_text(
+                    reply.map_version, reply.map_text
+                )
+            )
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -6,6 +6,7 @@
 import pydantic
 
 from magnoliawood.ownership import witness
+from magnoliawood.platform import store
 from magnoliawood.programs import budget as budgets
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import identity
@@ -270,6 +271,34 @@
     configuration_version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedStateRequest:
+    """Asks an entry for what it learnt from the platform."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedStateReply:
+    """What an entry learnt from the platform.
+
+    :param configuration_version: version of the newest change in it
+    :param read_at: version of the store when the objects were read
+    :param objects: the stored objects of the configuration
+    :param map_version: version of the shard map, 0 if unknown
+    """
+
+    configuration_version: int
+    read_at: int
+    objects: list[store.StoredObject]
+    hosts: list[store.Host]
+    map_version: int
+    map_text: str
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the entry knows a configuration."""
+        return self.read_at > 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenProgram:
     """Asks an owner to open a program."""
@@ -445,6 +474,8 @@
     Done,
     Probe,
     ProbeReply,
+    SharedStateRequest,
+    SharedStateReply,
     OpenProgram,
     RunCall,
     ReadCall,
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -10,6 +10,8 @@
 
 ENVIRONMENT_PREFIX = 'MAGNOLIAWOOD_'
 _ADDRESS = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
+_ONE = r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}'
+_ADDRESSES = rf'^({_ONE}(,{_ONE})*)?$'
 _NAME = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
 
 # Values of these never reach a message or a log.
@@ -97,6 +99,13 @@
         le=10,
         description='shortest time between two journal writes',
     )
+    entries: typing.Annotated[str, pydantic.Field(pattern=_ADDRESSES)] = (
+        pydantic.Field(
+            default='',
+            description='IP numbers and ports of entries to ask at a start '
+            'while the platform does not answer, separated by commas',
+        )
+    )
     suspicion_seconds: float = pydantic.Field(
         default=2.0,
         gt=0,
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -129,8 +129,9 @@
             self._add_service(name, name)
             for number in range(2, service_pool + 1):
                 self._add_service(f'{name}-{number}', name)
-        for number in range(1, entries + 1):
-            self._add_entry(f'entry-{number}')
+        peers = [processes.free_address() for _ in range(entries)]
+        for number, peer in enumerate(peers, start=1):
+            self._add_entry(f'entry-{number}', peer, ','.join(peers))
 
     def __enter__(self) -> 'Deployment':
         try:
@@ -147,12 +148,12 @@
     def start(self) -> None:
         """Start everything and wait until the entries are ready."""
         self.platform.process.start()
-        wait_until(lambda: _answers(self.platform.http), 'platform')
+        wait_until(lambda: answers(self.platform.http), 'platform')
         self.publish_hosts()
         for link in self.links.all():
             link.process.start()
         for link in self.links.all():
-            wait_until(lambda at=link.control: _answers(at), 'proxy')
+            wait_until(lambda at=link.control: answers(at), 'proxy')
         for node in self.nodes():
             if node is not self.platform:
                 node.process.start()
@@ -356,9 +357,8 @@
             address,
         )
 
-    def _add_entry(self, name: str) -> None:
+    def _add_entry(self, name: str, peer: str, entries: str) -> None:
         centre = next(self._centres)
-        peer = processes.free_address()
         http_address = processes.free_address()
         settings = {
             'name': name,
@@ -369,6 +369,7 @@
             'operator_token_hash': hashlib.sha256(
                 OPERATOR_TOKEN.encode()
             ).hexdigest(),
+            'entries': entries,
             **self._entry_settings,
         }
         self.links.place(links_of.ENTRIES, name, peer)
@@ -399,14 +400,14 @@
         return processes.Process(name, module, arguments, self.folder)
 
     def _admin_works(self) -> bool:
-        if not all(_answers(node.http) for node in self.entries.values()):
+        if not all(answers(node.http) for node in self.entries.values()):
             return False
         body = {'name': 'chat', 'target_seconds': 30}
         status, _ = self.admin('PUT', 'classes/chat', body, if_none_match='*')
         return status in (200, 412)
 
     def _is_entry_ready(self, node: Node) -> bool:
-        if not _answers(node.http, '/readyz'):
+        if not answers(node.http, '/readyz'):
             return False
         headers = {'authorization': f'Bearer {OPERATOR_TOKEN}'}
         _, models = call(node.http, 'GET', '/v1/models', headers=headers)
@@ -415,7 +416,8 @@
         )
 
 
-def _answers(address: str, path: str = '/healthz') -> bool:
+def answers(address: str, path: str = '/healthz') -> bool:
+    """Whether a process answers HTTP requests."""
     try:
         status, _ = call(address, 'GET', path)
     except (OSError, http.client.HTTPException):
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/support.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/support.py
@@ -103,18 +103,21 @@
     return sum(deployment.engine_state(name)['requests'].values())
 
 
-def open_program_of(deployment, owner):
-    """Open a program that a given entry owns."""
+def path_owned_by(deployment, owner):
+    """Return the path of a new program that a given entry will own."""
     entries = list(deployment.entries)
     while True:
         name = f'p-{uuid.uuid4().hex}'
         shard = identity.ProgramKey('red-clay', name).shard
         if shard_map.preferred_owner(shard, entries) == owner:
-            break
+            return f'/v1/programs/{name}'
+
+
+def open_program_of(deployment, owner):
+    """Open a program that a given entry owns."""
+    path = path_owned_by(deployment, owner)
     body = {'class': 'booking', 'budget': BUDGET}
-    path = f'/v1/programs/{name}'
-    node = deployment.entries[owner]
-    status, answer = ask(node, 'PUT', path, body)
+    status, answer = ask(deployment.entries[owner], 'PUT', path, body)
     assert status == 201, answer
     return path
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/platform.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/platform.py
@@ -20,12 +20,15 @@
     :param outage: whether every call of the API hangs up
     :param delay_seconds: added to every call
     :param lost_reply_rate: share of writes whose reply is lost
+    :param lost_event_rate: share of watches that report no change although
+        there is one
     :param host_list_lag_seconds: age of the host list that is shown
     """
 
     outage: bool = False
     delay_seconds: float = 0.0
     lost_reply_rate: float = 0.0
+    lost_event_rate: float = 0.0
     host_list_lag_seconds: float = 0.5
 
 
@@ -171,6 +174,9 @@
     ) -> http_message.Response:
         query = request.query
         after = int(query['after'])
+        if self._random.random() < self.faults.lost_event_rate:
+            await curio.sleep(float(query['wait_seconds']))
+            return http_message.Response.from_json({'version': after})
         async with curio.ignore_after(float(query['wait_seconds'])):
             while self._newest(query['prefix']) <= after:
                 await self._changed.wait()
