--- a/packages/magnoliawood-server/magnoliawood_server/platform/http_store.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/http_store.py
@@ -116,7 +116,8 @@
         found = await self._read(name)
         if found is not None and found['write_id'] == write_id:
             return found
-        raise _unavailable('the reply to a write was lost')
+        # The write may still be on its way and take effect later.
+        raise _ReplyLost('the reply to a write was lost')
 
     async def _call(
         self,
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -268,6 +268,7 @@
 def _make_upstream(
     settings: settings_models.SidecarSettings, clock: clocks.Clock
 ) -> upstreams.Upstream:
+    silence = datetime.timedelta(seconds=settings.upstream_silence_seconds)
     if settings.kind == 'engine':
-        return engine.EngineUpstream(settings.upstream, clock)
-    return service.ServiceUpstream(settings.upstream)
+        return engine.EngineUpstream(settings.upstream, clock, silence)
+    return service.ServiceUpstream(settings.upstream, silence)
