Keep viewers from running programs

Roles are checked where operations are found, for all APIs: callers and operators run programs, viewers and operators read the administration API, operators change things. Before, a viewer's token opened programs. 401 answers name the scheme.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/admin_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/admin_api.py
@@ -12,7 +12,6 @@
 from magnoliawood_server.http import message as http_message
 
 _PREFIX = '/admin/v1'
-_READERS = frozenset({accounts.Role.VIEWER, accounts.Role.OPERATOR})
 
 
 class AdminApi:
@@ -35,7 +34,9 @@
                 *self._credential_routes(),
                 *self._fleet_routes(),
                 *self._drain_routes(),
-            ]
+            ],
+            routes.VIEWERS,
+            routes.OPERATORS,
         )
 
     @property
@@ -43,13 +44,6 @@
         """The operations."""
         return self._router
 
-    async def handle(
-        self, request: http_message.Request, account: accounts.Account
-    ) -> http_message.Response:
-        """Serve one request of an authenticated operator."""
-        _check_role(request, account)
-        return await self._router.serve(request, account)
-
     def _object_routes(
         self, name: str, kind: admin_objects.ObjectKind
     ) -> list[routes.Route]:
@@ -214,14 +208,3 @@
         return await self._objects.remove(
             known, known.version, request.account.name
         )
-
-
-def _check_role(
-    request: http_message.Request, account: accounts.Account
-) -> None:
-    allowed = _READERS if request.method == 'GET' else {accounts.Role.OPERATOR}
-    if account.role not in allowed:
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.FORBIDDEN,
-            f'the role {account.role} may not do this',
-        )
--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -340,7 +340,7 @@
             case ['v1', 'chat' | 'models', *_]:
                 handle = self._chat_api.router.serve
             case ['admin', 'v1', *_]:
-                handle = self._admin_api.handle
+                handle = self._admin_api.router.serve
             case _:
                 raise errors.MagnoliawoodError(
                     errors.ErrorCode.NOT_FOUND, f'no page {request.path}'
--- a/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
@@ -34,7 +34,9 @@
                 routes.Route('PUT', call_path, self._run_call),
                 routes.Route('GET', call_path, self._read_call),
                 routes.Route('DELETE', call_path, self._cancel),
-            ]
+            ],
+            routes.CALLERS,
+            routes.CALLERS,
         )
 
     @property
--- a/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
@@ -53,7 +53,9 @@
             [
                 routes.Route('GET', '/v1/models', self._models),
                 routes.Route('POST', '/v1/chat/completions', self._complete),
-            ]
+            ],
+            routes.CALLERS,
+            routes.CALLERS,
         )
 
     @property
--- a/packages/magnoliawood-server/magnoliawood_server/entry/routes.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/routes.py
@@ -7,6 +7,10 @@
 from magnoliawood.core import errors
 from magnoliawood_server.http import message as http_message
 
+CALLERS = frozenset({accounts.Role.CALLER, accounts.Role.OPERATOR})
+VIEWERS = frozenset({accounts.Role.VIEWER, accounts.Role.OPERATOR})
+OPERATORS = frozenset({accounts.Role.OPERATOR})
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutedRequest:
@@ -48,10 +52,21 @@
 
 
 class Router:
-    """The operations of one API."""
+    """The operations of one API and who may run them.
+
+    :param readers: roles that may run operations that change nothing
+    :param writers: roles that may run the others
+    """
 
-    def __init__(self, routes: list[Route]) -> None:
+    def __init__(
+        self,
+        routes: list[Route],
+        readers: frozenset[accounts.Role],
+        writers: frozenset[accounts.Role],
+    ) -> None:
         self._routes = routes
+        self._readers = readers
+        self._writers = writers
 
     @property
     def routes(self) -> list[Route]:
@@ -63,8 +78,10 @@
     ) -> http_message.Response:
         """Run the operation that a request asks for.
 
-        :raises MagnoliawoodError: with ``not_found`` if there is none
+        :raises MagnoliawoodError: with ``not_found`` if there is none, or
+            ``forbidden``
         """
+        self._check_role(request, account)
         segments = request.segments
         for route in self._routes:
             parameters = route.match(request.method, segments)
@@ -75,3 +92,14 @@
             errors.ErrorCode.NOT_FOUND,
             f'no operation {request.method} {request.path}',
         )
+
+    def _check_role(
+        self, request: http_message.Request, account: accounts.Account
+    ) -> None:
+        is_read = request.method == 'GET'
+        allowed = self._readers if is_read else self._writers
+        if account.role not in allowed:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.FORBIDDEN,
+                f'the role {account.role} may not do this',
+            )
--- a/packages/magnoliawood-server/magnoliawood_server/http/message.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/message.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import http
 import json
 import typing
 import urllib.parse
@@ -83,6 +84,8 @@
             'code': str(error.code),
             'verdict': str(error.verdict),
         }
+        if error.status == http.HTTPStatus.UNAUTHORIZED:
+            headers['www-authenticate'] = 'Bearer'
         if error.retry_after is not None:
             seconds = error.retry_after.total_seconds()
             headers['retry-after'] = str(max(1, round(seconds)))
--- a/packages/magnoliawood-server/magnoliawood_server/openapi/caller_operations.py
+++ b/packages/magnoliawood-server/magnoliawood_server/openapi/caller_operations.py
@@ -8,11 +8,10 @@
 
 _PROGRAM = '/v1/programs/{program}'
 _CALL = '/v1/programs/{program}/calls/{sequence}'
-_UNAUTHENTICATED = operations.Reply(
-    'No bearer token, or an unknown one.',
-    models.Problem,
-    http_message.PROBLEM_TYPE,
-)
+_DENIED = {
+    401: operations.problem('No bearer token, or an unknown one.'),
+    403: operations.problem('The account is a viewer.'),
+}
 
 
 _UNKNOWN = operations.problem(
@@ -60,7 +59,7 @@
         {
             201: _PROGRAM_REPLY,
             400: operations.problem('The name is malformed.'),
-            401: _UNAUTHENTICATED,
+            **_DENIED,
             404: operations.problem('There is no such class or parent.'),
             409: operations.problem(
                 'It is open with another class or budget.'
@@ -81,13 +80,13 @@
         'GET',
         _PROGRAM,
         'Read the state of a program.',
-        {200: _PROGRAM_REPLY, 401: _UNAUTHENTICATED, 404: _UNKNOWN},
+        {200: _PROGRAM_REPLY, **_DENIED, 404: _UNKNOWN},
     ),
     operations.Operation(
         'DELETE',
         _PROGRAM,
         'End a program and its sub-agents; engine memory is freed.',
-        {200: _PROGRAM_REPLY, 401: _UNAUTHENTICATED, 404: _UNKNOWN},
+        {200: _PROGRAM_REPLY, **_DENIED, 404: _UNKNOWN},
     ),
     operations.Operation(
         'GET',
@@ -97,7 +96,7 @@
             200: operations.Reply(
                 'All messages in order.', models.HistoryAnswer
             ),
-            401: _UNAUTHENTICATED,
+            **_DENIED,
             404: _UNKNOWN,
         },
     ),
@@ -112,7 +111,7 @@
         {
             200: _CALL_REPLY,
             400: operations.problem('The sequence number is malformed.'),
-            401: _UNAUTHENTICATED,
+            **_DENIED,
             402: operations.problem('The budget does not cover the call.'),
             404: operations.problem(
                 'There is no such program, model or service.'
@@ -157,7 +156,7 @@
         {
             200: _CALL_REPLY,
             400: operations.problem('The offset is malformed.'),
-            401: _UNAUTHENTICATED,
+            **_DENIED,
             404: operations.problem('There is no such program or call.'),
         },
         parameters=(
@@ -173,7 +172,7 @@
         'DELETE',
         _CALL,
         'Cancel a call that is under way; a finished one stays as it is.',
-        {204: operations.Reply('Done.'), 401: _UNAUTHENTICATED},
+        {204: operations.Reply('Done.'), **_DENIED},
     ),
 ]
 
@@ -184,7 +183,7 @@
         'List the models, in the OpenAI form.',
         {
             200: operations.Reply('The models.', models.ModelsAnswer),
-            401: _UNAUTHENTICATED,
+            **_DENIED,
         },
     ),
     operations.Operation(
@@ -207,6 +206,11 @@
                 models.ChatProblem,
                 http_message.PROBLEM_TYPE,
             ),
+            403: operations.Reply(
+                'The account is a viewer.',
+                models.ChatProblem,
+                http_message.PROBLEM_TYPE,
+            ),
             404: operations.Reply(
                 'There is no such model or class.',
                 models.ChatProblem,
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -66,8 +66,9 @@
     peer_secret: typing.Annotated[
         pydantic.SecretStr, pydantic.AfterValidator(_check_secrets)
     ] = pydantic.Field(
-        description='secret that all processes of the deployment share; '
-        'several, separated by commas, while it is being replaced',
+        description='secret of 16 characters or more that all processes of '
+        'the deployment share; several, separated by commas, while it is '
+        'being replaced',
     )
     data_folder: pathlib.Path | None = pydantic.Field(
         default=None, description='folder for bulk data, if there is a disk'
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/conftest.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/conftest.py
@@ -10,5 +10,6 @@
         started.create_class('booking', 30)
         started.create_account('red-clay')
         started.create_account('kessick')
+        started.create_account('support', 'viewer')
         started.wait_for_configuration()
         yield started
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_openapi.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_openapi.py
@@ -187,7 +187,9 @@
         if 401 in item.replies:
             yield Step(item.method, item.path, 401, values, token='wrong')
         if 403 in item.replies:
-            yield Step(item.method, item.path, 403, values)
+            is_admin = item.path.startswith('/admin')
+            token = 'red-clay' if is_admin else 'support'
+            yield Step(item.method, item.path, 403, values, token=token)
 
 
 def run(deployment, step):
@@ -198,6 +200,7 @@
         'operator': deployments.OPERATOR_TOKEN,
         'wrong': 'wrong',
         'red-clay': deployments.token_of('red-clay'),
+        'support': deployments.token_of('support'),
     }
     headers = dict(step.headers)
     if step.token:
