Show the calls of a program to operators

GET /admin/v1/programs/CALLER/NAME/calls and magnoliactl program calls: state, upstream, attempt, verdict and error of each call, no content, asked of the owner.

--- a/packages/magnoliawood-cli/magnoliawood_cli/program_commands.py
+++ b/packages/magnoliawood-cli/magnoliawood_cli/program_commands.py
@@ -53,6 +53,17 @@
     session.write(found, *_COLUMNS, 'end_reason')
 
 
+@app.command('calls')
+def list_calls(context: typer.Context, caller: str, program: str) -> None:
+    """Show the newest calls of a program, without their content."""
+    session: sessions.Session = context.obj
+    session.write(
+        session.client.get('programs', caller, program, 'calls'),
+        *('sequence', 'kind', 'target', 'state', 'upstream', 'attempt'),
+        *('verdict', 'code', 'tokens'),
+    )
+
+
 @app.command('cancel')
 def cancel_program(context: typer.Context, caller: str, program: str) -> None:
     """End a program and its sub-agents."""
--- a/packages/magnoliawood-cli/magnoliawood_cli/tests/test_main.py
+++ b/packages/magnoliawood-cli/magnoliawood_cli/tests/test_main.py
@@ -139,6 +139,25 @@
     assert 'cancelled' in [item['program'] for item in listed]
 
 
+def test_calls_show_where_they_went_from_any_entry(deployment, control, other):
+    open_program(deployment, 'called')
+    booking = {'kind': 'service', 'service': 'pours', 'operation': 'book'}
+    status, _ = deployments.call(
+        deployment.entries['entry-1'].http,
+        'PUT',
+        '/v1/programs/called/calls/1',
+        booking,
+        {'authorization': f'Bearer {deployments.token_of("red-clay")}'},
+    )
+    assert status == 200
+    command = ('program', 'calls', 'red-clay', 'called')
+    (call,) = control.read(*command)['items']
+    assert call['target'] == 'pours/book'
+    assert call['upstream'] == 'pours-sidecar'
+    assert call['verdict'] == 'ran'
+    assert other.read(*command)['items'] == [call]
+
+
 def test_status_shows_each_entry(deployment, control):
     deployment.wait_for_configuration()
     answer = control.read('status')
--- a/packages/magnoliawood-server/magnoliawood_server/entry/admin_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/admin_api.py
@@ -101,6 +101,7 @@
             routes.Route('GET', f'{_PREFIX}/programs', fleet.programs),
             routes.Route('GET', program, fleet.show_program),
             routes.Route('DELETE', program, fleet.cancel_program),
+            routes.Route('GET', f'{program}/calls', fleet.calls),
             routes.Route('GET', f'{_PREFIX}/entries', fleet.entries),
             routes.Route('GET', f'{_PREFIX}/hosts', fleet.hosts),
             routes.Route('GET', f'{_PREFIX}/data-centres', fleet.data_centres),
--- a/packages/magnoliawood-server/magnoliawood_server/entry/admin_fleet.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/admin_fleet.py
@@ -100,6 +100,16 @@
             caller_api.program_document(status)
         )
 
+    async def calls(
+        self, request: routes.RoutedRequest
+    ) -> http_message.Response:
+        """Return the newest calls of a program, without their content."""
+        key = identity.ProgramKey(*request.parameters)
+        page = await self._fleet.ask_owner(messages.ListCalls(key, PAGE_LIMIT))
+        return http_message.Response.from_json(
+            {'items': [dataclasses.asdict(call) for call in page.calls]}
+        )
+
     async def cancel_program(
         self, request: routes.RoutedRequest
     ) -> http_message.Response:
--- a/packages/magnoliawood-server/magnoliawood_server/entry/fleet_view.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/fleet_view.py
@@ -11,6 +11,7 @@
 from magnoliawood.core import errors
 from magnoliawood.ownership import shard_map as shard_maps
 from magnoliawood.platform import store
+from magnoliawood.programs import call as calls
 from magnoliawood.programs import program as programs
 from magnoliawood.programs import table as tables
 from magnoliawood.telemetry import registry as registries
@@ -77,6 +78,7 @@
             ],
         ] = {
             messages.ListPrograms: self._list_programs,
+            messages.ListCalls: self._list_calls,
             messages.GetEntryStatus: self._entry_status,
             messages.GetCounters: self._counters,
         }
@@ -108,6 +110,29 @@
                 await group.spawn(ask, state)
         return Answers(dict(sorted(found.items())), missing)
 
+    async def ask_owner(self, message: messages.ListCalls) -> typing.Any:
+        """Ask the owner of a program.
+
+        :raises MagnoliawoodError: with ``not_owner`` while there is none
+        """
+        shard = message.program.shard
+        owner = self._keeper.owner(shard)
+        if owner == self._entry:
+            return await self.answer(message)
+        address = self._membership.address_of(owner)
+        if not address:
+            raise shard_keeper.refusal_of_foreign(shard)
+        return await self._pool.ask(address, message, ANSWER_TIMEOUT)
+
+    async def _list_calls(
+        self, message: messages.ListCalls
+    ) -> messages.CallPage:
+        key = message.program
+        if not self._keeper.serves(key.shard):
+            raise shard_keeper.refusal_of_foreign(key.shard)
+        newest = self._programs.get(key).calls[-message.limit :]
+        return messages.CallPage([_summary(call) for call in newest])
+
     async def _list_programs(
         self, message: messages.ListPrograms
     ) -> messages.ProgramPage:
@@ -163,3 +188,23 @@
         and message.work_class in ('', program.work_class)
         and message.state in ('', state)
     )
+
+
+def _summary(call: calls.Call) -> messages.CallSummary:
+    request = call.request
+    if isinstance(request, calls.ModelRequest):
+        kind, target = 'model', request.model
+    else:
+        kind, target = 'service', f'{request.service}/{request.operation}'
+    outcome = call.outcome
+    return messages.CallSummary(
+        call.id.sequence,
+        kind,
+        target,
+        call.state,
+        call.upstream,
+        call.attempt,
+        str(outcome.verdict) if outcome else '',
+        outcome.code if outcome else '',
+        outcome.tokens if outcome else 0,
+    )
--- a/packages/magnoliawood-server/magnoliawood_server/openapi/admin_operations.py
+++ b/packages/magnoliawood-server/magnoliawood_server/openapi/admin_operations.py
@@ -195,6 +195,12 @@
         models.ProgramAnswer,
         _404=_ABSENT,
     ),
+    _read(
+        'programs/{caller}/{program}/calls',
+        'Show the newest calls of a program, without their content.',
+        models.CallList,
+        _404=_ABSENT,
+    ),
     operations.Operation(
         'DELETE',
         f'{_PREFIX}/programs/{{caller}}/{{program}}',
--- a/packages/magnoliawood-server/magnoliawood_server/openapi/models.py
+++ b/packages/magnoliawood-server/magnoliawood_server/openapi/models.py
@@ -226,6 +226,26 @@
     missing_entries: dict[str, str]
 
 
+class CallSummaryAnswer(Answer):
+    """A call without its content."""
+
+    sequence: int
+    kind: typing.Literal['model', 'service']
+    target: str
+    state: str
+    upstream: str
+    attempt: int
+    verdict: typing.Literal['', 'not_run', 'may_have_run', 'ran']
+    code: str
+    tokens: int
+
+
+class CallList(Answer):
+    """The newest calls of a program, the oldest first."""
+
+    items: list[CallSummaryAnswer]
+
+
 class EntryAnswer(Answer):
     """State of an entry, as it tells itself."""
 
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -383,6 +383,46 @@
     programs: list[ProgramStatus]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListCalls:
+    """Asks an owner for the newest calls of a program.
+
+    :param limit: the most calls to return
+    """
+
+    program: identity.ProgramKey
+    limit: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallSummary:
+    """A call without its content.
+
+    :param target: model, or service and operation
+    :param upstream: where it was sent last, empty if nowhere
+    :param attempt: number of the last order
+    :param verdict: empty while it has no outcome
+    :param code: error that it ended with, if so
+    """
+
+    sequence: int
+    kind: str
+    target: str
+    state: str
+    upstream: str
+    attempt: int
+    verdict: str
+    code: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallPage:
+    """The newest calls of a program, the oldest first."""
+
+    calls: list[CallSummary]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GetEntryStatus:
     """Asks an entry for its state; it tries the store before it answers."""
@@ -456,6 +496,9 @@
     History,
     ListPrograms,
     ProgramPage,
+    ListCalls,
+    CallSummary,
+    CallPage,
     GetEntryStatus,
     EntryStatus,
     GetCounters,
