--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -15,6 +15,7 @@
 from magnoliawood.programs import message as conversation
 from magnoliawood.programs import program as programs
 from magnoliawood.programs import records
+from magnoliawood.scheduling import growth
 from magnoliawood.scheduling import priority as priorities
 from magnoliawood.scheduling import routing
 from magnoliawood.telemetry import registry as registries
@@ -80,6 +81,7 @@
         self._router = router
         self._priority = priority
         self._hold_share = hold_share
+        self._growth = growth.PromptGrowth()
         self._record_intent = record_intent
 
     def choose(
@@ -92,7 +94,7 @@
 
         :raises MagnoliawoodError: if none is available
         """
-        demand = _demand(program, request)
+        demand = self._demand(program, request)
         found = self._sidecars.candidates(
             *_target(request), self._router.sample_size, demand.last
         )
@@ -106,6 +108,18 @@
                 self._metrics.count('program_moves_total')
         return sidecar
 
+    def _demand(
+        self, program: programs.Program, request: calls.Request
+    ) -> routing.Demand:
+        last = _last_upstream(program, request)
+        if not isinstance(request, calls.ModelRequest):
+            return routing.Demand(program.key, last, 0)
+        prompt = [*program.history, *request.messages]
+        tokens = conversation.token_estimate(prompt)
+        self._growth.note(program.work_class, tokens)
+        expected = self._growth.expected_tokens(program.work_class)
+        return routing.Demand(program.key, last, tokens, expected - tokens)
+
     async def run(
         self, execution: Execution, sidecar: sidecar_directory.Sidecar
     ) -> calls.CallOutcome:
@@ -376,18 +390,6 @@
     return 'service', request.service
 
 
-def _demand(
-    program: programs.Program, request: calls.Request
-) -> routing.Demand:
-    tokens = 0
-    if isinstance(request, calls.ModelRequest):
-        prompt = [*program.history, *request.messages]
-        tokens = conversation.token_estimate(prompt)
-    return routing.Demand(
-        program.key, _last_upstream(program, request), tokens
-    )
-
-
 def _last_upstream(program: programs.Program, request: calls.Request) -> str:
     if not isinstance(request, calls.ModelRequest):
         return ''
--- a/packages/magnoliawood/magnoliawood/scheduling/cache_admission.py
+++ b/packages/magnoliawood/magnoliawood/scheduling/cache_admission.py
@@ -6,8 +6,8 @@
 
 # Half of what a program grows to is its mean size while it lives.
 _MEAN_SIZE_SHARE = 0.5
-# Programs below this part of the cache never wait for room.
-_SMALL_SHARE = 0.02
+# Programs that grow by less than this part of the cache never wait.
+_SMALL_GROWTH_SHARE = 0.03
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,6 +25,11 @@
     expected_tokens: int
     hold_until: datetime.datetime
 
+    @property
+    def growth_tokens(self) -> int:
+        """Tokens that later turns will find cached and extend."""
+        return self.expected_tokens - self.prompt_tokens
+
     @property
     def mean_tokens(self) -> int:
         """Room that it takes on average while it lives."""
@@ -72,7 +77,8 @@
 
     Once live programs want more than the cache holds, each loses its
     prefix in its tool pauses and every turn repeats its prefill. Fewer
-    programs at a time finish sooner. Small programs start at once.
+    programs at a time finish sooner. Programs that hardly grow start at
+    once, whatever their first prompt shares with others.
 
     Examples
     ========
@@ -98,7 +104,7 @@
         """Return whether there is room or no more time."""
         if not demand.is_first or not capacity_tokens:
             return True
-        if demand.expected_tokens < capacity_tokens * _SMALL_SHARE:
+        if demand.growth_tokens < capacity_tokens * _SMALL_GROWTH_SHARE:
             return True
         wanted = resident_tokens + demand.mean_tokens
         return wanted <= capacity_tokens or now >= demand.hold_until
--- a/packages/magnoliawood/magnoliawood/scheduling/policies.py
+++ b/packages/magnoliawood/magnoliawood/scheduling/policies.py
@@ -38,7 +38,9 @@
 
 def _standard() -> Policy:
     return Policy(
-        routing.StayOrLeastLoaded(), priorities.EarliestProgramDeadline()
+        routing.LeastCost(),
+        priorities.EarliestProgramDeadline(),
+        HOLD_SHARE,
     )
 
 
@@ -46,19 +48,9 @@
     return Policy(routing.LeastCost(), priorities.EarliestProgramDeadline())
 
 
-def _hold() -> Policy:
-    return Policy(
-        routing.StayOrLeastLoaded(),
-        priorities.EarliestProgramDeadline(),
-        HOLD_SHARE,
-    )
-
-
-def _hold_least_cost() -> Policy:
+def _stay_or_least_loaded() -> Policy:
     return Policy(
-        routing.LeastCost(),
-        priorities.EarliestProgramDeadline(),
-        HOLD_SHARE,
+        routing.StayOrLeastLoaded(), priorities.EarliestProgramDeadline()
     )
 
 
@@ -72,9 +64,8 @@
 
 _MAKERS = {
     STANDARD: _standard,
-    'hold': _hold,
-    'hold-least-cost': _hold_least_cost,
     'least-cost': _least_cost,
+    'stay-or-least-loaded': _stay_or_least_loaded,
     'fcfs-least-loaded': _fcfs_least_loaded,
     'fcfs-hash': _fcfs_hash,
 }
--- a/packages/magnoliawood/magnoliawood/scheduling/routing.py
+++ b/packages/magnoliawood/magnoliawood/scheduling/routing.py
@@ -7,8 +7,6 @@
 from magnoliawood.programs import identity
 
 SAMPLE_SIZE = 6
-# Tokens by which a program is expected to grow where it starts.
-_GROWTH_TOKENS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,11 +40,13 @@
 
     :param last: upstream of the program's previous turn, or empty
     :param prompt_tokens: length of the history and the new messages
+    :param growth_tokens: what later turns are expected to add
     """
 
     program: identity.ProgramKey
     last: str
     prompt_tokens: int
+    growth_tokens: int = 0
 
 
 class Router(typing.Protocol):
@@ -151,10 +151,9 @@
     if view.name == demand.last:
         return view.wait_seconds
     fullness = view.resident_tokens / mean_tokens if mean_tokens else 0.0
-    room = demand.prompt_tokens
-    if not demand.last:
-        room += _GROWTH_TOKENS
-    tokens = demand.prompt_tokens + room * fullness
+    # A first prompt is mostly what its class shares, cached everywhere.
+    own = demand.prompt_tokens if demand.last else 0
+    tokens = own + (own + demand.growth_tokens) * fullness
     return view.wait_seconds + tokens * view.prefill_seconds
 
 
