--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -29,6 +29,7 @@
 MAX_ATTEMPTS = 3
 SETTLE_LIMIT = datetime.timedelta(seconds=4)
 SETTLE_INTERVAL = datetime.timedelta(milliseconds=200)
+HOLD_LIMIT = datetime.timedelta(seconds=30)
 RETRY_AFTER = datetime.timedelta(seconds=1)
 
 _log = logging.getLogger(__name__)
@@ -339,7 +340,8 @@
         )
         if not is_held:
             return None
-        return program.opened.opened_at + execution.target * self._hold_share
+        hold = min(execution.target * self._hold_share, HOLD_LIMIT)
+        return program.opened.opened_at + hold
 
 
 def _withdrawn() -> errors.MagnoliawoodError:
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -95,6 +95,7 @@
         """Take no new order and wait for those accepted."""
         self._activity.is_closing = True
         await self._leaving.set()
+        await self._runner.end_holds()
         await curio.sleep(self._settings.stop_notice_seconds)
         await stop.wait_while(
             lambda: self._runner.waiting or self._answers_under_way
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_queue.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_queue.py
@@ -53,6 +53,12 @@
             self._push_ready(heapq.heappop(self._held)[2])
         return heapq.heappop(self._heap)[2] if self._heap else None
 
+    def end_holds(self) -> None:
+        """Hold no call back any more."""
+        for _, _, run in sorted(self._held, key=lambda entry: entry[:2]):
+            self._push_ready(run)
+        self._held = []
+
     def remove(self, run: call_run.CallRun) -> None:
         """Take a call out of the middle."""
         self._heap = _without(self._heap, run)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -134,6 +134,11 @@
             del self._runs[call]
             self._witness.forget(call)
 
+    async def end_holds(self) -> None:
+        """Start the calls held back as soon as others make way."""
+        self._queue.end_holds()
+        await self._start_waiting()
+
     async def release(self, program: identity.ProgramKey) -> None:
         """Free what the upstream holds for a program."""
         self._cache.release(program)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/tests/test_call_queue.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/tests/test_call_queue.py
@@ -64,3 +64,13 @@
     queue.push(held)
     queue.remove(held)
     assert len(queue) == 0
+
+
+def test_no_call_is_held_after_the_end_of_holds():
+    queue = call_queue.CallQueue(lambda run: False)
+    late, early = run(1.0, 9), run(1.0, 5)
+    queue.push(late)
+    queue.push(early)
+    queue.end_holds()
+    assert queue.held == 0
+    assert drain(queue) == [early, late]
