--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -14,16 +14,21 @@
 from magnoliawood.scheduling import policies
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import admin_api
+from magnoliawood_server.entry import admin_fleet
+from magnoliawood_server.entry import admin_objects
 from magnoliawood_server.entry import call_executor
 from magnoliawood_server.entry import call_recorder
 from magnoliawood_server.entry import caller_api
+from magnoliawood_server.entry import change_history
 from magnoliawood_server.entry import chat_api
 from magnoliawood_server.entry import configuration_keeper
+from magnoliawood_server.entry import fleet_view
 from magnoliawood_server.entry import gateway as gateways
 from magnoliawood_server.entry import journal_writer
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import owner_service
 from magnoliawood_server.entry import record_holder
+from magnoliawood_server.entry import routes
 from magnoliawood_server.entry import shard_keeper
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
@@ -65,6 +70,11 @@
         self._make_apis()
         self._make_listeners()
 
+    def routes(self) -> list[routes.Route]:
+        """Return the operations that need a credential."""
+        apis = (self._caller_api, self._chat_api, self._admin_api)
+        return [route for api in apis for route in api.router.routes]
+
     async def run(self) -> stop.ExitCode:
         """Serve until a signal asks for a stop and the rest has ended."""
         signals = stop.StopSignals()
@@ -97,7 +107,10 @@
             self._objects, settings.operator_token_hash
         )
         self._sidecars = sidecar_directory.SidecarDirectory(
-            settings.name, self._pool, self._clock
+            settings.name,
+            self._pool,
+            self._clock,
+            lambda: self._configuration.current.drained,
         )
         self._membership = memberships.Membership(
             settings.name,
@@ -169,8 +182,39 @@
             self._configuration,
             self._settings.default_class,
         )
+        self._make_admin_api()
+
+    def _make_admin_api(self) -> None:
+        settings = self._settings
+        self._fleet = fleet_view.FleetView(
+            settings.name,
+            self._incarnation,
+            settings.data_centre,
+            self._objects,
+            self._membership,
+            self._keeper,
+            self._service,
+            self._programs,
+            self._configuration,
+            self._pool,
+            self._metrics,
+        )
+        history = change_history.ChangeHistory(self._objects, self._metrics)
         self._admin_api = admin_api.AdminApi(
-            self._objects, self._configuration
+            admin_objects.ConfigurationObjects(
+                self._objects, self._configuration, history, self._clock
+            ),
+            admin_fleet.AdminFleet(
+                settings.name,
+                settings.data_centre,
+                self._fleet,
+                self._gateway,
+                self._membership,
+                self._sidecars,
+                self._configuration,
+                self._pool,
+            ),
+            self._clock,
         )
 
     def _make_listeners(self) -> None:
@@ -248,6 +292,8 @@
             await stream.send(self._probe_reply())
         elif self._held.handles(message):
             await self._held.handle_peer(stream, message)
+        elif self._fleet.handles(message):
+            await stream.send(await self._fleet.answer(message))
         elif self._gateway.handles(message):
             self._peer_requests += 1
             try:
@@ -291,9 +337,9 @@
             case ['metrics']:
                 return self._metrics_page()
             case ['v1', 'programs', *_]:
-                handle = self._caller_api.handle
+                handle = self._caller_api.router.serve
             case ['v1', 'chat' | 'models', *_]:
-                handle = self._chat_api.handle
+                handle = self._chat_api.router.serve
             case ['admin', 'v1', *_]:
                 handle = self._admin_api.handle
             case _:
@@ -315,7 +361,7 @@
         is_ready = (
             self._membership.is_ready
             and '' not in owners
-            and self._configuration.current.version > 0
+            and self._configuration.is_loaded
             and not self._membership.is_leaving
         )
         return http_message.Response(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
@@ -1,5 +1,6 @@
 """What an entry knows of the sidecars and their upstreams."""
 
+import collections.abc
 import dataclasses
 import datetime
 import logging
@@ -66,11 +67,19 @@
 
 
 class SidecarDirectory:
-    """Sidecars by host name, refreshed in the background."""
+    """Sidecars by host name, refreshed in the background.
+
+    :param drained: names those that operators keep new work from
+    """
 
     def __init__(
-        self, entry: str, pool: pools.PeerPool, clock: clocks.Clock
+        self,
+        entry: str,
+        pool: pools.PeerPool,
+        clock: clocks.Clock,
+        drained: collections.abc.Callable[[], frozenset[str]] = frozenset,
     ) -> None:
+        self._drained = drained
         self._entry = entry
         self._pool = pool
         self._clock = clock
@@ -119,19 +128,45 @@
         """
         serving = self._index.serving(kind, name)
         if not serving:
-            raise _unknown(kind, name)
-        usable = self._index.sample(kind, name, sample_size, self._random)
-        known = self._sidecars.get(last)
-        if known and known.is_usable and known.serves(kind, name):
-            usable = [known, *(s for s in usable if s is not known)]
+            raise self._unknown(kind, name)
+        usable = self._draw(kind, name, sample_size, last)
         if not usable:
-            raise errors.MagnoliawoodError(
-                errors.ErrorCode.UPSTREAM_UNAVAILABLE,
-                f'no upstream that serves {name} is available',
-                retry_after=RETRY_AFTER,
-            )
+            raise _unavailable(name)
         return usable
 
+    def _draw(
+        self, kind: str, name: str, sample_size: int, last: str
+    ) -> list[Sidecar]:
+        drained = self._drained()
+        drawn = self._undrained(kind, name, sample_size, drained)
+        if not drawn and drained:
+            drawn = self._undrained(kind, name, 0, drained)
+        known = self._sidecars.get(last)
+        if (
+            known
+            and known.is_usable
+            and known.serves(kind, name)
+            and last not in drained
+        ):
+            return [known, *(s for s in drawn if s is not known)]
+        return drawn
+
+    def _undrained(
+        self,
+        kind: str,
+        name: str,
+        sample_size: int,
+        drained: frozenset[str],
+    ) -> list[Sidecar]:
+        drawn = self._index.sample(kind, name, sample_size, self._random)
+        return [s for s in drawn if s.is_usable and s.name not in drained]
+
+    def _unknown(self, kind: str, name: str) -> errors.MagnoliawoodError:
+        # An entry that has just started has not heard of every upstream.
+        if not self._sidecars or any(s.reply is None for s in self.all()):
+            return _unavailable(name)
+        return _unknown(kind, name)
+
     def served_names(self, kind: str) -> list[str]:
         """Return the names that upstreams of a kind serve."""
         return sorted(
@@ -227,6 +262,14 @@
     return (*served, sidecar.is_usable)
 
 
+def _unavailable(name: str) -> errors.MagnoliawoodError:
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.UPSTREAM_UNAVAILABLE,
+        f'no upstream that serves {name} is available',
+        retry_after=RETRY_AFTER,
+    )
+
+
 def _unknown(kind: str, name: str) -> errors.MagnoliawoodError:
     if kind == 'engine':
         code = errors.ErrorCode.UNKNOWN_MODEL
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -60,6 +60,7 @@
         self._handlers = {
             messages.Hello: self._hello,
             messages.AwaitLeaving: self._await_leaving,
+            messages.GetCounters: self._counters,
             messages.Order: self._order,
             messages.Attach: self._attach,
             messages.Cancel: self._cancel,
@@ -151,6 +152,11 @@
             self._runner.speed.prefill_seconds_per_token,
         )
 
+    async def _counters(
+        self, stream: connections.Stream, message: messages.GetCounters
+    ) -> None:
+        await stream.send(messages.Counters(self._metrics.counters()))
+
     async def _order(
         self, stream: connections.Stream, message: messages.Order
     ) -> None:
