--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -18,6 +18,7 @@
 from magnoliawood_server.entry import admin_objects
 from magnoliawood_server.entry import call_executor
 from magnoliawood_server.entry import call_recorder
+from magnoliawood_server.entry import call_scheduler
 from magnoliawood_server.entry import caller_api
 from magnoliawood_server.entry import change_history
 from magnoliawood_server.entry import chat_api
@@ -161,9 +162,9 @@
             self._pool,
             self._clock,
             self._metrics,
-            policy.router,
-            policy.priority,
-            policy.hold_share,
+            call_scheduler.CallScheduler(
+                self._sidecars, self._clock, self._metrics, policy
+            ),
             self._recorder.record_intent,
         )
         self._guard = ownership_guard.OwnershipGuard(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -12,14 +12,11 @@
 from magnoliawood.core import verdict as verdicts
 from magnoliawood.ownership import takeover
 from magnoliawood.programs import call as calls
-from magnoliawood.programs import message as conversation
 from magnoliawood.programs import program as programs
 from magnoliawood.programs import records
-from magnoliawood.scheduling import growth
-from magnoliawood.scheduling import priority as priorities
-from magnoliawood.scheduling import routing
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import call_recorder
+from magnoliawood_server.entry import call_scheduler
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import messages
@@ -29,7 +26,6 @@
 MAX_ATTEMPTS = 3
 SETTLE_LIMIT = datetime.timedelta(seconds=4)
 SETTLE_INTERVAL = datetime.timedelta(milliseconds=200)
-HOLD_LIMIT = datetime.timedelta(seconds=30)
 RETRY_AFTER = datetime.timedelta(seconds=1)
 
 _log = logging.getLogger(__name__)
@@ -70,19 +66,14 @@
         pool: pools.PeerPool,
         clock: clocks.Clock,
         metrics: registries.Registry,
-        router: routing.Router,
-        priority: priorities.Priority,
-        hold_share: float,
+        scheduler: call_scheduler.CallScheduler,
         record_intent: RecordIntent,
     ) -> None:
         self._sidecars = sidecars
         self._pool = pool
         self._clock = clock
         self._metrics = metrics
-        self._router = router
-        self._priority = priority
-        self._hold_share = hold_share
-        self._growth = growth.PromptGrowth()
+        self._scheduler = scheduler
         self._record_intent = record_intent
 
     def choose(
@@ -95,31 +86,7 @@
 
         :raises MagnoliawoodError: if none is available
         """
-        demand = self._demand(program, request)
-        found = self._sidecars.candidates(
-            *_target(request), self._router.sample_size, demand.last
-        )
-        fresh = [s for s in found if s.name not in excluded] or found
-        views = [sidecar_directory.view_of(sidecar) for sidecar in fresh]
-        chosen = self._router.choose(demand, views)
-        sidecar = next(s for s in fresh if s.name == chosen.name)
-        if chosen.name != demand.last:
-            sidecar.placed_tokens += demand.prompt_tokens
-            if demand.last:
-                self._metrics.count('program_moves_total')
-        return sidecar
-
-    def _demand(
-        self, program: programs.Program, request: calls.Request
-    ) -> routing.Demand:
-        last = _last_upstream(program, request)
-        if not isinstance(request, calls.ModelRequest):
-            return routing.Demand(program.key, last, 0)
-        prompt = [*program.history, *request.messages]
-        tokens = conversation.token_estimate(prompt)
-        self._growth.note(program.work_class, tokens)
-        expected = self._growth.expected_tokens(program.work_class)
-        return routing.Demand(program.key, last, tokens, expected - tokens)
+        return self._scheduler.choose(program, request, excluded)
 
     async def run(
         self, execution: Execution, sidecar: sidecar_directory.Sidecar
@@ -302,16 +269,9 @@
             stream.close()
 
     def _order_message(self, execution: Execution) -> messages.Order:
-        now = self._clock.now()
         program = execution.program
-        ledger = program.ledger
-        progress = priorities.ProgramProgress(
-            program.opened.opened_at,
-            execution.target,
-            ledger.calls_made,
-            ledger.tokens_spent,
-        )
-        is_turn = isinstance(execution.call.request, calls.ModelRequest)
+        request = execution.call.request
+        is_turn = isinstance(request, calls.ModelRequest)
         lifetime = datetime.timedelta(seconds=program.opened.budget.seconds)
         return messages.Order(
             program.opened,
@@ -320,29 +280,11 @@
             program.history if is_turn else [],
             execution.answer.text,
             execution.answer.tokens,
-            self._priority.rank(progress, now),
+            self._scheduler.rank(program, execution.target),
             program.opened.opened_at + lifetime,
-            self._hold_until(execution),
+            self._scheduler.hold_until(program, request, execution.target),
         )
 
-    def _hold_until(self, execution: Execution) -> datetime.datetime | None:
-        """Return until when a program's first turn may wait for room."""
-        program = execution.program
-        request = execution.call.request
-        is_held = (
-            self._hold_share > 0
-            and program.key.parent is None
-            and isinstance(request, calls.ModelRequest)
-            and not any(
-                isinstance(call.request, calls.ModelRequest)
-                for call in program.calls[:-1]
-            )
-        )
-        if not is_held:
-            return None
-        hold = min(execution.target * self._hold_share, HOLD_LIMIT)
-        return program.opened.opened_at + hold
-
 
 def _withdrawn() -> errors.MagnoliawoodError:
     return errors.MagnoliawoodError(
@@ -385,25 +327,6 @@
     )
 
 
-def _target(request: calls.Request) -> tuple[str, str]:
-    """Return the kind and the name of what serves a request."""
-    if isinstance(request, calls.ModelRequest):
-        return 'engine', request.model
-    return 'service', request.service
-
-
-def _last_upstream(program: programs.Program, request: calls.Request) -> str:
-    if not isinstance(request, calls.ModelRequest):
-        return ''
-    turns = (
-        call.upstream
-        for call in reversed(program.calls)
-        if isinstance(call.request, calls.ModelRequest)
-        and call.request.model == request.model
-    )
-    return next(turns, '')
-
-
 def _outcome_of_refusal(
     error: errors.MagnoliawoodError,
 ) -> calls.CallOutcome:
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_scheduler.py
@@ -0,0 +1,123 @@
+"""Applies the decisions on priority, routing and cache to calls."""
+
+import datetime
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import message as conversation
+from magnoliawood.programs import program as programs
+from magnoliawood.scheduling import growth
+from magnoliawood.scheduling import policies
+from magnoliawood.scheduling import priority as priorities
+from magnoliawood.scheduling import routing
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import sidecar_directory
+
+HOLD_LIMIT = datetime.timedelta(seconds=30)
+
+
+class CallScheduler:
+    """Chooses the upstream of each call and its place in the queue."""
+
+    def __init__(
+        self,
+        sidecars: sidecar_directory.SidecarDirectory,
+        clock: clocks.Clock,
+        metrics: registries.Registry,
+        policy: policies.Policy,
+    ) -> None:
+        self._sidecars = sidecars
+        self._clock = clock
+        self._metrics = metrics
+        self._policy = policy
+        self._growth = growth.PromptGrowth()
+
+    def choose(
+        self,
+        program: programs.Program,
+        request: calls.Request,
+        excluded: set[str],
+    ) -> sidecar_directory.Sidecar:
+        """Choose the upstream for a request.
+
+        :raises MagnoliawoodError: if none is available
+        """
+        router = self._policy.router
+        demand = self._demand(program, request)
+        found = self._sidecars.candidates(
+            *_target(request), router.sample_size, demand.last
+        )
+        fresh = [s for s in found if s.name not in excluded] or found
+        views = [sidecar_directory.view_of(sidecar) for sidecar in fresh]
+        chosen = router.choose(demand, views)
+        sidecar = next(s for s in fresh if s.name == chosen.name)
+        if chosen.name != demand.last:
+            sidecar.placed_tokens += demand.prompt_tokens
+            if demand.last:
+                self._metrics.count('program_moves_total')
+        return sidecar
+
+    def rank(
+        self, program: programs.Program, target: datetime.timedelta
+    ) -> float:
+        """Return the rank of a program's call; the lowest runs first."""
+        ledger = program.ledger
+        progress = priorities.ProgramProgress(
+            program.opened.opened_at,
+            target,
+            ledger.calls_made,
+            ledger.tokens_spent,
+        )
+        return self._policy.priority.rank(progress, self._clock.now())
+
+    def hold_until(
+        self,
+        program: programs.Program,
+        request: calls.Request,
+        target: datetime.timedelta,
+    ) -> datetime.datetime | None:
+        """Return until when a program's first turn may wait for room."""
+        is_held = (
+            self._policy.hold_share > 0
+            and program.key.parent is None
+            and isinstance(request, calls.ModelRequest)
+            and not any(
+                isinstance(call.request, calls.ModelRequest)
+                for call in program.calls[:-1]
+            )
+        )
+        if not is_held:
+            return None
+        hold = min(target * self._policy.hold_share, HOLD_LIMIT)
+        return program.opened.opened_at + hold
+
+    def _demand(
+        self, program: programs.Program, request: calls.Request
+    ) -> routing.Demand:
+        last = _last_upstream(program, request)
+        if not isinstance(request, calls.ModelRequest):
+            return routing.Demand(program.key, last, 0)
+        prompt = [*program.history, *request.messages]
+        tokens = conversation.token_estimate(prompt)
+        self._growth.note(program.work_class, tokens)
+        expected = self._growth.expected_tokens(program.work_class)
+        return routing.Demand(program.key, last, tokens, expected - tokens)
+
+
+def _target(request: calls.Request) -> tuple[str, str]:
+    """Return the kind and the name of what serves a request."""
+    if isinstance(request, calls.ModelRequest):
+        return 'engine', request.model
+    return 'service', request.service
+
+
+def _last_upstream(program: programs.Program, request: calls.Request) -> str:
+    if not isinstance(request, calls.ModelRequest):
+        return ''
+    turns = (
+        call.upstream
+        for call in reversed(program.calls)
+        if isinstance(call.request, calls.ModelRequest)
+        and call.request.model == request.model
+    )
+    return next(turns, '')
