Tell callers to come back while the accounts are not read yet

Cause: an entry that had just started in a store outage had no accounts, so it called every token wrong, and callers gave up for good. Ruled out: a lost account, since the other entries knew it.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/configuration_keeper.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/configuration_keeper.py
@@ -14,6 +14,7 @@
 WATCH_WAIT = datetime.timedelta(seconds=2)
 # Each so many watches the store is read even if no change was reported.
 WATCHES_PER_READ = 15
+RETRY_AFTER = datetime.timedelta(seconds=1)
 _RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
 _BOOTSTRAP_ACCOUNT = 'bootstrap-operator'
 
@@ -47,10 +48,17 @@
     def authenticate(self, token: str) -> accounts.Account:
         """Return the account that a bearer token belongs to.
 
-        :raises MagnoliawoodError: with ``unauthenticated``
+        :raises MagnoliawoodError: with ``unauthenticated``, or with
+            ``store_unavailable`` before the configuration was read
         """
         if accounts.hash_token(token) in self._operator.token_hashes:
             return self._operator
+        if not self.is_loaded:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.STORE_UNAVAILABLE,
+                'this entry has not read the accounts yet',
+                retry_after=RETRY_AFTER,
+            )
         return self._current.authenticate(token)
 
     @property
