--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -25,9 +25,11 @@
 from magnoliawood_server.entry import fleet_view
 from magnoliawood_server.entry import gateway as gateways
 from magnoliawood_server.entry import journal_writer
+from magnoliawood_server.entry import log_keeper
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import owner_service
 from magnoliawood_server.entry import record_holder
+from magnoliawood_server.entry import retention
 from magnoliawood_server.entry import routes
 from magnoliawood_server.entry import shard_keeper
 from magnoliawood_server.entry import sidecar_directory
@@ -88,6 +90,7 @@
                 self._keeper.follow_map_forever,
                 self._keeper.reconcile_forever,
                 self._recorder.forget_forever,
+                retention.EndedRetention(self._programs, self._clock).run,
             ):
                 await group.spawn(background)
             await group.spawn(self._peer_listener.run)
@@ -144,6 +147,13 @@
             self._metrics,
             self._service.adopt,
             self._held,
+            log_keeper.LogKeeper(
+                self._settings.name,
+                self._objects,
+                self._metrics,
+                self._next_log,
+                self._settings.segments_per_log,
+            ),
         )
         self._recorder = call_recorder.CallRecorder(
             self._programs,
@@ -260,13 +270,9 @@
 
     async def _open_journal(self) -> None:
         """Start a new log and write to it from now on."""
-        self._log_generation += 1
-        log = (
-            f'{self._settings.name}~{self._incarnation}.{self._log_generation}'
-        )
         writer = journal_writer.JournalWriter(
             self._objects,
-            log,
+            self._next_log(),
             datetime.timedelta(
                 seconds=self._settings.journal_interval_seconds
             ),
@@ -279,6 +285,11 @@
         self._keeper.set_writer(writer)
         await curio.spawn(writer.run, daemon=True)
 
+    def _next_log(self) -> str:
+        self._log_generation += 1
+        run = f'{self._incarnation}.{self._log_generation}'
+        return f'{self._settings.name}~{run}'
+
     async def _replace_sealed_journal(self) -> None:
         self._metrics.count('journals_sealed_total')
         await self._keeper.lose_all()
--- a/packages/magnoliawood-server/magnoliawood_server/entry/journal_writer.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/journal_writer.py
@@ -78,6 +78,11 @@
         """Name of the log."""
         return self._log
 
+    @property
+    def segments(self) -> int:
+        """Number of segments written to the log."""
+        return self._next_segment - 1
+
     @property
     def is_stalled(self) -> bool:
         """Whether the store refuses or delays the writes."""
@@ -109,6 +114,12 @@
         await self._appended.set()
         return Ticket(self, position)
 
+    async def append_all(self, found: list[records.Record]) -> None:
+        """Add records with no others between them."""
+        for record in found:
+            self._buffer.append(record)
+        await self._appended.set()
+
     async def cover(self, position: int) -> bool:
         """Wait until a record outlives this process.
 
@@ -134,6 +145,20 @@
             return False
         return is_held or await self.wait_durable(position)
 
+    def switch_log(self, log: str) -> bool:
+        """Write to another log from the next batch on.
+
+        Positions of records go on rising over the switch.
+
+        :returns: false if a batch or held records still belong to the
+            present log
+        """
+        if self._buffer.is_writing or self._buffer.held or self._is_sealed:
+            return False
+        self._log = log
+        self._next_segment = 1
+        return True
+
     def barrier(self) -> int:
         """Return the position of the last record."""
         return self._buffer.appended
--- a/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
@@ -28,7 +28,6 @@
 from magnoliawood_server.runtime import answer as answers
 
 UNKNOWN_TARGET = datetime.timedelta(seconds=60)
-ENDED_RETENTION = datetime.timedelta(minutes=10)
 
 _log = logging.getLogger(__name__)
 
--- a/packages/magnoliawood-server/magnoliawood_server/entry/shard_keeper.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/shard_keeper.py
@@ -16,6 +16,7 @@
 from magnoliawood.programs import table as tables
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import journal_writer
+from magnoliawood_server.entry import log_keeper
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import record_holder
 from magnoliawood_server.entry import sidecar_directory
@@ -61,6 +62,7 @@
         metrics: registries.Registry,
         on_adopted: AdoptedCallback,
         held: record_holder.HeldRecordService,
+        logs: log_keeper.LogKeeper,
     ) -> None:
         self._entry = entry
         self._objects = objects
@@ -74,6 +76,7 @@
         self._on_adopted = on_adopted
         self._map = shard_maps.ShardMap.empty()
         self._chart = charts.load_chart('shard')
+        self._log_keeper = logs
         self._sealed: set[str] = set()
         self._uncovered: dict[int, set[str]] = {}
         self._fenced: dict[str, str] = {}
@@ -88,6 +91,7 @@
     def set_writer(self, writer: journal_writer.JournalWriter) -> None:
         """Use another journal from now on."""
         self._writer = writer
+        self._log_keeper.set_writer(writer)
 
     def serves(self, shard: int) -> bool:
         """Whether this entry accepts new calls of a shard."""
@@ -166,6 +170,15 @@
         await self._claim(entries)
         await self._adopt_assigned()
         await self._fence_again()
+        await self._log_keeper.step(
+            self._map,
+            self._serving(),
+            self._write_map,
+            self._journal_snapshots,
+        )
+
+    def _serving(self) -> list[int]:
+        return [s for s in range(identity.SHARD_COUNT) if self.serves(s)]
 
     async def _release_unwanted(self, entries: list[str]) -> None:
         leaving = [
@@ -249,7 +262,7 @@
     def _is_log_of_dead(self, log: str) -> bool:
         owner, _, _ = log.rpartition('~')
         if owner == self._entry:
-            return log != self._writer.log
+            return log not in (self._writer.log, self._log_keeper.successor)
         return not self._membership.is_alive(owner)
 
     async def _write_map(self, changed: shard_maps.ShardMap) -> None:
@@ -283,6 +296,7 @@
             self._programs.apply(record)
         await self._end_damaged(shards)
         await self._journal_snapshots(shards)
+        self._log_keeper.note_snapshots(shards)
         loaded = [s for s in shards if self._states[s] == 'loading']
         for shard in loaded:
             self._advance(shard, 'load')
@@ -350,7 +364,7 @@
         its own incarnation, and no intent for such an order survives the
         sealing of a former owner's log; this makes it refuse all others.
         """
-        serving = [s for s in range(identity.SHARD_COUNT) if self.serves(s)]
+        serving = self._serving()
         for sidecar in self._sidecars.all():
             reply = sidecar.reply
             if not (serving and sidecar.is_reachable and reply is not None):
@@ -374,9 +388,10 @@
             for record in found.witnessed
             if record.call.program.shard in late
         ]
-        for record in found.all_records():
+        late_records = found.all_records()
+        for record in late_records:
             self._programs.apply(record)
-            await self._writer.append(record)
+        await self._writer.append_all(late_records)
         for shard in late:
             self._uncovered[shard].discard(name)
         if found.witnessed:
@@ -399,8 +414,7 @@
     async def _journal_snapshots(self, shards: list[int]) -> None:
         for shard in shards:
             for program in self._programs.in_shard(shard):
-                for record in program.snapshot():
-                    await self._writer.append(record)
+                await self._writer.append_all(program.snapshot())
 
     def _accept(self, new_map: shard_maps.ShardMap) -> None:
         old = self._map
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -97,6 +97,11 @@
         le=10,
         description='shortest time between two journal writes',
     )
+    segments_per_log: int = pydantic.Field(
+        default=2000,
+        ge=1,
+        description='journal writes after which a new log replaces the old',
+    )
     suspicion_seconds: float = pydantic.Field(
         default=2.0,
         gt=0,
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/scenario.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/scenario.py
@@ -270,7 +270,7 @@
                 break
             if booking and answer.verdicts[-1:] == ['not_run']:
                 answer.false_verdicts += self.runs(*booking) > 0
-            assert time.monotonic() < limit, answer
+            assert time.monotonic() < limit, (answer.status, answer.body)
             time.sleep(_RETRY_SECONDS)
         answer.seconds = time.monotonic() - started
         return answer
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/takeover_bench.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/takeover_bench.py
@@ -72,10 +72,16 @@
     runs = scenario.runs(name, 1)
     is_broken = runs > 1 or (answer.verdict == 'ran' and runs != 1)
     report.broken += is_broken or answer.false_verdicts > 0
-    report.verdicts[answer.verdict] += 1
+    report.verdicts[_result_of(answer)] += 1
     report.early_verdicts.update(answer.verdicts[:-1])
 
 
+def _result_of(answer: scenarios.Answer) -> str:
+    if answer.verdict in ('ran', 'may_have_run'):
+        return answer.verdict
+    return f'{answer.verdict} ({answer.status} {answer.body.get("code")})'
+
+
 def _cause(
     scenario: scenarios.Scenario,
     fault: str,
@@ -92,17 +98,19 @@
         sidecar.process.start()
 
 
+def _counts(found: collections.Counter[str]) -> str:
+    return ', '.join(f'{name} {count}' for name, count in found.items())
+
+
 def print_reports(reports: dict[str, Report]) -> None:
     """Print the table of verdicts and the distribution of times."""
-    print('| fault | rounds | ran | may_have_run | false | earlier answers |')
-    print('|---|---|---|---|---|---|')
+    print('| fault | rounds | final verdicts | false | earlier answers |')
+    print('|---|---|---|---|---|')
     for fault, report in reports.items():
-        early = ', '.join(
-            f'{name} {count}' for name, count in report.early_verdicts.items()
-        )
         print(
-            f'| {fault} | {len(report.seconds)} | {report.verdicts["ran"]} | '
-            f'{report.verdicts["may_have_run"]} | {report.broken} | {early} |'
+            f'| {fault} | {len(report.seconds)} | '
+            f'{_counts(report.verdicts)} | {report.broken} | '
+            f'{_counts(report.early_verdicts)} |'
         )
     print('\n| fault | median s | p95 s | max s |\n|---|---|---|---|')
     for fault, report in reports.items():
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/conftest.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/conftest.py
@@ -11,7 +11,7 @@
         engines=2,
         entries=3,
         service_pool=2,
-        entry_settings={'suspicion_seconds': 1.0},
+        entry_settings={'suspicion_seconds': 1.0, 'segments_per_log': 10},
     ) as started:
         scenario = scenarios.Scenario(started)
         scenario.prepare()
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_at_most_once.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_at_most_once.py
@@ -175,14 +175,10 @@
     owner = scenario.owner_of(name)
     for node in sidecars:
         node.process.send_signal(signal.SIGSTOP)
-    written = scenario.deployment.metric(owner, 'journal_writes_total')
     booking = scenario.start_booking(name, 1)
     # The order is on its way once its intent is stored.
     deployments.wait_until(
-        lambda: (
-            scenario.deployment.metric(owner, 'journal_writes_total') > written
-        ),
-        'a stored intent',
+        lambda: scenario.intended_sidecar(name), 'a stored intent'
     )
     owner.process.kill()
     answer = booking.result()
--- a/packages/magnoliawood/magnoliawood/ownership/journal.py
+++ b/packages/magnoliawood/magnoliawood/ownership/journal.py
@@ -75,6 +75,11 @@
         """Position of the last record."""
         return self._appended
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether a batch was taken and not confirmed yet."""
+        return bool(self._in_flight)
+
     @property
     def durable(self) -> int:
         """Position up to which all records are stored."""
--- a/packages/magnoliawood/magnoliawood/ownership/shard_map.py
+++ b/packages/magnoliawood/magnoliawood/ownership/shard_map.py
@@ -94,6 +94,26 @@
             ),
         )
 
+    def add_log(self, shards: list[int], log: str) -> 'ShardMap':
+        """Name one more log that holds records of shards.
+
+        Examples
+        ========
+
+        >>> ShardMap.empty().add_log([0], 'log-b').assignments[0].logs
+        ('log-b',)
+        """
+        chosen = set(shards)
+        return dataclasses.replace(
+            self,
+            assignments=tuple(
+                dataclasses.replace(assignment, logs=(*assignment.logs, log))
+                if shard in chosen and log not in assignment.logs
+                else assignment
+                for shard, assignment in enumerate(self.assignments)
+            ),
+        )
+
     def keep_logs(self, shards: list[int], logs: list[str]) -> 'ShardMap':
         """Replace the logs of shards after their records were copied."""
         chosen = set(shards)
--- a/packages/magnoliawood/magnoliawood/programs/program.py
+++ b/packages/magnoliawood/magnoliawood/programs/program.py
@@ -167,6 +167,10 @@
             if record.attempt < self.next_attempt:
                 return
             self._add_call(record)
+        if sequence > self.next_sequence:
+            # Records in between are lost, so what follows can't be right.
+            self._is_damaged = True
+            return
         call = self.call(sequence)
         if call.is_done or record.attempt <= call.attempt:
             return
