--- a/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
@@ -7,7 +7,6 @@
 
 import curio
 
-from magnoliawood.config import work_class as work_classes
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
@@ -17,9 +16,11 @@
 from magnoliawood.programs import records
 from magnoliawood.programs import table as tables
 from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import cache_releaser
 from magnoliawood_server.entry import call_executor
 from magnoliawood_server.entry import call_recorder
 from magnoliawood_server.entry import configuration_keeper
+from magnoliawood_server.entry import program_checks
 from magnoliawood_server.entry import shard_keeper
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.entry import takeover_reader
@@ -47,7 +48,7 @@
         self._programs = programs_table
         self._configuration = configuration
         self._sidecars = sidecars
-        self._pool = pool
+        self._releaser = cache_releaser.CacheReleaser(sidecars, pool, metrics)
         self._clock = clock
         self._metrics = metrics
         self._executions: dict[identity.CallId, call_executor.Execution] = {}
@@ -79,9 +80,9 @@
         self._check_owner(message.program)
         known = self._programs.find(message.program)
         if known is not None:
-            _check_same_program(known, message)
+            program_checks.check_same_program(known, message)
             await self._recorder.cover_all()
-            return _status(known)
+            return program_checks.status_of(known)
         self._recorder.check_room()
         opened = self._opened(message)
         self._programs.apply(opened)
@@ -90,7 +91,7 @@
         )
         program = self._programs.get(message.program)
         await self._recorder.cover(await self._recorder.append(opened))
-        return _status(program)
+        return program_checks.status_of(program)
 
     async def run_call(
         self, message: messages.RunCall
@@ -123,7 +124,7 @@
     def status(self, key: identity.ProgramKey) -> messages.ProgramStatus:
         """Return the status of a program."""
         self._check_owner(key)
-        return _status(self._programs.get(key))
+        return program_checks.status_of(self._programs.get(key))
 
     def history(self, key: identity.ProgramKey) -> messages.History:
         """Return the history of a program."""
@@ -140,7 +141,7 @@
         for member in self._programs.family(key):
             if not member.is_ended:
                 await self._end_one(member, reason)
-        return _status(program)
+        return program_checks.status_of(program)
 
     async def adopt(
         self, shards: list[int], found: takeover_reader.Found
@@ -170,7 +171,7 @@
 
     def _opened(self, message: messages.OpenProgram) -> records.Opened:
         work_class = self._configuration.current.work_class(message.work_class)
-        _check_class_limits(work_class, message)
+        program_checks.check_class_limits(work_class, message)
         parent = message.program.parent
         if parent is not None and self._programs.get(parent).is_ended:
             raise _ended(parent)
@@ -406,81 +407,7 @@
         pending = program.pending
         if pending is not None:
             await self.cancel_call(pending.id)
-        await curio.spawn(self._release, program, daemon=True)
-
-    async def _release(self, program: programs.Program) -> None:
-        names = {
-            call.upstream
-            for call in program.calls
-            if isinstance(call.request, calls.ModelRequest)
-        }
-        for name in sorted(names):
-            await self._tell(name, messages.ReleaseProgram(program.key))
-
-    async def _tell(self, name: str, message: messages.ReleaseProgram) -> None:
-        sidecar = self._sidecars.find(name)
-        if sidecar is None:
-            return
-        try:
-            await self._pool.ask(
-                sidecar.host.address,
-                message,
-                sidecar_directory.ANSWER_TIMEOUT,
-            )
-        except errors.MagnoliawoodError:
-            self._metrics.count('releases_failed_total')
-
-
-def _status(program: programs.Program) -> messages.ProgramStatus:
-    ledger = program.ledger
-    pending = program.pending
-    return messages.ProgramStatus(
-        program.key,
-        program.work_class,
-        'ended' if program.is_ended else 'open',
-        program.end_reason,
-        program.opened.opened_at,
-        ledger.budget,
-        ledger.tokens_spent,
-        ledger.tokens_left,
-        ledger.calls_made,
-        ledger.calls_left,
-        program.next_sequence,
-        0 if pending is None else pending.id.sequence,
-    )
-
-
-def _check_same_program(
-    program: programs.Program, message: messages.OpenProgram
-) -> None:
-    known = program.opened
-    if (known.work_class, known.budget) != (
-        message.work_class,
-        message.budget,
-    ):
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.PROGRAM_MISMATCH,
-            f'program {program.key.name} was opened with another class '
-            'or budget',
-        )
-
-
-def _check_class_limits(
-    work_class: work_classes.WorkClass, message: messages.OpenProgram
-) -> None:
-    budget = message.budget
-    limits = {
-        'tokens': (budget.tokens, work_class.max_tokens),
-        'calls': (budget.calls, work_class.max_calls),
-        'seconds': (budget.seconds, work_class.max_seconds),
-    }
-    for name, (asked, limit) in limits.items():
-        if asked > limit:
-            raise errors.MagnoliawoodError(
-                errors.ErrorCode.CLASS_LIMIT,
-                f'a budget of {asked:g} {name} exceeds the limit of '
-                f'{limit:g} of class {work_class.name}',
-            )
+        await curio.spawn(self._releaser.release, program, daemon=True)
 
 
 def _lost() -> calls.CallOutcome:
