--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/scenario.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/scenario.py
@@ -232,6 +232,12 @@
             return None
         return self.deployment.sidecars[intents[-1].upstream]
 
+    def store_writes(self) -> int:
+        """Return the writes that have arrived at the store."""
+        address = self.deployment.platform.http
+        counts = deployments.call(address, 'GET', '/control/calls')[1]
+        return counts.get('PUT objects', 0)
+
     def set_leaving(self, node: deployments.Node, is_leaving: bool) -> None:
         """Change the platform's host list."""
         node.is_leaving = is_leaving
