Quarantine requests that crash two upstreams

Cause: nothing told a crash of an upstream from a lost connection, and nothing counted crashes, so each repeat of a request could take down another upstream, up to three by one call.

A sidecar now asks the upstream's port after a lost connection. Crashes are kept by content at the sidecar, at the content's two home upstreams and in the store. A sidecar runs one suspect at a time.

Also: outcomes keep their time to come back, which was dropped between sidecar and caller.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -23,6 +23,7 @@
 from magnoliawood_server.entry import journal_writer
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import owner_service
+from magnoliawood_server.entry import quarantine_keeper
 from magnoliawood_server.entry import shard_keeper
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
@@ -69,6 +70,8 @@
                 self._keeper.follow_map_forever,
                 self._keeper.reconcile_forever,
                 self._service.forget_forever,
+                self._quarantine.watch_forever,
+                self._quarantine.store_forever,
             ):
                 await group.spawn(background)
             await group.spawn(
@@ -119,6 +122,13 @@
             self._metrics,
             self._service.adopt,
         )
+        self._quarantine = quarantine_keeper.QuarantineKeeper(
+            self._objects,
+            self._sidecars,
+            self._pool,
+            self._clock,
+            self._metrics,
+        )
         executor = call_executor.CallExecutor(
             self._sidecars,
             self._pool,
@@ -128,6 +138,7 @@
             priorities.EarliestProgramDeadline(),
             self._service.journal,
             self._service.wait_durable,
+            self._quarantine,
         )
         self._service.connect(self._keeper, executor)
         self._gateway = gateways.Gateway(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -16,6 +16,7 @@
 from magnoliawood.scheduling import priority as priorities
 from magnoliawood.scheduling import routing
 from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import quarantine_keeper
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import messages
@@ -27,6 +28,10 @@
 SETTLE_INTERVAL = datetime.timedelta(milliseconds=200)
 RETRY_AFTER = datetime.timedelta(seconds=1)
 
+_FINAL_CODES = frozenset(
+    {errors.ErrorCode.CANCELLED, errors.ErrorCode.QUARANTINED}
+)
+
 _log = logging.getLogger(__name__)
 
 Journal = collections.abc.Callable[
@@ -51,6 +56,13 @@
     )
     excluded: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def fingerprint(self) -> str:
+        """Digest of the call's whole content."""
+        return calls.content_fingerprint(
+            self.program.digest, self.call.request
+        )
+
 
 class OwnershipLost(errors.MagnoliawoodError):  # noqa: N818
     """Another entry owns the program now and settles the call."""
@@ -80,6 +92,7 @@
         priority: priorities.Priority,
         journal: Journal,
         wait_durable: WaitDurable,
+        quarantine: quarantine_keeper.QuarantineKeeper,
     ) -> None:
         self._sidecars = sidecars
         self._pool = pool
@@ -89,6 +102,7 @@
         self._priority = priority
         self._journal = journal
         self._wait_durable = wait_durable
+        self._quarantine = quarantine
 
     def choose(
         self,
@@ -101,12 +115,18 @@
         :raises MagnoliawoodError: if none is available
         """
         if isinstance(request, calls.ModelRequest):
-            found = self._sidecars.candidates('engine', request.model)
+            served = ('engine', request.model)
         else:
-            found = self._sidecars.candidates('service', request.service)
-        fresh = [s for s in found if s.name not in excluded] or found
-        views = [sidecar_directory.view_of(sidecar) for sidecar in fresh]
+            served = ('service', request.service)
+        found = self._sidecars.candidates(*served)
         last = _last_upstream(program, request)
+        fresh = self._quarantine.narrow(
+            calls.content_fingerprint(program.digest, request),
+            found,
+            [] if last else self._sidecars.reachable(*served),
+            excluded,
+        )
+        views = [sidecar_directory.view_of(sidecar) for sidecar in fresh]
         chosen = self._router.choose(program.key, views, last)
         return next(s for s in fresh if s.name == chosen.name)
 
@@ -120,6 +140,7 @@
         while True:
             await self._journal_intent(execution)
             outcome = await self._order(execution, sidecar)
+            outcome = await self._judge(execution, outcome)
             if not self._may_retry(execution, outcome):
                 return outcome
             self._metrics.count('retries_total', reason=outcome.code)
@@ -142,6 +163,7 @@
         outcome = _unknown_outcome(execution)
         if sidecar is not None and call.upstream not in silent:
             outcome = await self._settle_lost(execution, sidecar)
+            outcome = await self._judge(execution, outcome)
         if not self._may_retry(execution, outcome):
             return outcome
         self._metrics.count('retries_total', reason='takeover')
@@ -158,12 +180,17 @@
                 sidecar_directory.ANSWER_TIMEOUT,
             )
 
+    async def _judge(
+        self, execution: Execution, outcome: calls.CallOutcome
+    ) -> calls.CallOutcome:
+        return await self._quarantine.judge(execution.fingerprint, outcome)
+
     def _may_retry(
         self, execution: Execution, outcome: calls.CallOutcome
     ) -> bool:
         if outcome.is_success or execution.call.attempt >= MAX_ATTEMPTS:
             return False
-        if outcome.code == errors.ErrorCode.CANCELLED:
+        if outcome.code in _FINAL_CODES:
             return False
         return (
             outcome.verdict.is_safe_to_repeat
@@ -293,6 +320,8 @@
             execution.answer.tokens,
             self._priority.rank(progress, now),
             program.opened.opened_at + lifetime,
+            execution.fingerprint,
+            self._quarantine.crashes_of(execution.fingerprint),
         )
 
 
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/quarantine_keeper.py
@@ -0,0 +1,284 @@
+"""Keeps the crash records of requests in step with store and sidecars."""
+
+import collections
+import datetime
+import logging
+
+import curio
+import pydantic
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.limits import crash_list
+from magnoliawood.limits import home as homes
+from magnoliawood.platform import store
+from magnoliawood.programs import call as calls
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import sidecar_directory
+from magnoliawood_server.peer import messages
+from magnoliawood_server.peer import pool as pools
+
+PREFIX = 'quarantine/'
+WATCH_WAIT = datetime.timedelta(seconds=2)
+RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
+CLEAN_LIMIT = 10_000
+
+_log = logging.getLogger(__name__)
+
+
+class QuarantineKeeper:
+    """Refuses requests that were running when two upstreams crashed.
+
+    Explanation
+    ===========
+
+    Three places know of a crash: the sidecar beside the upstream, the
+    sidecars of the request's home upstreams, and the platform's store. A
+    content that this entry has not yet seen end well starts on its home
+    upstreams only, so it meets a sidecar that knows, also when the entry
+    that saw the crash is gone and the store is down.
+    """
+
+    def __init__(
+        self,
+        objects: store.ObjectStore,
+        sidecars: sidecar_directory.SidecarDirectory,
+        pool: pools.PeerPool,
+        clock: clocks.Clock,
+        metrics: registries.Registry,
+    ) -> None:
+        self._objects = objects
+        self._sidecars = sidecars
+        self._pool = pool
+        self._clock = clock
+        self._metrics = metrics
+        self._crashes = crash_list.CrashList(clock)
+        self._clean: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._stored: dict[str, int] = {}
+        self._unstored: set[str] = set()
+        self._changed = curio.Event()
+        self._version = 0
+
+    def crashes_of(self, fingerprint: str) -> list[crash_list.Crash]:
+        """Return the known crashes of a request."""
+        return sorted(self._crashes.crashes(fingerprint))
+
+    def narrow(
+        self,
+        fingerprint: str,
+        found: list[sidecar_directory.Sidecar],
+        reachable: list[sidecar_directory.Sidecar],
+        excluded: set[str],
+    ) -> list[sidecar_directory.Sidecar]:
+        """Return the sidecars that a request may go to.
+
+        :param found: sidecars that can take it
+        :param reachable: sidecars among which it has its home; none if
+            the program's earlier turns tie it to an upstream
+        :param excluded: names that it was sent to already
+        :raises MagnoliawoodError: with ``quarantined``
+        """
+        self._crashes.check(fingerprint)
+        crashed = {c.upstream for c in self._crashes.crashes(fingerprint)}
+        tried = excluded | crashed
+        if crashed or fingerprint not in self._clean:
+            home = _home(fingerprint, reachable)
+            untried = [s for s in home if s.name not in tried]
+            if untried:
+                up = [s for s in untried if s.reply.upstream_up]
+                return up or untried
+        return [s for s in found if s.name not in tried] or found
+
+    async def judge(
+        self, fingerprint: str, outcome: calls.CallOutcome
+    ) -> calls.CallOutcome:
+        """Note how a run ended and return the outcome to go on with."""
+        if outcome.is_success:
+            await self._note_clean(fingerprint)
+            return outcome
+        if outcome.crashes and self._note(fingerprint, outcome.crashes):
+            await self._tell_home(fingerprint)
+        record = self._crashes.find(fingerprint)
+        if record is None or not record.is_quarantined:
+            return outcome
+        refusal = self._crashes.refusal(record)
+        refusal.verdict = outcome.verdict
+        return calls.CallOutcome.from_error(refusal)
+
+    async def watch_forever(self) -> None:
+        """Follow the records of the other entries."""
+        while True:
+            try:
+                await self._refresh()
+                await self._objects.watch(PREFIX, self._version, WATCH_WAIT)
+            except errors.MagnoliawoodError:
+                await curio.sleep(RETRY_INTERVAL.total_seconds())
+
+    async def store_forever(self) -> None:
+        """Write records to the store until it takes them."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            for fingerprint in sorted(self._unstored):
+                await self._store_quietly(fingerprint)
+            if self._unstored:
+                await curio.sleep(RETRY_INTERVAL.total_seconds())
+                await self._changed.set()
+
+    def _note(
+        self, fingerprint: str, crashes: tuple[crash_list.Crash, ...]
+    ) -> bool:
+        """Note crashes and return whether any of them is new."""
+        known = self._crashes.find(fingerprint)
+        record = self._crashes.note(fingerprint, crashes)
+        self._clean.pop(fingerprint, None)
+        if record == known:
+            return False
+        self._unstored.add(fingerprint)
+        self._metrics.count('suspected_requests_total')
+        if record.is_quarantined:
+            self._metrics.count('quarantined_requests_total')
+            _log.warning(
+                'request quarantined',
+                extra={
+                    'fingerprint': fingerprint,
+                    'upstreams': sorted(c.upstream for c in record.crashes),
+                },
+            )
+        return True
+
+    async def _tell_home(self, fingerprint: str) -> None:
+        await self._changed.set()
+        record = self._crashes.find(fingerprint)
+        if record is None:
+            return
+        names = {crash.upstream for crash in record.crashes}
+        home = _home(fingerprint, self._peers_of(names))
+        await self._tell(
+            [s for s in home if s.name not in names],
+            messages.NoteCrashes(record),
+        )
+
+    def _peers_of(self, names: set[str]) -> list[sidecar_directory.Sidecar]:
+        """Return the sidecars that serve what the named ones serve."""
+        served = {
+            (s.reply.kind, name)
+            for s in self._sidecars.all()
+            if s.name in names and s.reply is not None
+            for name in s.reply.names
+        }
+        return [
+            s
+            for s in self._sidecars.all()
+            if s.is_usable and any(s.serves(*item) for item in served)
+        ]
+
+    async def _note_clean(self, fingerprint: str) -> None:
+        self._clean[fingerprint] = None
+        self._clean.move_to_end(fingerprint)
+        while len(self._clean) > CLEAN_LIMIT:
+            self._clean.popitem(last=False)
+        crashes = self._crashes.crashes(fingerprint)
+        if not crashes:
+            return
+        self._metrics.count('cleared_suspects_total')
+        self._crashes.clear(fingerprint)
+        self._unstored.add(fingerprint)
+        await self._changed.set()
+        names = {crash.upstream for crash in crashes}
+        home = _home(fingerprint, self._peers_of(names))
+        blamed = [self._sidecars.find(name) for name in names]
+        told = {s.name: s for s in [*home, *blamed] if s is not None}
+        await self._tell(
+            list(told.values()), messages.ClearCrashes([fingerprint])
+        )
+
+    async def _tell(
+        self,
+        sidecars: list[sidecar_directory.Sidecar],
+        message: messages.NoteCrashes | messages.ClearCrashes,
+    ) -> None:
+        async def ask(address: str) -> None:
+            try:
+                await self._pool.ask(
+                    address, message, sidecar_directory.ANSWER_TIMEOUT
+                )
+            except errors.MagnoliawoodError:
+                self._metrics.count('crash_notes_failed_total')
+
+        async with curio.TaskGroup() as group:
+            for sidecar in sidecars:
+                await group.spawn(ask, sidecar.host.address)
+
+    async def _store_quietly(self, fingerprint: str) -> None:
+        try:
+            await self._store(fingerprint)
+        except errors.MagnoliawoodError:
+            self._metrics.count('quarantine_writes_failed_total')
+            return
+        self._unstored.discard(fingerprint)
+
+    async def _store(self, fingerprint: str) -> None:
+        name = f'{PREFIX}{fingerprint}'
+        record = self._crashes.find(fingerprint)
+        found = await self._objects.get(name)
+        version = store.ABSENT if found is None else found.version
+        if record is None:
+            if found is not None:
+                await self._objects.delete(name, version)
+            return
+        if found is not None:
+            stored = crash_list.CrashRecord.from_text(found.value)
+            record = self._crashes.merge(stored)
+        written = await self._objects.put(name, record.to_text(), version)
+        self._stored[fingerprint] = written.version
+
+    async def _refresh(self) -> None:
+        listing = await self._objects.scan(PREFIX)
+        self._version = listing.version
+        now = self._clock.now()
+        present: dict[str, int] = {}
+        for item in listing.objects:
+            record = _parse(item)
+            if record is None:
+                continue
+            if record.expires_at <= now or len(present) >= _STORED_LIMIT:
+                await self._objects.delete(item.name, item.version)
+                continue
+            present[record.fingerprint] = item.version
+            if self._stored.get(record.fingerprint) != item.version:
+                self._crashes.merge(record)
+                self._clean.pop(record.fingerprint, None)
+        await self._drop_lifted(set(self._stored) - set(present))
+        self._stored = present
+
+    async def _drop_lifted(self, fingerprints: set[str]) -> None:
+        """Forget records that were removed from the store."""
+        lifted = sorted(fingerprints - self._unstored)
+        if not lifted:
+            return
+        for fingerprint in lifted:
+            self._crashes.clear(fingerprint)
+        reachable = [s for s in self._sidecars.all() if s.is_reachable]
+        await self._tell(reachable, messages.ClearCrashes(lifted))
+
+
+_STORED_LIMIT = crash_list.LIST_LIMIT
+
+
+def _home(
+    fingerprint: str, sidecars: list[sidecar_directory.Sidecar]
+) -> list[sidecar_directory.Sidecar]:
+    by_name = {sidecar.name: sidecar for sidecar in sidecars}
+    names = homes.home_upstreams(fingerprint, list(by_name))
+    return [by_name[name] for name in names]
+
+
+def _parse(item: store.StoredObject) -> crash_list.CrashRecord | None:
+    try:
+        return crash_list.CrashRecord.from_text(item.value)
+    except pydantic.ValidationError as error:
+        _log.error('crash record malformed', extra={'error': str(error)})
+        return None
--- a/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
@@ -84,6 +84,10 @@
             else:
                 known.host = host
 
+    def reachable(self, kind: str, name: str) -> list[Sidecar]:
+        """Return the sidecars that answer, also beside lost upstreams."""
+        return [s for s in self.all() if s.serves(kind, name) and s.is_usable]
+
     def candidates(self, kind: str, name: str) -> list[Sidecar]:
         """Return the usable sidecars whose upstream serves a name.
 
@@ -100,7 +104,8 @@
                 f'no upstream that serves {name} is available',
                 retry_after=RETRY_AFTER,
             )
-        return usable
+        up = [sidecar for sidecar in usable if sidecar.reply.upstream_up]
+        return up or usable
 
     def served_names(self, kind: str) -> list[str]:
         """Return the names that upstreams of a kind serve."""
--- a/packages/magnoliawood-server/magnoliawood_server/http/client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/client.py
@@ -142,6 +142,14 @@
                 reply = await exchange.read_head()
                 return reply, await exchange.read_body()
 
+    async def check(self) -> None:
+        """Make a connection and close it again.
+
+        :raises ConnectFailed: if no connection could be made
+        """
+        sock = await self._connect()
+        await sock.close()
+
     async def _connect(self) -> curio.io.Socket:
         try:
             async with curio.timeout_after(
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -5,6 +5,7 @@
 
 import pydantic
 
+from magnoliawood.limits import crash_list
 from magnoliawood.ownership import witness
 from magnoliawood.programs import budget as budgets
 from magnoliawood.programs import call as calls
@@ -33,6 +34,7 @@
     :param kind: ``engine`` or ``service``
     :param names: models or the service that the upstream serves
     :param waiting: calls that wait or run there
+    :param upstream_up: whether the upstream takes connections
     """
 
     host: str
@@ -42,6 +44,7 @@
     names: list[str]
     waiting: int
     leaving: bool
+    upstream_up: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +59,8 @@
     :param partial_tokens: generated tokens of that text
     :param rank: place in the queue, the lowest first
     :param deadline: when an order that still waits is dropped
+    :param fingerprint: digest of the call's whole content
+    :param crashes: crashes of upstreams that the owner blames on it
     """
 
     opened: records.Opened
@@ -66,6 +71,8 @@
     partial_tokens: int
     rank: float
     deadline: datetime.datetime
+    fingerprint: str = ''
+    crashes: list[crash_list.Crash] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,6 +123,20 @@
     retry_after_seconds: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteCrashes:
+    """Tells a sidecar of crashes during which a request was running."""
+
+    record: crash_list.CrashRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearCrashes:
+    """Tells a sidecar that requests are not to blame for crashes."""
+
+    fingerprints: list[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cancel:
     """Asks a sidecar to stop a call."""
@@ -282,6 +303,8 @@
     Delta,
     Finished,
     Refused,
+    NoteCrashes,
+    ClearCrashes,
     Cancel,
     Fence,
     Witnesses,
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -38,6 +38,7 @@
         self._fences = fences.FenceTable()
         self._is_leaving = False
         self._runner = runners.CallRunner(
+            settings.name,
             _make_upstream(settings),
             clock,
             self._metrics,
@@ -52,6 +53,8 @@
             messages.Fence: self._fence,
             messages.Forget: self._forget,
             messages.ReleaseProgram: self._release,
+            messages.NoteCrashes: self._note_crashes,
+            messages.ClearCrashes: self._clear_crashes,
         }
 
     async def run(self) -> None:
@@ -67,6 +70,7 @@
             await group.spawn(
                 listener.serve_http, settings.http_listen, self._handle_http
             )
+            await group.spawn(self._runner.health.watch_forever)
             _log.info('sidecar started')
             await group.join()
 
@@ -94,6 +98,7 @@
                 settings.serves.split(','),
                 self._runner.waiting,
                 self._is_leaving,
+                self._runner.health.is_up,
             )
         )
 
@@ -163,6 +168,19 @@
         await self._runner.release(message.program)
         await stream.send(messages.Done())
 
+    async def _note_crashes(
+        self, stream: connections.Stream, message: messages.NoteCrashes
+    ) -> None:
+        self._runner.crashes.merge(message.record)
+        await stream.send(messages.Done())
+
+    async def _clear_crashes(
+        self, stream: connections.Stream, message: messages.ClearCrashes
+    ) -> None:
+        for fingerprint in message.fingerprints:
+            self._runner.crashes.clear(fingerprint)
+        await stream.send(messages.Done())
+
     def _check_epoch(self, shard: int, epoch: int) -> None:
         try:
             self._fences.check(shard, epoch)
@@ -183,6 +201,9 @@
             return http_message.Response(200, body=b'ok\n')
         if request.path == '/metrics':
             self._metrics.set_gauge('waiting_calls', self._runner.waiting)
+            self._metrics.set_gauge(
+                'upstream_up', int(self._runner.health.is_up)
+            )
             self._metrics.set_gauge(
                 'witness_records', len(self._runner.witness)
             )
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_queue.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_queue.py
@@ -1,5 +1,6 @@
 """The one queue in front of an upstream."""
 
+import collections.abc
 import heapq
 import itertools
 
@@ -21,9 +22,22 @@
         entry = (run.order.rank, next(self._arrivals), run)
         heapq.heappush(self._heap, entry)
 
-    def pop(self) -> call_run.CallRun | None:
-        """Take the first call, if there is one."""
-        return heapq.heappop(self._heap)[2] if self._heap else None
+    def pop(
+        self,
+        may_start: collections.abc.Callable[[call_run.CallRun], bool],
+    ) -> call_run.CallRun | None:
+        """Take the first call that may start, if there is one."""
+        passed = []
+        found = None
+        while self._heap and found is None:
+            entry = heapq.heappop(self._heap)
+            if may_start(entry[2]):
+                found = entry[2]
+            else:
+                passed.append(entry)
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        return found
 
     def remove(self, run: call_run.CallRun) -> None:
         """Take a call out of the middle."""
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
@@ -17,6 +17,12 @@
         self.answer = answers.AnswerBuffer()
         self.task: curio.Task | None = None
         self.is_cancelled = False
+        self.upstream_run = ''
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether it was running when an upstream crashed."""
+        return bool(self.order.crashes)
 
     @property
     def is_started(self) -> bool:
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
@@ -43,6 +43,12 @@
         except (OSError, ValueError, KeyError) as error:
             return _failed(run, str(error), verdicts.Verdict.MAY_HAVE_RUN)
 
+    async def identify(self) -> str:
+        """Return the identity of the engine's process."""
+        request = http_client.json_request('GET', '/load')
+        _, body = await self._client.fetch(request, CONTROL_TIMEOUT)
+        return str(json.loads(body).get('start_id', ''))
+
     async def release(self, program: identity.ProgramKey) -> None:
         """Free the engine's cache of a program."""
         request = http_client.json_request(
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -1,5 +1,7 @@
 """Runs accepted calls on the upstream, a bounded number at a time."""
 
+import collections
+import dataclasses
 import datetime
 
 import curio
@@ -7,6 +9,7 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
+from magnoliawood.limits import crash_list
 from magnoliawood.ownership import witness as witnesses
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import identity
@@ -14,27 +17,36 @@
 from magnoliawood_server.peer import messages
 from magnoliawood_server.sidecar import call_queue
 from magnoliawood_server.sidecar import call_run
+from magnoliawood_server.sidecar import health as healths
 from magnoliawood_server.sidecar import upstream as upstreams
 
 RETRY_AFTER = datetime.timedelta(seconds=1)
+_MAY_BE_CRASHES = frozenset(
+    {errors.ErrorCode.UPSTREAM_FAILED, errors.ErrorCode.OUTCOME_UNKNOWN}
+)
 
 
 class CallRunner:
     """Queue, running calls and their witness records.
 
+    :param name: name of the host
     :param concurrency: calls that run at the same time
     :param queue_limit: calls that may wait
     """
 
     def __init__(
         self,
+        name: str,
         upstream: upstreams.Upstream,
         clock: clocks.Clock,
         metrics: registries.Registry,
         concurrency: int,
         queue_limit: int,
     ) -> None:
+        self._name = name
         self._upstream = upstream
+        self._health = healths.UpstreamHealth(upstream, clock)
+        self._crashes = crash_list.CrashList(clock)
         self._clock = clock
         self._metrics = metrics
         self._concurrency = concurrency
@@ -44,6 +56,8 @@
         self._witness = witnesses.WitnessTable()
         self._barred: dict[identity.CallId, int] = {}
         self._running = 0
+        self._suspects_running = 0
+        self._at_upstream: collections.Counter[str] = collections.Counter()
 
     @property
     def waiting(self) -> int:
@@ -55,6 +69,16 @@
         """Records of accepted calls."""
         return self._witness
 
+    @property
+    def health(self) -> healths.UpstreamHealth:
+        """Whether the upstream's process lives."""
+        return self._health
+
+    @property
+    def crashes(self) -> crash_list.CrashList:
+        """Requests that were running when an upstream crashed."""
+        return self._crashes
+
     def find(self, call: identity.CallId) -> call_run.CallRun | None:
         """Return an accepted call, if it is known."""
         return self._runs.get(call)
@@ -115,12 +139,17 @@
 
     async def _start_waiting(self) -> None:
         while self._running < self._concurrency:
-            run = self._queue.pop()
+            run = self._queue.pop(self._may_start)
             if run is None:
                 return
             self._running += 1
+            self._suspects_running += run.is_suspect
             run.task = await curio.spawn(self._run, run, daemon=True)
 
+    def _may_start(self, run: call_run.CallRun) -> bool:
+        # A crash then adds a second crash to at most one suspect.
+        return not (run.is_suspect and self._suspects_running)
+
     async def _run(self, run: call_run.CallRun) -> None:
         started = self._clock.monotonic()
         try:
@@ -128,6 +157,7 @@
         except curio.CancelledError:
             outcome = _cancelled(run, verdicts.Verdict.MAY_HAVE_RUN)
         self._running -= 1
+        self._suspects_running -= run.is_suspect
         self._metrics.record(
             'upstream_seconds', self._clock.monotonic() - started
         )
@@ -142,12 +172,81 @@
                     'the deadline passed while the call waited',
                 )
             )
-        return await self._upstream.run(run)
+        suspicion = self._suspicion(run)
+        if suspicion is not None:
+            return suspicion
+        if not self._health.run:
+            await self._health.refresh()
+        run.upstream_run = self._health.run
+        outcome = await self._run_and_judge(run)
+        if not outcome.is_success and outcome.verdict.is_safe_to_repeat:
+            await self._wait_for_equal_runs(run)
+            return self._suspicion(run) or outcome
+        return outcome
+
+    async def _run_and_judge(self, run: call_run.CallRun) -> calls.CallOutcome:
+        fingerprint = run.order.fingerprint
+        self._at_upstream[fingerprint] += 1
+        try:
+            outcome = await self._upstream.run(run)
+            return await self._judge_crash(run, outcome)
+        finally:
+            self._at_upstream[fingerprint] -= 1
+            if not self._at_upstream[fingerprint]:
+                del self._at_upstream[fingerprint]
+
+    def _suspicion(self, run: call_run.CallRun) -> calls.CallOutcome | None:
+        """Refuse a call if its owner does not know all its crashes."""
+        known = self._crashes.crashes(run.order.fingerprint)
+        if known <= set(run.order.crashes):
+            return None
+        refusal = errors.MagnoliawoodError(
+            errors.ErrorCode.SUSPECTED,
+            'the request was running when an upstream crashed',
+            retry_after=RETRY_AFTER,
+        )
+        return dataclasses.replace(
+            calls.CallOutcome.from_error(refusal),
+            crashes=tuple(sorted(known)),
+        )
+
+    async def _wait_for_equal_runs(self, run: call_run.CallRun) -> None:
+        """Let runs of the same content learn whether they crashed."""
+        limit = self._clock.monotonic() + healths.PROBE_LIMIT
+        while (
+            run.order.fingerprint in self._at_upstream
+            and self._clock.monotonic() < limit
+        ):
+            await curio.sleep(healths.PROBE_INTERVAL.total_seconds())
+
+    async def _judge_crash(
+        self, run: call_run.CallRun, outcome: calls.CallOutcome
+    ) -> calls.CallOutcome:
+        """Tell a crash of the upstream from a lost connection."""
+        if (
+            outcome.code not in _MAY_BE_CRASHES
+            or outcome.verdict is not verdicts.Verdict.MAY_HAVE_RUN
+            or not await self._health.has_ended(run.upstream_run)
+        ):
+            return outcome
+        crash = crash_list.Crash(self._name, run.upstream_run)
+        record = self._crashes.note(
+            run.order.fingerprint, [crash, *run.order.crashes]
+        )
+        self._metrics.count('upstream_crashes_seen_total')
+        return dataclasses.replace(
+            outcome,
+            code=str(errors.ErrorCode.UPSTREAM_CRASHED),
+            detail='the upstream crashed while the call was running',
+            crashes=record.crashes,
+        )
 
     async def _settle(
         self, run: call_run.CallRun, outcome: calls.CallOutcome
     ) -> None:
         self._metrics.count('calls_total', verdict=str(outcome.verdict))
+        if outcome.code:
+            self._metrics.count('refusals_total', reason=outcome.code)
         self._witness.settle(run.order.intended.call, outcome)
         await run.answer.finish(outcome)
 
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
@@ -47,6 +47,11 @@
             status=reply.status,
         )
 
+    async def identify(self) -> str:
+        """Return an empty text once the service takes a connection."""
+        await self._client.check()
+        return ''
+
     async def release(self, program: identity.ProgramKey) -> None:
         """Do nothing: a plain service holds no cache."""
 
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/upstream.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/upstream.py
@@ -14,6 +14,14 @@
         """Run a call, appending to ``run.answer`` as text arrives."""
         ...
 
+    async def identify(self) -> str:
+        """Return the identity of the process, empty if it tells none.
+
+        :raises OSError: if it gives no answer
+        :raises curio.TaskTimeout: if it gives none in time
+        """
+        ...
+
     async def release(self, program: identity.ProgramKey) -> None:
         """Free what the upstream holds for a program."""
         ...
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs that the promises hold while real processes fail."""
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/engine.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/engine.py
@@ -6,6 +6,7 @@
 import json
 import os
 import time
+import uuid
 
 import curio
 
@@ -84,6 +85,7 @@
         self._waiting: list[Sequence] = []
         self._running: list[Sequence] = []
         self._arrived = curio.Event()
+        self._start_id = uuid.uuid4().hex[:12]
         self._fence = 0
         self._orders: list[object] = []
         self._events: list[dict[str, object]] = []
@@ -238,7 +240,10 @@
         limit = time.monotonic() - self.faults.load_lag_seconds
         shown = [load for at, load in self._load_reports if at <= limit]
         return http_message.Response.from_json(
-            {'sequences': shown[-1] if shown else 0}
+            {
+                'sequences': shown[-1] if shown else 0,
+                'start_id': self._start_id,
+            }
         )
 
     def _state(self) -> http_message.Response:
--- a/packages/magnoliawood/magnoliawood/core/errors.py
+++ b/packages/magnoliawood/magnoliawood/core/errors.py
@@ -37,6 +37,8 @@
     STORE_UNAVAILABLE = 'store_unavailable'
     UPSTREAM_UNAVAILABLE = 'upstream_unavailable'
     UPSTREAM_FAILED = 'upstream_failed'
+    UPSTREAM_CRASHED = 'upstream_crashed'
+    SUSPECTED = 'suspected'
     STALE_EPOCH = 'stale_epoch'
     STALE_INCARNATION = 'stale_incarnation'
     LEAVING = 'leaving'
@@ -70,6 +72,7 @@
     ErrorCode.QUARANTINED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
     ErrorCode.CANCELLED: http.HTTPStatus.CONFLICT,
     ErrorCode.UPSTREAM_FAILED: http.HTTPStatus.BAD_GATEWAY,
+    ErrorCode.UPSTREAM_CRASHED: http.HTTPStatus.BAD_GATEWAY,
     ErrorCode.OUTCOME_UNKNOWN: http.HTTPStatus.BAD_GATEWAY,
     ErrorCode.INTERNAL: http.HTTPStatus.INTERNAL_SERVER_ERROR,
 }
--- a/packages/magnoliawood/magnoliawood/programs/call.py
+++ b/packages/magnoliawood/magnoliawood/programs/call.py
@@ -1,6 +1,7 @@
 """Calls: what a program asks of an upstream."""
 
 import dataclasses
+import datetime
 import hashlib
 import json
 import typing
@@ -8,6 +9,7 @@
 from magnoliawood import charts
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
+from magnoliawood.limits import crash_list
 from magnoliawood.programs import identity
 from magnoliawood.programs import message as messages
 
@@ -76,6 +78,8 @@
     :param finish_reason: why a model turn ended
     :param code: error code where the call failed
     :param detail: error text where the call failed
+    :param retry_after_seconds: when to come back, 0 if that is pointless
+    :param crashes: crashes of upstreams that the request is blamed for
     """
 
     verdict: verdicts.Verdict
@@ -85,6 +89,8 @@
     finish_reason: str = 'stop'
     code: str = ''
     detail: str = ''
+    retry_after_seconds: float = 0.0
+    crashes: tuple[crash_list.Crash, ...] = ()
 
     @property
     def is_success(self) -> bool:
@@ -94,18 +100,24 @@
     @classmethod
     def from_error(cls, error: errors.MagnoliawoodError) -> 'CallOutcome':
         """Describe a failed call."""
+        after = error.retry_after or datetime.timedelta()
         return cls(
             verdict=error.verdict,
             status=error.status,
             finish_reason='error',
             code=str(error.code),
             detail=error.detail,
+            retry_after_seconds=after.total_seconds(),
         )
 
     def to_error(self) -> errors.MagnoliawoodError:
         """Return the error that a failed call stands for."""
+        seconds = self.retry_after_seconds
         return errors.MagnoliawoodError(
-            errors.ErrorCode(self.code), self.detail, self.verdict
+            errors.ErrorCode(self.code),
+            self.detail,
+            self.verdict,
+            datetime.timedelta(seconds=seconds) if seconds else None,
         )
 
 
@@ -125,6 +137,34 @@
     return hashlib.blake2b(text, digest_size=16).hexdigest()
 
 
+def content_fingerprint(digest: str, request: Request) -> str:
+    """Return a digest of all that an upstream is given to work on.
+
+    Explanation
+    ===========
+
+    Limits such as the number of tokens stay out, so that a caller that
+    varies them still sends the same content.
+
+    :param digest: hash chain over the history before the request
+
+    Examples
+    ========
+
+    >>> text = [messages.Message('user', 'hello')]
+    >>> one = content_fingerprint('', ModelRequest('m', text, 10))
+    >>> one == content_fingerprint('', ModelRequest('m', text, 20))
+    True
+    >>> one == content_fingerprint('other', ModelRequest('m', text, 10))
+    False
+    """
+    if isinstance(request, ServiceRequest):
+        return fingerprint(request)
+    whole = messages.chain_digest(digest, request.messages)
+    text = f'{request.model}\0{whole}'.encode()
+    return hashlib.blake2b(text, digest_size=16).hexdigest()
+
+
 class Call:
     """One call of a program and the state it is in.
 
