Release engine memory by the engine's own list of holders

Cause: the release at the end of a program was sent once. It was lost with the owner, the sidecar or a failing engine, it was undone by calls that waited in the engine, and nothing covered callers that vanish.

The sidecar now releases after the program's calls and repeats until the engine confirms; owners compare the engines' lists each second.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -15,6 +15,7 @@
 from magnoliawood.scheduling import routing
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import admin_api
+from magnoliawood_server.entry import cache_reconciler
 from magnoliawood_server.entry import call_executor
 from magnoliawood_server.entry import caller_api
 from magnoliawood_server.entry import chat_api
@@ -70,6 +71,7 @@
                 self._keeper.follow_map_forever,
                 self._keeper.reconcile_forever,
                 self._service.forget_forever,
+                self._reconciler.reconcile_forever,
                 self._quarantine.watch_forever,
                 self._quarantine.store_forever,
             ):
@@ -141,6 +143,15 @@
             self._quarantine,
         )
         self._service.connect(self._keeper, executor)
+        self._reconciler = cache_reconciler.CacheReconciler(
+            self._programs,
+            self._keeper,
+            self._sidecars,
+            self._pool,
+            self._clock,
+            self._metrics,
+            datetime.timedelta(seconds=self._settings.idle_cache_seconds),
+        )
         self._gateway = gateways.Gateway(
             self._settings.name,
             self._service,
@@ -267,6 +278,8 @@
         gauge = self._metrics.set_gauge
         gauge('programs', len(self._programs))
         gauge('calls_under_way', self._service.calls_under_way)
+        reachable = sum(s.is_reachable for s in self._sidecars.all())
+        gauge('sidecars_reachable', reachable)
         gauge('map_version', self._keeper.map.version)
         gauge('configuration_version', self._configuration.current.version)
         return http_message.Response(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -144,7 +144,9 @@
             if not self._may_retry(execution, outcome):
                 return outcome
             self._metrics.count('retries_total', reason=outcome.code)
-            execution.excluded.add(sidecar.name)
+            # A sidecar that only told of crashes can run the call next.
+            if outcome.code != errors.ErrorCode.SUSPECTED:
+                execution.excluded.add(sidecar.name)
             try:
                 sidecar = self._intend_again(execution)
             except errors.MagnoliawoodError:
@@ -363,7 +365,8 @@
     turns = (
         call.upstream
         for call in reversed(program.calls)
-        if isinstance(call.request, calls.ModelRequest)
+        if call.is_done
+        and isinstance(call.request, calls.ModelRequest)
         and call.request.model == request.model
     )
     return next(turns, '')
--- a/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
@@ -152,6 +152,8 @@
         for member in self._programs.family(key):
             if not member.is_ended:
                 await self._end_one(member, reason)
+        # An answered end must outlive this process.
+        await self._writer.wait_durable(self._writer.barrier())
         return _status(program)
 
     async def adopt(self, shards: list[int], silent: set[str]) -> None:
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -182,6 +182,20 @@
     program: identity.ProgramKey
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListHolders:
+    """Asks a sidecar which programs of shards its upstream caches."""
+
+    shards: list[int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holders:
+    """Programs that an upstream itself says it holds memory for."""
+
+    programs: list[identity.ProgramKey]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Done:
     """Answer without content."""
@@ -310,6 +324,8 @@
     Witnesses,
     Forget,
     ReleaseProgram,
+    ListHolders,
+    Holders,
     Done,
     Probe,
     ProbeReply,
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -58,6 +58,12 @@
         le=10,
         description='shortest time between two journal writes',
     )
+    idle_cache_seconds: float = pydantic.Field(
+        default=1800.0,
+        gt=0,
+        le=86_400,
+        description='idle time after which a program loses its cache',
+    )
     suspicion_seconds: float = pydantic.Field(
         default=2.0,
         gt=0,
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -16,6 +16,7 @@
 from magnoliawood_server.runtime import answer as answers
 from magnoliawood_server.runtime import listener
 from magnoliawood_server.runtime import settings as settings_models
+from magnoliawood_server.sidecar import cache_releaser
 from magnoliawood_server.sidecar import call_run
 from magnoliawood_server.sidecar import engine
 from magnoliawood_server.sidecar import runner as runners
@@ -45,6 +46,9 @@
             settings.concurrency,
             settings.queue_limit,
         )
+        self._releaser = cache_releaser.CacheReleaser(
+            self._runner.upstream, self._runner.has_calls, self._metrics
+        )
         self._handlers = {
             messages.Hello: self._hello,
             messages.Order: self._order,
@@ -53,6 +57,7 @@
             messages.Fence: self._fence,
             messages.Forget: self._forget,
             messages.ReleaseProgram: self._release,
+            messages.ListHolders: self._list_holders,
             messages.NoteCrashes: self._note_crashes,
             messages.ClearCrashes: self._clear_crashes,
         }
@@ -71,6 +76,7 @@
                 listener.serve_http, settings.http_listen, self._handle_http
             )
             await group.spawn(self._runner.health.watch_forever)
+            await group.spawn(self._releaser.release_forever)
             _log.info('sidecar started')
             await group.join()
 
@@ -165,9 +171,18 @@
     async def _release(
         self, stream: connections.Stream, message: messages.ReleaseProgram
     ) -> None:
-        await self._runner.release(message.program)
+        await self._releaser.add(message.program)
         await stream.send(messages.Done())
 
+    async def _list_holders(
+        self, stream: connections.Stream, message: messages.ListHolders
+    ) -> None:
+        shards = set(message.shards)
+        found = await self._releaser.holders()
+        await stream.send(
+            messages.Holders([key for key in found if key.shard in shards])
+        )
+
     async def _note_crashes(
         self, stream: connections.Stream, message: messages.NoteCrashes
     ) -> None:
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
@@ -36,6 +36,9 @@
         """Run a model turn, resuming after ``run.order.partial``."""
         try:
             return await self._stream(run)
+        except curio.CancelledError:
+            await self._cancel(run)
+            raise
         except http_client.ConnectFailed as error:
             return _failed(run, str(error), verdicts.Verdict.NOT_RUN)
         except curio.TaskTimeout:
@@ -54,10 +57,25 @@
         request = http_client.json_request(
             'POST', '/cache/release', {'program': str(program)}
         )
+        reply, _ = await self._client.fetch(request, CONTROL_TIMEOUT)
+        if reply.status != 200:
+            raise ConnectionError(f'the engine answered {reply.status}')
+
+    async def holders(self) -> list[identity.ProgramKey]:
+        """Return the programs whose blocks the engine caches."""
+        request = http_client.json_request('GET', '/cache/holders')
+        _, body = await self._client.fetch(request, CONTROL_TIMEOUT)
+        names = json.loads(body).get('programs', {})
+        return [identity.ProgramKey.from_text(name) for name in names if name]
+
+    async def _cancel(self, run: call_run.CallRun) -> None:
+        request = http_client.json_request(
+            'POST', '/cancel', {'request_id': str(run.order.intended.call)}
+        )
         try:
             await self._client.fetch(request, CONTROL_TIMEOUT)
         except (OSError, curio.TaskTimeout):
-            _log.debug('cache release not delivered')
+            _log.debug('cancellation not delivered')
 
     async def _stream(self, run: call_run.CallRun) -> calls.CallOutcome:
         request = http_client.json_request(
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -56,6 +56,9 @@
         self._witness = witnesses.WitnessTable()
         self._barred: dict[identity.CallId, int] = {}
         self._running = 0
+        self._under_way: collections.Counter[identity.ProgramKey] = (
+            collections.Counter()
+        )
         self._suspects_running = 0
         self._at_upstream: collections.Counter[str] = collections.Counter()
 
@@ -69,6 +72,11 @@
         """Records of accepted calls."""
         return self._witness
 
+    @property
+    def upstream(self) -> upstreams.Upstream:
+        """What the calls run on."""
+        return self._upstream
+
     @property
     def health(self) -> healths.UpstreamHealth:
         """Whether the upstream's process lives."""
@@ -105,6 +113,7 @@
             )
         run = call_run.CallRun(order)
         self._runs[call] = run
+        self._under_way[call.program] += 1
         self._witness.accept(order.opened, order.intended)
         self._queue.push(run)
         await self._start_waiting()
@@ -133,9 +142,9 @@
             del self._runs[call]
             self._witness.forget(call)
 
-    async def release(self, program: identity.ProgramKey) -> None:
-        """Free what the upstream holds for a program."""
-        await self._upstream.release(program)
+    def has_calls(self, program: identity.ProgramKey) -> bool:
+        """Whether calls of a program wait or run."""
+        return program in self._under_way
 
     async def _start_waiting(self) -> None:
         while self._running < self._concurrency:
@@ -248,6 +257,10 @@
         if outcome.code:
             self._metrics.count('refusals_total', reason=outcome.code)
         self._witness.settle(run.order.intended.call, outcome)
+        program = run.order.intended.call.program
+        self._under_way[program] -= 1
+        if not self._under_way[program]:
+            del self._under_way[program]
         await run.answer.finish(outcome)
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
@@ -55,6 +55,10 @@
     async def release(self, program: identity.ProgramKey) -> None:
         """Do nothing: a plain service holds no cache."""
 
+    async def holders(self) -> list[identity.ProgramKey]:
+        """Return nothing: a plain service holds no cache."""
+        return []
+
 
 def _request(run: call_run.CallRun) -> http_message.Request:
     intended = run.order.intended
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/upstream.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/upstream.py
@@ -23,5 +23,17 @@
         ...
 
     async def release(self, program: identity.ProgramKey) -> None:
-        """Free what the upstream holds for a program."""
+        """Free what the upstream holds for a program.
+
+        :raises OSError: if it was not done
+        :raises curio.TaskTimeout: if there was no answer in time
+        """
+        ...
+
+    async def holders(self) -> list[identity.ProgramKey]:
+        """Return the programs that the upstream holds memory for.
+
+        :raises OSError: if it gives no answer
+        :raises curio.TaskTimeout: if it gives none in time
+        """
         ...
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_poison.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_poison.py
@@ -18,9 +18,22 @@
         started.create_class('booking', 30)
         started.create_account('red-clay')
         started.wait_for_configuration()
+        wait_for_sidecars(started)
         yield started
 
 
+def wait_for_sidecars(deployment):
+    """Wait until all entries know the same upstreams."""
+    deployments.wait_until(
+        lambda: all(
+            deployment.metric(node, 'sidecars_reachable')
+            == len(deployment.sidecars)
+            for node in deployment.entries.values()
+        ),
+        'entries that see all sidecars',
+    )
+
+
 def caller_of(deployment):
     addresses = [node.http for node in deployment.entries.values()]
     return cluster.Caller(addresses, 'token-of-red-clay')
@@ -140,6 +153,7 @@
         node.process.kill()
         node.process.start()
     deployments.wait_until(deployment.is_ready, 'restarted processes')
+    wait_for_sidecars(deployment)
     answers = curio.run(send_everywhere, deployment, POISON)
     assert codes(answers) == {'quarantined'}
     assert not crashed(deployment)
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/engine.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/engine.py
@@ -29,6 +29,7 @@
     :param checks_fencing: whether orders with old numbers are refused
     :param load_lag_seconds: age of the load report
     :param lost_event_period: of so many cache events one is lost, 0: none
+    :param failed_releases: cache releases to refuse
     """
 
     step_seconds: float = 0.01
@@ -38,6 +39,7 @@
     checks_fencing: bool = True
     load_lag_seconds: float = 1.0
     lost_event_period: int = 0
+    failed_releases: int = 0
 
 
 class Sequence:
@@ -110,6 +112,10 @@
                 return http_message.Response.from_json(
                     {'events': self._events[after:]}
                 )
+            case ('GET', '/cache/holders'):
+                return http_message.Response.from_json(
+                    {'programs': dict(self._cache.held)}
+                )
             case ('POST', '/cache/release'):
                 return self._release(control.body_of(request))
             case ('POST', '/kv/export'):
@@ -171,6 +177,7 @@
             sequence.is_cancelled = True
 
     def _admit(self) -> None:
+        self._waiting = [s for s in self._waiting if not s.is_cancelled]
         self._waiting.sort(key=lambda sequence: sequence.priority)
         while self._waiting and len(self._running) < self.faults.batch_size:
             sequence = self._waiting.pop(0)
@@ -212,6 +219,9 @@
         return http_message.Response.from_json({'cancelled': len(found)})
 
     def _release(self, body: dict[str, object]) -> http_message.Response:
+        if self.faults.failed_releases:
+            self.faults.failed_releases -= 1
+            return http_message.Response.from_json({}, status=503)
         freed = self._cache.release(str(body['program']))
         self._note_event('released', str(body['program']), freed)
         return http_message.Response.from_json({'blocks': freed})
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_idle_programs.py
@@ -0,0 +1,55 @@
+import datetime
+
+import pytest
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.limits import idle_programs
+from magnoliawood.programs import budget as budgets
+from magnoliawood.programs import identity
+from magnoliawood.programs import program as programs
+from magnoliawood.programs import records
+
+KEY = identity.ProgramKey('red-clay', 'pour-7')
+LIMIT = datetime.timedelta(seconds=60)
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def idle(clock):
+    return idle_programs.IdlePrograms(clock, LIMIT)
+
+
+@pytest.fixture
+def program(clock):
+    budget = budgets.Budget(100, 10, 3600)
+    return programs.Program(records.Opened(KEY, 'chat', budget, clock.now()))
+
+
+def test_live_program_keeps_its_cache_until_it_is_idle(idle, program, clock):
+    assert idle.release_reason(KEY, program) == ''
+    clock.advance(LIMIT)
+    assert idle.release_reason(KEY, program) == ''
+    clock.advance(datetime.timedelta(seconds=1))
+    assert idle.release_reason(KEY, program) == 'idle'
+
+
+def test_time_of_the_budget_ends_the_claim(idle, program, clock):
+    clock.advance(datetime.timedelta(seconds=3601))
+    assert idle.release_reason(KEY, program) == 'time_over'
+
+
+def test_ended_and_unknown_programs_keep_nothing(idle, program):
+    program.apply(records.Ended(KEY, 'done'))
+    assert idle.release_reason(KEY, program) == 'ended'
+    assert idle.release_reason(KEY, None) == 'unknown'
+
+
+def test_forgotten_program_counts_anew(idle, program, clock):
+    idle.release_reason(KEY, program)
+    idle.keep_only(set())
+    clock.advance(LIMIT * 2)
+    assert idle.release_reason(KEY, program) == ''
--- a/packages/magnoliawood/magnoliawood/programs/identity.py
+++ b/packages/magnoliawood/magnoliawood/programs/identity.py
@@ -51,6 +51,19 @@
         digest = hashlib.blake2b(text, digest_size=8).digest()
         return int.from_bytes(digest) % SHARD_COUNT
 
+    @classmethod
+    def from_text(cls, text: str) -> 'ProgramKey':
+        """Parse what ``str`` returns.
+
+        Examples
+        ========
+
+        >>> ProgramKey.from_text('red-clay/pour-7')
+        ProgramKey(caller='red-clay', name='pour-7')
+        """
+        caller, _, name = text.partition('/')
+        return cls(caller, name)
+
     def __str__(self) -> str:
         return f'{self.caller}/{self.name}'
 
