--- a/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
@@ -67,6 +67,10 @@
         state = self._entries.get(entry)
         return state.host.address if state else ''
 
+    def peers(self) -> list[store.Host]:
+        """Return the other entries of the host list, dead ones too."""
+        return [state.host for state in self._entries.values()]
+
     def is_alive(self, entry: str) -> bool:
         """Whether an entry was heard of lately."""
         if entry == self._entry:
@@ -74,6 +78,10 @@
         state = self._entries.get(entry)
         return state is not None and self._is_alive(state)
 
+    def others(self) -> list[EntryState]:
+        """Return the other entries on the host list."""
+        return list(self._entries.values())
+
     def staying_entries(self) -> list[str]:
         """Return the live entries that may own shards."""
         others = [
--- a/packages/magnoliawood-server/magnoliawood_server/main.py
+++ b/packages/magnoliawood-server/magnoliawood_server/main.py
@@ -33,12 +33,14 @@
 
 def _run_entry(settings: settings_models.EntrySettings) -> None:
     logs.configure('entry', settings.name)
-    curio.run(entry_app.EntryApp(settings, clocks.SystemClock()).run)
+    app = entry_app.EntryApp(settings, clocks.SystemClock())
+    raise SystemExit(int(curio.run(app.run)))
 
 
 def _run_sidecar(settings: settings_models.SidecarSettings) -> None:
     logs.configure('sidecar', settings.name)
-    curio.run(sidecar_app.SidecarApp(settings, clocks.SystemClock()).run)
+    app = sidecar_app.SidecarApp(settings, clocks.SystemClock())
+    raise SystemExit(int(curio.run(app.run)))
 
 
 def load_settings(
@@ -63,6 +65,8 @@
     variable = f'{settings_models.ENVIRONMENT_PREFIX}{name.upper()}'
     if item['type'] == 'missing':
         return f'setting {flag} ({variable}) is missing'
+    if name in settings_models.SECRET_NAMES:
+        return f'setting {flag} ({variable}): {item["msg"]}'
     return (
         f'setting {flag} ({variable}): value {item["input"]!r}: {item["msg"]}'
     )
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -19,6 +19,34 @@
     """Heartbeat."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Challenge:
+    """Opens a connection.
+
+    :param nonce: random bytes that the proofs cover
+    :param key_ids: public names of the secrets that the sender knows
+    """
+
+    nonce: bytes
+    key_ids: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChallengeReply:
+    """The listener's nonce, the secret that it chose and its proof."""
+
+    nonce: bytes
+    key_id: str
+    proof: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """Proof of the process that connected."""
+
+    proof: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello:
     """Asks a sidecar what it stands beside."""
@@ -26,6 +54,11 @@
     sender: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AwaitLeaving:
+    """Asks a sidecar for a :class:`HelloReply` once it is leaving."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HelloReply:
     """What a sidecar stands beside.
@@ -34,6 +67,9 @@
     :param kind: ``engine`` or ``service``
     :param names: models or the service that the upstream serves
     :param waiting: calls that wait or run there
+    :param resident_tokens: prompts of live programs placed there
+    :param seconds_per_call: time in which one waiting call fewer waits
+    :param prefill_seconds: time to take in one token that is not cached
     :param upstream_up: whether the upstream takes connections
     """
 
@@ -44,6 +80,9 @@
     names: list[str]
     waiting: int
     leaving: bool
+    resident_tokens: int = 0
+    seconds_per_call: float = 0.0
+    prefill_seconds: float = 0.0
     upstream_up: bool = True
 
 
@@ -59,6 +98,7 @@
     :param partial_tokens: generated tokens of that text
     :param rank: place in the queue, the lowest first
     :param deadline: when an order that still waits is dropped
+    :param hold_until: until when it may wait for room in the cache
     :param fingerprint: digest of the call's whole content
     :param crashes: crashes of upstreams that the owner blames on it
     """
@@ -71,6 +111,7 @@
     partial_tokens: int
     rank: float
     deadline: datetime.datetime
+    hold_until: datetime.datetime | None = None
     fingerprint: str = ''
     crashes: list[crash_list.Crash] = dataclasses.field(default_factory=list)
 
@@ -175,6 +216,53 @@
     calls: list[identity.CallId]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldRecords:
+    """Asks an entry to hold journal records that the store lacks.
+
+    :param log: log that the records belong to
+    :param first: position of the first record in the log
+    :param durable: position up to which held records may be dropped
+    """
+
+    log: str
+    first: int
+    records: list[records.Record]
+    durable: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SealHeld:
+    """Asks an entry to take no more records of logs and return its own."""
+
+    logs: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldUpTo:
+    """Answer to :class:`HoldRecords`.
+
+    :param position: position up to which no record is missing
+    """
+
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """Records that an entry held, in the order of their logs."""
+
+    records: list[records.Record]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseHeld:
+    """Sealed logs whose records the new owner of shards has stored."""
+
+    logs: list[str]
+    shards: list[int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReleaseProgram:
     """Frees the cache of a program that ended."""
@@ -308,9 +396,73 @@
     digest: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListPrograms:
+    """Asks an entry for the programs that it owns, in order of their keys.
+
+    Empty filters match everything.
+
+    :param after: only keys greater than this one, written ``caller/name``
+    :param limit: the most programs to return
+    """
+
+    caller: str = ''
+    work_class: str = ''
+    state: str = ''
+    after: str = ''
+    limit: int = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProgramPage:
+    """Programs of one entry, in order of their keys."""
+
+    programs: list[ProgramStatus]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetEntryStatus:
+    """Asks an entry for its state; it tries the store before it answers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryStatus:
+    """State of an entry.
+
+    :param store: ``available`` or the error of the last try
+    """
+
+    name: str
+    incarnation: str
+    data_centre: str
+    leaving: bool
+    store: str
+    map_version: int
+    configuration_version: int
+    shards: int
+    programs: int
+    calls_under_way: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetCounters:
+    """Asks a process for its counters."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counters:
+    """Counters of a process by name and labels in their text form."""
+
+    values: dict[str, int]
+
+
 MESSAGE_TYPES = (
     Ping,
+    Challenge,
+    ChallengeReply,
+    Proof,
     Hello,
+    AwaitLeaving,
     HelloReply,
     Order,
     Attach,
@@ -323,6 +475,11 @@
     Fence,
     Witnesses,
     Forget,
+    HoldRecords,
+    HeldUpTo,
+    SealHeld,
+    Held,
+    ReleaseHeld,
     ReleaseProgram,
     ListHolders,
     Holders,
@@ -338,6 +495,12 @@
     EndProgram,
     ProgramStatus,
     History,
+    ListPrograms,
+    ProgramPage,
+    GetEntryStatus,
+    EntryStatus,
+    GetCounters,
+    Counters,
 )
 
 ADAPTERS = {
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -6,14 +6,30 @@
 import pydantic
 import pydantic_settings
 
+from magnoliawood.scheduling import policies
+
 ENVIRONMENT_PREFIX = 'MAGNOLIAWOOD_'
 _ADDRESS = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
 _NAME = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
 
+# Values of these never reach a message or a log.
+SECRET_NAMES = frozenset({'peer_secret', 'operator_token_hash'})
+
+SHORTEST_SECRET_CHARACTERS = 16
+
 Address = typing.Annotated[str, pydantic.Field(pattern=_ADDRESS)]
 Name = typing.Annotated[str, pydantic.Field(pattern=_NAME)]
 
 
+def _check_secrets(value: pydantic.SecretStr) -> pydantic.SecretStr:
+    secrets = value.get_secret_value().split(',')
+    if min(map(len, secrets)) < SHORTEST_SECRET_CHARACTERS:
+        raise ValueError(
+            f'each secret has {SHORTEST_SECRET_CHARACTERS} characters or more'
+        )
+    return value
+
+
 class CommonSettings(pydantic_settings.BaseSettings):
     """Settings of every process."""
 
@@ -34,10 +50,33 @@
     http_listen: Address = pydantic.Field(
         description='IP number and port for HTTP'
     )
+    stop_notice_seconds: float = pydantic.Field(
+        default=2.0,
+        ge=0,
+        le=600,
+        description='how long a stopping process still accepts connections, '
+        'so that balancers and peers notice',
+    )
+    stop_limit_seconds: float = pydantic.Field(
+        default=900.0,
+        gt=0,
+        le=86400,
+        description='how long a stopping process waits for what is under way',
+    )
+    peer_secret: typing.Annotated[
+        pydantic.SecretStr, pydantic.AfterValidator(_check_secrets)
+    ] = pydantic.Field(
+        description='secret that all processes of the deployment share; '
+        'several, separated by commas, while it is being replaced',
+    )
     data_folder: pathlib.Path | None = pydantic.Field(
         default=None, description='folder for bulk data, if there is a disk'
     )
 
+    def peer_secrets(self) -> list[str]:
+        """Return the shared secrets."""
+        return self.peer_secret.get_secret_value().split(',')
+
 
 class EntrySettings(CommonSettings):
     """Settings of an entry."""
@@ -70,6 +109,10 @@
         le=60,
         description='silence after which another entry counts as dead',
     )
+    policy: typing.Literal[policies.NAMES] = pydantic.Field(
+        default=policies.STANDARD,
+        description='decisions to use, meant for experiments only',
+    )
 
 
 class SidecarSettings(CommonSettings):
@@ -92,6 +135,13 @@
         le=4096,
         description='calls that run at the upstream at the same time',
     )
+    witness_seconds: float = pydantic.Field(
+        default=30.0,
+        ge=0,
+        le=86400,
+        description='how long a stopping sidecar keeps outcomes that no '
+        'journal covers yet',
+    )
     queue_limit: int = pydantic.Field(
         default=256,
         ge=0,
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
@@ -1,5 +1,7 @@
 """One call that a sidecar accepted."""
 
+import datetime
+
 import curio
 
 from magnoliawood_server.peer import messages
@@ -18,6 +20,8 @@
         self.task: curio.Task | None = None
         self.is_cancelled = False
         self.upstream_run = ''
+        self.new_tokens = 0
+        self.first_token_at: datetime.timedelta | None = None
 
     @property
     def is_suspect(self) -> bool:
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -13,8 +13,11 @@
 from magnoliawood.ownership import witness as witnesses
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import identity
+from magnoliawood.scheduling import cache_admission
+from magnoliawood.scheduling import speed as speeds
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.peer import messages
+from magnoliawood_server.sidecar import cache_keeper
 from magnoliawood_server.sidecar import call_queue
 from magnoliawood_server.sidecar import call_run
 from magnoliawood_server.sidecar import health as healths
@@ -51,7 +54,10 @@
         self._metrics = metrics
         self._concurrency = concurrency
         self._queue_limit = queue_limit
-        self._queue = call_queue.CallQueue()
+        self._cache = cache_keeper.CacheKeeper(
+            clock, cache_admission.HoldForRoom()
+        )
+        self._queue = call_queue.CallQueue(self._cache.may_start)
         self._runs: dict[identity.CallId, call_run.CallRun] = {}
         self._witness = witnesses.WitnessTable()
         self._barred: dict[identity.CallId, int] = {}
@@ -61,11 +67,27 @@
         )
         self._suspects_running = 0
         self._at_upstream: collections.Counter[str] = collections.Counter()
+        self._speed = speeds.UpstreamSpeed(concurrency)
 
     @property
     def waiting(self) -> int:
-        """Calls that wait or run."""
-        return len(self._queue) + self._running
+        """Calls that wait or run, without those held for room."""
+        return len(self._queue) - self._queue.held + self._running
+
+    @property
+    def cache(self) -> cache_keeper.CacheKeeper:
+        """What is known of the upstream's cache."""
+        return self._cache
+
+    @property
+    def held(self) -> int:
+        """Calls held back until the cache has room."""
+        return self._queue.held
+
+    @property
+    def speed(self) -> speeds.UpstreamSpeed:
+        """How fast the upstream works."""
+        return self._speed
 
     @property
     def witness(self) -> witnesses.WitnessTable:
@@ -117,6 +139,9 @@
         self._witness.accept(order.opened, order.intended)
         self._queue.push(run)
         await self._start_waiting()
+        if not run.is_started and order.hold_until is not None:
+            self._metrics.count('calls_held_total')
+            await curio.spawn(self._end_hold, run, daemon=True)
         return run
 
     def bar(self, call: identity.CallId, attempt: int) -> None:
@@ -146,6 +171,17 @@
         """Whether calls of a program wait or run."""
         return program in self._under_way
 
+    async def note_release(self, program: identity.ProgramKey) -> None:
+        """Forget a program's cache and start calls that find room now."""
+        self._cache.release(program)
+        await self._start_waiting()
+
+    async def _end_hold(self, run: call_run.CallRun) -> None:
+        """Start a held call when its time is over."""
+        wait = run.order.hold_until - self._clock.now()
+        await curio.sleep(max(0.0, wait.total_seconds()))
+        await self._start_waiting()
+
     async def _start_waiting(self) -> None:
         while self._running < self._concurrency:
             run = self._queue.pop(self._may_start)
@@ -153,6 +189,7 @@
                 return
             self._running += 1
             self._suspects_running += run.is_suspect
+            self._cache.note_start(run)
             run.task = await curio.spawn(self._run, run, daemon=True)
 
     def _may_start(self, run: call_run.CallRun) -> bool:
@@ -167,9 +204,13 @@
             outcome = _cancelled(run, verdicts.Verdict.MAY_HAVE_RUN)
         self._running -= 1
         self._suspects_running -= run.is_suspect
-        self._metrics.record(
-            'upstream_seconds', self._clock.monotonic() - started
-        )
+        duration = self._clock.monotonic() - started
+        self._metrics.record('upstream_seconds', duration)
+        self._speed.record_call(duration)
+        if run.first_token_at is not None:
+            self._speed.record_prefill(
+                run.new_tokens, run.first_token_at - started
+            )
         await self._settle(run, outcome)
         await self._start_waiting()
 
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
@@ -52,6 +52,10 @@
         await self._client.check()
         return ''
 
+    async def cache_tokens(self) -> int | None:
+        """Return 0, since a plain service has no prefix cache."""
+        return 0
+
     async def release(self, program: identity.ProgramKey) -> None:
         """Do nothing: a plain service holds no cache."""
 
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/upstream.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/upstream.py
@@ -37,3 +37,7 @@
         :raises curio.TaskTimeout: if it gives none in time
         """
         ...
+
+    async def cache_tokens(self) -> int | None:
+        """Return the size of its prefix cache, or nothing if unknown."""
+        ...
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -11,8 +11,10 @@
 import time
 import typing
 
+from magnoliawood_testing.cluster import link as links_of
 from magnoliawood_testing.cluster import process as processes
 
+PEER_SECRET = 'peer-secret-of-the-deployment'
 OPERATOR_TOKEN = 'operator-token-of-the-deployment'
 READY_TIMEOUT_SECONDS = 30.0
 _POLL_SECONDS = 0.05
@@ -38,6 +40,11 @@
     is_leaving: bool = False
 
 
+def token_of(account: str) -> str:
+    """Return the token that an account of a deployment gets."""
+    return f'token-of-{account}'
+
+
 def call(
     address: str,
     method: str,
@@ -80,6 +87,10 @@
     :param engines: number of model engines
     :param services: names of plain services, one process each
     :param entries: number of entries
+    :param links: pairs of client and server with a proxy between them, as
+        in :class:`~magnoliawood_testing.cluster.link.LinkName`
+    :param service_pool: processes that serve each service; those after
+        the first are named ``NAME-2``, ``NAME-3``
     """
 
     def __init__(
@@ -92,6 +103,9 @@
         folder: pathlib.Path | None = None,
         entry_settings: dict[str, object] | None = None,
         sidecar_settings: dict[str, object] | None = None,
+        links: tuple[tuple[str, str], ...] = (),
+        engine_settings: dict[str, object] | None = None,
+        service_pool: int = 1,
     ) -> None:
         self._temporary = None
         if folder is None:
@@ -102,7 +116,9 @@
         self._step_seconds = step_seconds
         self._entry_settings = entry_settings or {}
         self._sidecar_settings = sidecar_settings or {}
+        self._engine_settings = engine_settings or {}
         self._centres = itertools.cycle(_DATA_CENTRES)
+        self.links = links_of.Links(links, self._process)
         self.upstreams: dict[str, Node] = {}
         self.sidecars: dict[str, Node] = {}
         self.entries: dict[str, Node] = {}
@@ -110,7 +126,9 @@
         for number in range(1, engines + 1):
             self._add_engine(f'engine-{number}')
         for name in services:
-            self._add_service(name)
+            self._add_service(name, name)
+            for number in range(2, service_pool + 1):
+                self._add_service(f'{name}-{number}', name)
         for number in range(1, entries + 1):
             self._add_entry(f'entry-{number}')
 
@@ -131,6 +149,10 @@
         self.platform.process.start()
         wait_until(lambda: _answers(self.platform.http), 'platform')
         self.publish_hosts()
+        for link in self.links.all():
+            link.process.start()
+        for link in self.links.all():
+            wait_until(lambda at=link.control: _answers(at), 'proxy')
         for node in self.nodes():
             if node is not self.platform:
                 node.process.start()
@@ -139,7 +161,7 @@
 
     def stop(self) -> None:
         """Kill everything."""
-        for node in self.nodes():
+        for node in [*self.nodes(), *self.links.all()]:
             node.process.kill()
         if self._temporary is not None:
             self._temporary.cleanup()
@@ -167,7 +189,9 @@
             {
                 'name': node.name,
                 'role': node.role,
-                'address': node.peer,
+                'address': self.links.address(
+                    links_of.ENTRIES, node.name, node.peer
+                ),
                 'data_centre': node.data_centre,
                 'leaving': node.is_leaving,
             }
@@ -209,7 +233,7 @@
 
     def create_account(self, name: str, role: str = 'caller') -> str:
         """Create an account and return its token."""
-        token = f'token-of-{name}'
+        token = token_of(name)
         digest = hashlib.sha256(token.encode()).hexdigest()
         body = {'name': name, 'role': role, 'token_hashes': [digest]}
         status, answer = self.admin(
@@ -279,18 +303,19 @@
                 'listen': address,
                 'models': self.models,
                 'step_seconds': self._step_seconds,
+                **self._engine_settings,
             },
         )
         self._add_upstream(name, process, address, 'engine', self.models)
 
-    def _add_service(self, name: str) -> None:
+    def _add_service(self, name: str, serves: str) -> None:
         address = processes.free_address()
         process = self._process(
             name,
             'magnoliawood_testing.standins.service',
             {'listen': address},
         )
-        self._add_upstream(name, process, address, 'service', name)
+        self._add_upstream(name, process, address, 'service', serves)
 
     def _add_upstream(
         self,
@@ -310,14 +335,17 @@
         settings = {
             'name': sidecar,
             'data_centre': centre,
-            'platform': self.platform.http,
+            'platform': self.links.place(
+                sidecar, 'platform', self.platform.http
+            ),
             'peer_listen': peer,
             'http_listen': http_address,
-            'upstream': address,
+            'upstream': self.links.place(sidecar, name, address),
             'kind': kind,
             'serves': serves,
             **self._sidecar_settings,
         }
+        self.links.place(links_of.ENTRIES, sidecar, peer)
         self.sidecars[sidecar] = Node(
             sidecar,
             'sidecar',
@@ -335,7 +363,7 @@
         settings = {
             'name': name,
             'data_centre': centre,
-            'platform': self.platform.http,
+            'platform': self.links.place(name, 'platform', self.platform.http),
             'peer_listen': peer,
             'http_listen': http_address,
             'operator_token_hash': hashlib.sha256(
@@ -343,6 +371,8 @@
             ).hexdigest(),
             **self._entry_settings,
         }
+        self.links.place(links_of.ENTRIES, name, peer)
+        self.links.place(links_of.CALLERS, name, http_address)
         self.entries[name] = Node(
             name,
             'entry',
@@ -356,7 +386,11 @@
         self, name: str, role: str, settings: dict[str, object]
     ) -> processes.Process:
         return processes.Process(
-            name, 'magnoliawood_server.main', settings, self.folder, role
+            name,
+            'magnoliawood_server.main',
+            {'peer_secret': PEER_SECRET, **settings},
+            self.folder,
+            role,
         )
 
     def _process(
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/scheduling/policies.py
@@ -0,0 +1,81 @@
+"""Named combinations of decisions, for experiments."""
+
+import dataclasses
+
+from magnoliawood.scheduling import priority as priorities
+from magnoliawood.scheduling import routing
+
+STANDARD = 'standard'
+HOLD_SHARE = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """The decisions of one entry.
+
+    :param hold_share: part of its class's target that a new program may
+        wait for room in a cache
+    """
+
+    router: routing.Router
+    priority: priorities.Priority
+    hold_share: float = 0.0
+
+
+def make_policy(name: str) -> Policy:
+    """Return a policy by its name.
+
+    Examples
+    ========
+
+    >>> type(make_policy('fcfs-hash').router).__name__
+    'HashAffinity'
+
+    :raises KeyError: if there is none of this name
+    """
+    return _MAKERS[name]()
+
+
+def _standard() -> Policy:
+    return Policy(
+        routing.StayOrLeastLoaded(), priorities.EarliestProgramDeadline()
+    )
+
+
+def _least_cost() -> Policy:
+    return Policy(routing.LeastCost(), priorities.EarliestProgramDeadline())
+
+
+def _hold() -> Policy:
+    return Policy(
+        routing.StayOrLeastLoaded(),
+        priorities.EarliestProgramDeadline(),
+        HOLD_SHARE,
+    )
+
+
+def _hold_least_cost() -> Policy:
+    return Policy(
+        routing.LeastCost(),
+        priorities.EarliestProgramDeadline(),
+        HOLD_SHARE,
+    )
+
+
+def _fcfs_least_loaded() -> Policy:
+    return Policy(routing.LeastLoaded(), priorities.FirstComeFirstServed())
+
+
+def _fcfs_hash() -> Policy:
+    return Policy(routing.HashAffinity(), priorities.FirstComeFirstServed())
+
+
+_MAKERS = {
+    STANDARD: _standard,
+    'hold': _hold,
+    'hold-least-cost': _hold_least_cost,
+    'least-cost': _least_cost,
+    'fcfs-least-loaded': _fcfs_least_loaded,
+    'fcfs-hash': _fcfs_hash,
+}
+NAMES = tuple(_MAKERS)
--- a/packages/magnoliawood/magnoliawood/telemetry/registry.py
+++ b/packages/magnoliawood/magnoliawood/telemetry/registry.py
@@ -1,6 +1,7 @@
 """Registry of counters, gauges and latency histograms."""
 
 import collections
+import collections.abc
 import dataclasses
 import datetime
 
@@ -56,6 +57,13 @@
         """Return the value of a counter."""
         return self._counters[_series(name, labels)]
 
+    def counters(self) -> dict[str, int]:
+        """Return all counters by name and labels in their text form."""
+        return {
+            series.text(): self._counters[series]
+            for series in sorted(self._counters)
+        }
+
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
         self._gauges[_series(name, labels)] = value
@@ -87,7 +95,9 @@
         return '\n'.join(lines) + '\n'
 
 
-def _typed_lines(kind: str, values: dict[_Series, float]) -> list[str]:
+def _typed_lines(
+    kind: str, values: collections.abc.Mapping[_Series, float]
+) -> list[str]:
     lines = []
     previous = ''
     for series in sorted(values):
