Bound retries by a budget and refuse new programs first

Cause: only the attempts of each call were limited, the time to come back was a constant, and a full queue refused calls of programs under way like any other.

Retries now cost a token of the upstream's and the program's bucket, the sidecar keeps half of its queue for programs under way and refuses what can't start before its deadline, and Retry-After is the drain time of the queue with jitter.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -10,6 +10,7 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
+from magnoliawood.limits import retry_budget as retry_budgets
 from magnoliawood.ownership import takeover
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import message as conversation
@@ -95,6 +96,9 @@
         self._hold_share = hold_share
         self._record_intent = record_intent
         self._quarantine = quarantine
+        self._retry_budget: retry_budgets.RetryBudget = (
+            retry_budgets.TokenBucketBudget()
+        )
 
     def choose(
         self,
@@ -140,8 +144,19 @@
             execution.tries += 1
             outcome = await self._order(execution, sidecar)
             outcome = await self._judge(execution, outcome)
+            if outcome.is_success:
+                self._retry_budget.note_success(
+                    sidecar.name, execution.program.key
+                )
             if not self._may_retry(execution, outcome):
                 return outcome
+            if not self._retry_budget.try_spend(
+                sidecar.name, execution.program.key, outcome.code
+            ):
+                self._metrics.count(
+                    'retries_refused_total', reason=outcome.code
+                )
+                return outcome
             self._metrics.count('retries_total', reason=outcome.code)
             # A sidecar that only told of crashes can run the call next.
             if outcome.code != errors.ErrorCode.SUSPECTED:
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -3,12 +3,14 @@
 import collections
 import dataclasses
 import datetime
+import random
 
 import curio
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
+from magnoliawood.limits import admission as admissions
 from magnoliawood.limits import crash_list
 from magnoliawood.ownership import witness as witnesses
 from magnoliawood.programs import call as calls
@@ -66,6 +68,8 @@
             collections.Counter()
         )
         self._suspects_running = 0
+        self._admission: admissions.Admission = admissions.NewProgramsLast()
+        self._random = random.Random(name)
         self._at_upstream: collections.Counter[str] = collections.Counter()
         self._speed = speeds.UpstreamSpeed(concurrency)
 
@@ -127,12 +131,7 @@
                 errors.ErrorCode.CANCELLED,
                 'the owner gave this order up before it arrived',
             )
-        if len(self._queue) >= self._queue_limit:
-            raise errors.MagnoliawoodError(
-                errors.ErrorCode.OVERLOADED,
-                'the queue of the upstream is full',
-                retry_after=RETRY_AFTER,
-            )
+        self._check_admission(order)
         run = call_run.CallRun(order)
         self._runs[call] = run
         self._under_way[call.program] += 1
@@ -144,6 +143,29 @@
             await curio.spawn(self._end_hold, run, daemon=True)
         return run
 
+    def _check_admission(self, order: messages.Order) -> None:
+        """Refuse a call that should not wait here.
+
+        :raises MagnoliawoodError: with ``overloaded``
+        """
+        queue = admissions.QueueState(
+            len(self._queue), self._queue_limit, self._speed.seconds_per_call
+        )
+        call = order.intended.call
+        decision = self._admission.decide(
+            call.sequence == 1 and call.program.parent is None,
+            order.deadline - self._clock.now(),
+            queue,
+        )
+        if decision is admissions.Decision.ADMIT:
+            return
+        self._metrics.count('admissions_refused_total', reason=str(decision))
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.OVERLOADED,
+            f'the queue of the upstream takes no such call: {decision}',
+            retry_after=admissions.retry_after(queue, self._random),
+        )
+
     def bar(self, call: identity.CallId, attempt: int) -> None:
         """Refuse an order and its earlier attempts should they arrive."""
         self._barred[call] = max(attempt, self._barred.get(call, 0))
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_admission.py
@@ -0,0 +1,40 @@
+import datetime
+import random
+
+import pytest
+
+from magnoliawood.limits import admission
+
+MINUTE = datetime.timedelta(minutes=1)
+
+
+@pytest.mark.parametrize(
+    ('is_new', 'waiting', 'left', 'expected'),
+    [
+        (True, 3, MINUTE, 'admit'),
+        (True, 4, MINUTE, 'new_program'),
+        (False, 7, MINUTE, 'admit'),
+        (False, 8, MINUTE, 'queue_full'),
+        (True, 8, MINUTE, 'queue_full'),
+        (False, 3, datetime.timedelta(seconds=2), 'too_late'),
+        (False, 0, datetime.timedelta(), 'admit'),
+    ],
+)
+def test_new_programs_are_refused_first(is_new, waiting, left, expected):
+    queue = admission.QueueState(waiting, 8, 1.0)
+    found = admission.NewProgramsLast().decide(is_new, left, queue)
+    assert found == expected
+
+
+def test_callers_refused_together_return_apart():
+    queue = admission.QueueState(8, 8, 1.0)
+    source = random.Random(3)
+    times = {admission.retry_after(queue, source) for _ in range(50)}
+    assert len(times) == 50
+    assert all(8 <= time.total_seconds() <= 12 for time in times)
+
+
+def test_idle_queue_still_asks_for_a_pause():
+    queue = admission.QueueState(0, 0, 0.0)
+    time = admission.retry_after(queue, random.Random(3))
+    assert time >= admission.RETRY_AFTER_FLOOR
