--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -16,6 +16,7 @@
 from magnoliawood_server.entry import admin_api
 from magnoliawood_server.entry import admin_fleet
 from magnoliawood_server.entry import admin_objects
+from magnoliawood_server.entry import cache_reconciler
 from magnoliawood_server.entry import call_executor
 from magnoliawood_server.entry import call_recorder
 from magnoliawood_server.entry import call_scheduler
@@ -30,6 +31,7 @@
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import owner_service
 from magnoliawood_server.entry import ownership_guard
+from magnoliawood_server.entry import quarantine_keeper
 from magnoliawood_server.entry import record_holder
 from magnoliawood_server.entry import retention
 from magnoliawood_server.entry import routes
@@ -97,6 +99,9 @@
                 self._recorder.forget_forever,
                 self._shared_state.follow_forever,
                 retention.EndedRetention(self._programs, self._clock).run,
+                self._reconciler.reconcile_forever,
+                self._quarantine.watch_forever,
+                self._quarantine.store_forever,
             ):
                 await group.spawn(background)
             await group.spawn(self._peer_listener.run)
@@ -161,6 +166,13 @@
                 self._settings.segments_per_log,
             ),
         )
+        self._quarantine = quarantine_keeper.QuarantineKeeper(
+            self._objects,
+            self._sidecars,
+            self._pool,
+            self._clock,
+            self._metrics,
+        )
         self._recorder = call_recorder.CallRecorder(
             self._programs,
             self._keeper,
@@ -183,9 +195,14 @@
             self._clock,
             self._metrics,
             call_scheduler.CallScheduler(
-                self._sidecars, self._clock, self._metrics, policy
+                self._sidecars,
+                self._clock,
+                self._metrics,
+                policy,
+                self._quarantine,
             ),
             self._recorder.record_intent,
+            self._quarantine,
         )
         self._guard = ownership_guard.OwnershipGuard(
             self._keeper,
@@ -197,6 +214,15 @@
         self._service.connect(
             self._keeper, executor, self._recorder, self._guard
         )
+        self._reconciler = cache_reconciler.CacheReconciler(
+            self._programs,
+            self._keeper,
+            self._sidecars,
+            self._pool,
+            self._clock,
+            self._metrics,
+            datetime.timedelta(seconds=self._settings.idle_cache_seconds),
+        )
         self._gateway = gateways.Gateway(
             self._settings.name,
             self._service,
@@ -416,6 +442,8 @@
         gauge('programs', len(self._programs))
         gauge('calls_under_way', self._service.calls_under_way)
         gauge('entries_silent', self._membership.silent)
+        reachable = sum(s.is_reachable for s in self._sidecars.all())
+        gauge('sidecars_reachable', reachable)
         gauge('sidecars_leaving', self._sidecars.leaving)
         gauge('map_version', self._keeper.map.version)
         gauge('configuration_version', self._configuration.current.version)
--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -10,6 +10,7 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
+from magnoliawood.limits import retry_budget as retry_budgets
 from magnoliawood.ownership import takeover
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import program as programs
@@ -17,6 +18,7 @@
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import call_recorder
 from magnoliawood_server.entry import call_scheduler
+from magnoliawood_server.entry import quarantine_keeper
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import messages
@@ -28,6 +30,10 @@
 SETTLE_INTERVAL = datetime.timedelta(milliseconds=200)
 RETRY_AFTER = datetime.timedelta(seconds=1)
 
+_FINAL_CODES = frozenset(
+    {errors.ErrorCode.CANCELLED, errors.ErrorCode.QUARANTINED}
+)
+
 _log = logging.getLogger(__name__)
 
 RecordIntent = collections.abc.Callable[
@@ -53,6 +59,13 @@
     )
     excluded: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def fingerprint(self) -> str:
+        """Digest of the call's whole content."""
+        return calls.content_fingerprint(
+            self.program.digest, self.call.request
+        )
+
 
 class CallExecutor:
     """Routes calls, sends orders and settles lost connections.
@@ -68,6 +81,7 @@
         metrics: registries.Registry,
         scheduler: call_scheduler.CallScheduler,
         record_intent: RecordIntent,
+        quarantine: quarantine_keeper.QuarantineKeeper,
     ) -> None:
         self._sidecars = sidecars
         self._pool = pool
@@ -75,6 +89,10 @@
         self._metrics = metrics
         self._scheduler = scheduler
         self._record_intent = record_intent
+        self._quarantine = quarantine
+        self._retry_budget: retry_budgets.RetryBudget = (
+            retry_budgets.TokenBucketBudget()
+        )
 
     def choose(
         self,
@@ -101,10 +119,24 @@
             )
             execution.tries += 1
             outcome = await self._order(execution, sidecar)
+            outcome = await self._judge(execution, outcome)
+            if outcome.is_success:
+                self._retry_budget.note_success(
+                    sidecar.name, execution.program.key
+                )
             if not self._may_retry(execution, outcome):
                 return outcome
+            if not self._retry_budget.try_spend(
+                sidecar.name, execution.program.key, outcome.code
+            ):
+                self._metrics.count(
+                    'retries_refused_total', reason=outcome.code
+                )
+                return outcome
             self._metrics.count('retries_total', reason=outcome.code)
-            execution.excluded.add(sidecar.name)
+            # A sidecar that only told of crashes can run the call next.
+            if outcome.code != errors.ErrorCode.SUSPECTED:
+                execution.excluded.add(sidecar.name)
             try:
                 sidecar = self._intend_again(execution)
             except errors.MagnoliawoodError:
@@ -123,6 +155,7 @@
         outcome = unknown_outcome(execution)
         if sidecar is not None and call.upstream not in silent:
             outcome = await self._settle_lost(execution, sidecar)
+            outcome = await self._judge(execution, outcome)
         if not self._may_retry(execution, outcome):
             return outcome
         if not call.request.is_idempotent:
@@ -154,12 +187,17 @@
                 sidecar_directory.ANSWER_TIMEOUT,
             )
 
+    async def _judge(
+        self, execution: Execution, outcome: calls.CallOutcome
+    ) -> calls.CallOutcome:
+        return await self._quarantine.judge(execution.fingerprint, outcome)
+
     def _may_retry(
         self, execution: Execution, outcome: calls.CallOutcome
     ) -> bool:
         if execution.tries >= MAX_ATTEMPTS:
             return False
-        if outcome.code == errors.ErrorCode.CANCELLED:
+        if outcome.code in _FINAL_CODES:
             return False
         return takeover.may_send_again(execution.call.request, outcome)
 
@@ -283,6 +321,8 @@
             self._scheduler.rank(program, execution.target),
             program.opened.opened_at + lifetime,
             self._scheduler.hold_until(program, request, execution.target),
+            execution.fingerprint,
+            self._quarantine.crashes_of(execution.fingerprint),
         )
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_scheduler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_scheduler.py
@@ -11,6 +11,7 @@
 from magnoliawood.scheduling import priority as priorities
 from magnoliawood.scheduling import routing
 from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import quarantine_keeper
 from magnoliawood_server.entry import sidecar_directory
 
 HOLD_LIMIT = datetime.timedelta(seconds=30)
@@ -25,11 +26,13 @@
         clock: clocks.Clock,
         metrics: registries.Registry,
         policy: policies.Policy,
+        quarantine: quarantine_keeper.QuarantineKeeper,
     ) -> None:
         self._sidecars = sidecars
         self._clock = clock
         self._metrics = metrics
         self._policy = policy
+        self._quarantine = quarantine
         self._growth = growth.PromptGrowth()
 
     def choose(
@@ -44,10 +47,16 @@
         """
         router = self._policy.router
         demand = self._demand(program, request)
+        served = _target(request)
         found = self._sidecars.candidates(
-            *_target(request), router.sample_size, demand.last
+            *served, router.sample_size, demand.last
+        )
+        fresh = self._quarantine.narrow(
+            calls.content_fingerprint(program.digest, request),
+            found,
+            [] if demand.last else self._sidecars.reachable(*served),
+            excluded,
         )
-        fresh = [s for s in found if s.name not in excluded] or found
         views = [sidecar_directory.view_of(sidecar) for sidecar in fresh]
         chosen = router.choose(demand, views)
         sidecar = next(s for s in fresh if s.name == chosen.name)
@@ -117,7 +126,8 @@
     turns = (
         call.upstream
         for call in reversed(program.calls)
-        if isinstance(call.request, calls.ModelRequest)
+        if call.is_done
+        and isinstance(call.request, calls.ModelRequest)
         and call.request.model == request.model
     )
     return next(turns, '')
--- a/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
@@ -145,6 +145,7 @@
         for member in self._programs.family(key):
             if not member.is_ended:
                 await self._end_one(member, reason)
+        await self._cover_end()
         return program_checks.status_of(program)
 
     async def adopt(
@@ -397,6 +398,18 @@
             return _lost()
         return outcome
 
+    async def _cover_end(self) -> None:
+        """Let an answered end outlive this process, where that is possible.
+
+        :raises OwnershipLost: if another entry has to end the program
+        """
+        try:
+            await self._recorder.cover_all()
+        except call_recorder.OwnershipLost:
+            raise
+        except errors.MagnoliawoodError:
+            self._metrics.count('ends_uncovered_total')
+
     async def _end_one(self, program: programs.Program, reason: str) -> None:
         record = records.Ended(program.key, reason)
         program.apply(record)
--- a/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
@@ -52,6 +52,7 @@
         return (
             self.is_reachable
             and self.reply is not None
+            and self.reply.upstream_up
             and not self.is_leaving
         )
 
@@ -118,6 +119,16 @@
                 known.host = host
         self._reindex()
 
+    def reachable(self, kind: str, name: str) -> list[Sidecar]:
+        """Return the sidecars that answer, also beside lost upstreams."""
+        return [
+            sidecar
+            for sidecar in self.all()
+            if sidecar.is_reachable
+            and sidecar.serves(kind, name)
+            and not sidecar.is_leaving
+        ]
+
     def candidates(
         self, kind: str, name: str, sample_size: int = 0, last: str = ''
     ) -> list[Sidecar]:
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -5,6 +5,7 @@
 
 import pydantic
 
+from magnoliawood.limits import crash_list
 from magnoliawood.ownership import witness
 from magnoliawood.platform import store
 from magnoliawood.programs import budget as budgets
@@ -70,6 +71,7 @@
     :param resident_tokens: prompts of live programs placed there
     :param seconds_per_call: time in which one waiting call fewer waits
     :param prefill_seconds: time to take in one token that is not cached
+    :param upstream_up: whether the upstream takes connections
     """
 
     host: str
@@ -82,6 +84,7 @@
     resident_tokens: int = 0
     seconds_per_call: float = 0.0
     prefill_seconds: float = 0.0
+    upstream_up: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,6 +100,8 @@
     :param rank: place in the queue, the lowest first
     :param deadline: when an order that still waits is dropped
     :param hold_until: until when it may wait for room in the cache
+    :param fingerprint: digest of the call's whole content
+    :param crashes: crashes of upstreams that the owner blames on it
     """
 
     opened: records.Opened
@@ -108,6 +113,8 @@
     rank: float
     deadline: datetime.datetime
     hold_until: datetime.datetime | None = None
+    fingerprint: str = ''
+    crashes: list[crash_list.Crash] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,6 +165,20 @@
     retry_after_seconds: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteCrashes:
+    """Tells a sidecar of crashes during which a request was running."""
+
+    record: crash_list.CrashRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearCrashes:
+    """Tells a sidecar that requests are not to blame for crashes."""
+
+    fingerprints: list[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cancel:
     """Asks a sidecar to stop a call."""
@@ -250,6 +271,20 @@
     program: identity.ProgramKey
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListHolders:
+    """Asks a sidecar which programs of shards its upstream caches."""
+
+    shards: list[int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holders:
+    """Programs that an upstream itself says it holds memory for."""
+
+    programs: list[identity.ProgramKey]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Done:
     """Answer without content."""
@@ -521,6 +556,8 @@
     Delta,
     Finished,
     Refused,
+    NoteCrashes,
+    ClearCrashes,
     Cancel,
     Fence,
     Witnesses,
@@ -531,6 +568,8 @@
     Held,
     ReleaseHeld,
     ReleaseProgram,
+    ListHolders,
+    Holders,
     Done,
     Probe,
     ProbeReply,
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -112,6 +112,12 @@
         ge=1,
         description='journal writes after which a new log replaces the old',
     )
+    idle_cache_seconds: float = pydantic.Field(
+        default=1800.0,
+        gt=0,
+        le=86_400,
+        description='idle time after which a program loses its cache',
+    )
     suspicion_seconds: float = pydantic.Field(
         default=2.0,
         gt=0,
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -21,6 +21,7 @@
 from magnoliawood_server.runtime import listener
 from magnoliawood_server.runtime import settings as settings_models
 from magnoliawood_server.runtime import stop
+from magnoliawood_server.sidecar import cache_releaser
 from magnoliawood_server.sidecar import call_run
 from magnoliawood_server.sidecar import engine
 from magnoliawood_server.sidecar import runner as runners
@@ -51,12 +52,16 @@
         self._activity = http_server.Activity()
         self._upstream = _make_upstream(settings, clock)
         self._runner = runners.CallRunner(
+            settings.name,
             self._upstream,
             clock,
             self._metrics,
             settings.concurrency,
             settings.queue_limit,
         )
+        self._releaser = cache_releaser.CacheReleaser(
+            self._runner.upstream, self._runner.has_calls, self._metrics
+        )
         self._handlers = {
             messages.Hello: self._hello,
             messages.AwaitLeaving: self._await_leaving,
@@ -67,6 +72,9 @@
             messages.Fence: self._fence,
             messages.Forget: self._forget,
             messages.ReleaseProgram: self._release,
+            messages.ListHolders: self._list_holders,
+            messages.NoteCrashes: self._note_crashes,
+            messages.ClearCrashes: self._clear_crashes,
         }
 
     async def run(self) -> stop.ExitCode:
@@ -88,6 +96,8 @@
                 self._leave,
                 datetime.timedelta(seconds=settings.stop_limit_seconds),
             )
+            await group.spawn(self._runner.health.watch_forever)
+            await group.spawn(self._releaser.release_forever)
             await group.spawn(self._follow_capacity)
             _log.info('sidecar started')
         return group.result
@@ -150,6 +160,7 @@
             self._runner.cache.resident_tokens,
             self._runner.speed.seconds_per_call,
             self._runner.speed.prefill_seconds_per_token,
+            self._runner.health.is_up,
         )
 
     async def _counters(
@@ -230,7 +241,30 @@
     async def _release(
         self, stream: connections.Stream, message: messages.ReleaseProgram
     ) -> None:
-        await self._runner.release(message.program)
+        await self._releaser.add(message.program)
+        await self._runner.note_release(message.program)
+        await stream.send(messages.Done())
+
+    async def _list_holders(
+        self, stream: connections.Stream, message: messages.ListHolders
+    ) -> None:
+        shards = set(message.shards)
+        found = await self._releaser.holders()
+        await stream.send(
+            messages.Holders([key for key in found if key.shard in shards])
+        )
+
+    async def _note_crashes(
+        self, stream: connections.Stream, message: messages.NoteCrashes
+    ) -> None:
+        self._runner.crashes.merge(message.record)
+        await stream.send(messages.Done())
+
+    async def _clear_crashes(
+        self, stream: connections.Stream, message: messages.ClearCrashes
+    ) -> None:
+        for fingerprint in message.fingerprints:
+            self._runner.crashes.clear(fingerprint)
         await stream.send(messages.Done())
 
     def _check_epoch(self, shard: int, epoch: int) -> None:
@@ -253,6 +287,9 @@
             return http_message.Response(200, body=b'ok\n')
         if request.path == '/metrics':
             self._metrics.set_gauge('waiting_calls', self._runner.waiting)
+            self._metrics.set_gauge(
+                'upstream_up', int(self._runner.health.is_up)
+            )
             self._metrics.set_gauge(
                 'witness_records', len(self._runner.witness)
             )
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_queue.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_queue.py
@@ -10,6 +10,10 @@
 _Entry = tuple[float, int, call_run.CallRun]
 
 
+def _is_always_startable(run: call_run.CallRun) -> bool:
+    return True
+
+
 class CallQueue:
     """Waiting calls by rank, the lowest first, equal ranks by arrival.
 
@@ -47,11 +51,26 @@
             entry = (_seconds(hold_until), next(self._arrivals), run)
             heapq.heappush(self._held, entry)
 
-    def pop(self) -> call_run.CallRun | None:
-        """Take the first call, if there is one."""
+    def pop(
+        self,
+        is_startable: collections.abc.Callable[
+            [call_run.CallRun], bool
+        ] = _is_always_startable,
+    ) -> call_run.CallRun | None:
+        """Take the first call that may start, if there is one."""
         while self._held and self._may_start(self._held[0][2]):
             self._push_ready(heapq.heappop(self._held)[2])
-        return heapq.heappop(self._heap)[2] if self._heap else None
+        passed = []
+        found = None
+        while self._heap and found is None:
+            entry = heapq.heappop(self._heap)
+            if is_startable(entry[2]):
+                found = entry[2]
+            else:
+                passed.append(entry)
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        return found
 
     def end_holds(self) -> None:
         """Hold no call back any more."""
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
@@ -19,9 +19,15 @@
         self.answer = answers.AnswerBuffer()
         self.task: curio.Task | None = None
         self.is_cancelled = False
+        self.upstream_run = ''
         self.new_tokens = 0
         self.first_token_at: datetime.timedelta | None = None
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether it was running when an upstream crashed."""
+        return bool(self.order.crashes)
+
     @property
     def is_started(self) -> bool:
         """Whether it left the queue."""
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
@@ -49,6 +49,11 @@
             status=reply.status,
         )
 
+    async def identify(self) -> str:
+        """Return an empty text once the service takes a connection."""
+        await self._client.check()
+        return ''
+
     async def cache_tokens(self) -> int | None:
         """Return 0, since a plain service has no prefix cache."""
         return 0
@@ -56,6 +61,10 @@
     async def release(self, program: identity.ProgramKey) -> None:
         """Do nothing: a plain service holds no cache."""
 
+    async def holders(self) -> list[identity.ProgramKey]:
+        """Return nothing: a plain service holds no cache."""
+        return []
+
 
 def _request(run: call_run.CallRun) -> http_message.Request:
     intended = run.order.intended
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/tests/test_call_queue.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/tests/test_call_queue.py
@@ -74,3 +74,13 @@
     queue.end_holds()
     assert queue.held == 0
     assert drain(queue) == [early, late]
+
+
+def test_call_that_may_not_start_yet_keeps_its_place():
+    queue = call_queue.CallQueue(lambda run: True)
+    suspect, other = run(1.0), run(2.0)
+    queue.push(suspect)
+    queue.push(other)
+    assert queue.pop(lambda run: run is not suspect) is other
+    assert queue.pop(lambda run: run is not suspect) is None
+    assert queue.pop() is suspect
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/tests/test_runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/tests/test_runner.py
@@ -31,6 +31,12 @@
     async def cache_tokens(self):
         return CAPACITY_TOKENS
 
+    async def identify(self):
+        return 'run-1'
+
+    async def holders(self):
+        return []
+
 
 @pytest.fixture
 def clock():
@@ -39,7 +45,9 @@
 
 @pytest.fixture
 def runner(clock):
-    made = runners.CallRunner(Upstream(), clock, registries.Registry(), 4, 8)
+    made = runners.CallRunner(
+        'engine-1', Upstream(), clock, registries.Registry(), 4, 8
+    )
     made.cache.capacity_tokens = CAPACITY_TOKENS
     return made
 
@@ -71,7 +79,7 @@
     await fill_cache(runner, clock)
     held = await runner.accept(order(clock, 'new', 10, HOLD))
     assert (held.is_started, runner.held, runner.waiting) == (False, 1, 0)
-    await runner.release(identity.ProgramKey('kessick', 'long'))
+    await runner.note_release(identity.ProgramKey('kessick', 'long'))
     return (await held.answer.wait()).verdict
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/upstream.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/upstream.py
@@ -14,8 +14,28 @@
         """Run a call, appending to ``run.answer`` as text arrives."""
         ...
 
+    async def identify(self) -> str:
+        """Return the identity of the process, empty if it tells none.
+
+        :raises OSError: if it gives no answer
+        :raises curio.TaskTimeout: if it gives none in time
+        """
+        ...
+
     async def release(self, program: identity.ProgramKey) -> None:
-        """Free what the upstream holds for a program."""
+        """Free what the upstream holds for a program.
+
+        :raises OSError: if it was not done
+        :raises curio.TaskTimeout: if there was no answer in time
+        """
+        ...
+
+    async def holders(self) -> list[identity.ProgramKey]:
+        """Return the programs that the upstream holds memory for.
+
+        :raises OSError: if it gives no answer
+        :raises curio.TaskTimeout: if it gives none in time
+        """
         ...
 
     async def cache_tokens(self) -> int | None:
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/engine.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/engine.py
@@ -6,6 +6,7 @@
 import json
 import os
 import time
+import uuid
 
 import curio
 
@@ -28,6 +29,7 @@
     :param checks_fencing: whether orders with old numbers are refused
     :param load_lag_seconds: age of the load report
     :param lost_event_period: of so many cache events one is lost, 0: none
+    :param failed_releases: cache releases to refuse
     """
 
     step_seconds: float = 0.01
@@ -37,6 +39,7 @@
     checks_fencing: bool = True
     load_lag_seconds: float = 1.0
     lost_event_period: int = 0
+    failed_releases: int = 0
 
 
 class Sequence:
@@ -84,6 +87,7 @@
         self._waiting: list[Sequence] = []
         self._running: list[Sequence] = []
         self._arrived = curio.Event()
+        self._start_id = uuid.uuid4().hex[:12]
         self._fence = 0
         self._orders: list[object] = []
         self._events: list[dict[str, object]] = []
@@ -108,6 +112,10 @@
                 return http_message.Response.from_json(
                     {'events': self._events[after:]}
                 )
+            case ('GET', '/cache/holders'):
+                return http_message.Response.from_json(
+                    {'programs': dict(self._cache.held)}
+                )
             case ('POST', '/cache/release'):
                 return self._release(control.body_of(request))
             case ('POST', '/kv/export'):
@@ -169,6 +177,7 @@
             sequence.is_cancelled = True
 
     def _admit(self) -> None:
+        self._waiting = [s for s in self._waiting if not s.is_cancelled]
         self._waiting.sort(key=_priority)
         while self._waiting and len(self._running) < self.faults.batch_size:
             sequence = self._waiting.pop(0)
@@ -210,6 +219,9 @@
         return http_message.Response.from_json({'cancelled': len(found)})
 
     def _release(self, body: dict[str, object]) -> http_message.Response:
+        if self.faults.failed_releases:
+            self.faults.failed_releases -= 1
+            return http_message.Response.from_json({}, status=503)
         freed = self._cache.release(str(body['program']))
         self._note_event('released', str(body['program']), freed)
         return http_message.Response.from_json({'blocks': freed})
@@ -240,6 +252,7 @@
         return http_message.Response.from_json(
             {
                 'sequences': shown[-1] if shown else 0,
+                'start_id': self._start_id,
                 'cache_tokens': self._cache.capacity
                 * prefix_cache.BLOCK_WORDS,
             }
