--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -6,6 +6,7 @@
 import pydantic
 
 from magnoliawood.ownership import witness
+from magnoliawood.platform import store
 from magnoliawood.programs import budget as budgets
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import identity
@@ -272,6 +273,34 @@
     configuration_version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedStateRequest:
+    """Asks an entry for what it learnt from the platform."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedStateReply:
+    """What an entry learnt from the platform.
+
+    :param configuration_version: version of the newest change in it
+    :param read_at: version of the store when the objects were read
+    :param objects: the stored objects of the configuration
+    :param map_version: version of the shard map, 0 if unknown
+    """
+
+    configuration_version: int
+    read_at: int
+    objects: list[store.StoredObject]
+    hosts: list[store.Host]
+    map_version: int
+    map_text: str
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the entry knows a configuration."""
+        return self.read_at > 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenProgram:
     """Asks an owner to open a program."""
@@ -385,6 +414,46 @@
     programs: list[ProgramStatus]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListCalls:
+    """Asks an owner for the newest calls of a program.
+
+    :param limit: the most calls to return
+    """
+
+    program: identity.ProgramKey
+    limit: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallSummary:
+    """A call without its content.
+
+    :param target: model, or service and operation
+    :param upstream: where it was sent last, empty if nowhere
+    :param attempt: number of the last order
+    :param verdict: empty while it has no outcome
+    :param code: error that it ended with, if so
+    """
+
+    sequence: int
+    kind: str
+    target: str
+    state: str
+    upstream: str
+    attempt: int
+    verdict: str
+    code: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallPage:
+    """The newest calls of a program, the oldest first."""
+
+    calls: list[CallSummary]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GetEntryStatus:
     """Asks an entry for its state; it tries the store before it answers."""
@@ -465,6 +534,8 @@
     Done,
     Probe,
     ProbeReply,
+    SharedStateRequest,
+    SharedStateReply,
     OpenProgram,
     RunCall,
     ReadCall,
@@ -476,6 +547,9 @@
     History,
     ListPrograms,
     ProgramPage,
+    ListCalls,
+    CallSummary,
+    CallPage,
     GetEntryStatus,
     EntryStatus,
     GetCounters,
