--- a/packages/magnoliawood/magnoliawood/scheduling/policies.py
+++ b/packages/magnoliawood/magnoliawood/scheduling/policies.py
@@ -6,14 +6,20 @@
 from magnoliawood.scheduling import routing
 
 STANDARD = 'standard'
+HOLD_SHARE = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
-    """The decisions of one entry."""
+    """The decisions of one entry.
+
+    :param hold_share: part of its class's target that a new program may
+        wait for room in a cache
+    """
 
     router: routing.Router
     priority: priorities.Priority
+    hold_share: float = 0.0
 
 
 def make_policy(name: str) -> Policy:
@@ -31,12 +37,28 @@
 
 
 def _standard() -> Policy:
+    return Policy(
+        routing.StayOrLeastLoaded(), priorities.EarliestProgramDeadline()
+    )
+
+
+def _least_cost() -> Policy:
     return Policy(routing.LeastCost(), priorities.EarliestProgramDeadline())
 
 
-def _stay_or_least_loaded() -> Policy:
+def _hold() -> Policy:
     return Policy(
-        routing.StayOrLeastLoaded(), priorities.EarliestProgramDeadline()
+        routing.StayOrLeastLoaded(),
+        priorities.EarliestProgramDeadline(),
+        HOLD_SHARE,
+    )
+
+
+def _hold_least_cost() -> Policy:
+    return Policy(
+        routing.LeastCost(),
+        priorities.EarliestProgramDeadline(),
+        HOLD_SHARE,
     )
 
 
@@ -50,7 +72,9 @@
 
 _MAKERS = {
     STANDARD: _standard,
-    'stay-or-least-loaded': _stay_or_least_loaded,
+    'hold': _hold,
+    'hold-least-cost': _hold_least_cost,
+    'least-cost': _least_cost,
     'fcfs-least-loaded': _fcfs_least_loaded,
     'fcfs-hash': _fcfs_hash,
 }
