--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_planned_stops.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_planned_stops.py
@@ -153,6 +153,25 @@
     support.restart(deployment, first)
 
 
+def test_entry_stopped_in_a_store_outage_waits_for_the_store(deployment):
+    first, second = deployment.entries.values()
+    question, streams = begin_streams(deployment, [first, second], 4)
+    deployment.set_faults(deployment.platform, outage=True)
+    first.process.send_signal(signal.SIGTERM)
+    check_whole(question, streams)
+    assert first.process.is_running
+    deployment.set_faults(deployment.platform, outage=False)
+    assert first.process.wait() == 0
+    for path in streams:
+        deployments.wait_until(
+            lambda path=path: len(
+                support.ask(second, 'GET', f'{path}/history')[1]['messages']
+            ) == 2,
+            'a history at the new owner',
+        )  # fmt: skip
+    support.restart(deployment, first)
+
+
 def test_stopped_sidecar_ends_its_calls_and_gets_no_new_one(deployment):
     first, second = deployment.entries.values()
     sidecar = deployment.sidecars['engine-1-sidecar']
