--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -18,6 +18,7 @@
 from magnoliawood_server.entry import admin_objects
 from magnoliawood_server.entry import call_executor
 from magnoliawood_server.entry import call_recorder
+from magnoliawood_server.entry import call_scheduler
 from magnoliawood_server.entry import caller_api
 from magnoliawood_server.entry import change_history
 from magnoliawood_server.entry import chat_api
@@ -27,6 +28,7 @@
 from magnoliawood_server.entry import journal_writer
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import owner_service
+from magnoliawood_server.entry import ownership_guard
 from magnoliawood_server.entry import record_holder
 from magnoliawood_server.entry import routes
 from magnoliawood_server.entry import shard_keeper
@@ -88,6 +90,8 @@
                 self._configuration.watch_forever,
                 self._keeper.follow_map_forever,
                 self._keeper.reconcile_forever,
+                self._guard.tick_forever,
+                self._guard.confirm_forever,
                 self._recorder.forget_forever,
                 self._shared_state.follow_forever,
             ):
@@ -168,12 +172,21 @@
             self._pool,
             self._clock,
             self._metrics,
-            policy.router,
-            policy.priority,
-            policy.hold_share,
+            call_scheduler.CallScheduler(
+                self._sidecars, self._clock, self._metrics, policy
+            ),
             self._recorder.record_intent,
         )
-        self._service.connect(self._keeper, executor, self._recorder)
+        self._guard = ownership_guard.OwnershipGuard(
+            self._keeper,
+            self._membership,
+            self._pool,
+            self._clock,
+            self._metrics,
+        )
+        self._service.connect(
+            self._keeper, executor, self._recorder, self._guard
+        )
         self._gateway = gateways.Gateway(
             self._settings.name,
             self._service,
@@ -300,6 +313,11 @@
     ) -> None:
         if isinstance(message, messages.Probe):
             await stream.send(self._probe_reply())
+        elif isinstance(message, messages.GetShardMap):
+            shard_map = self._keeper.map
+            await stream.send(
+                messages.ShardMapText(shard_map.version, shard_map.to_text())
+            )
         elif isinstance(message, messages.SharedStateRequest):
             await stream.send(self._shared_state.reply())
         elif self._held.handles(message):
@@ -353,7 +371,7 @@
             case ['v1', 'chat' | 'models', *_]:
                 handle = self._chat_api.router.serve
             case ['admin', 'v1', *_]:
-                handle = self._admin_api.handle
+                handle = self._admin_api.router.serve
             case _:
                 raise errors.MagnoliawoodError(
                     errors.ErrorCode.NOT_FOUND, f'no page {request.path}'
--- a/packages/magnoliawood-server/magnoliawood_server/entry/shared_state.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/shared_state.py
@@ -7,7 +7,6 @@
 import pydantic
 
 from magnoliawood.core import errors
-from magnoliawood.ownership import shard_map as shard_maps
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import configuration_keeper
 from magnoliawood_server.entry import membership as memberships
@@ -122,9 +121,4 @@
                 ),
             )
         self._membership.learn_hosts(reply.hosts)
-        if reply.map_version:
-            self._keeper.learn_map(
-                shard_maps.ShardMap.from_text(
-                    reply.map_version, reply.map_text
-                )
-            )
+        self._keeper.accept_text(reply.map_version, reply.map_text)
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_openapi.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_openapi.py
@@ -162,6 +162,10 @@
     admin('GET', 'programs/{caller}/{program}', 200, 'red-clay',
           f'doc-{MARK}'),
     admin('GET', 'programs/{caller}/{program}', 404, 'red-clay', 'none'),
+    admin('GET', 'programs/{caller}/{program}/calls', 200, 'red-clay',
+          f'doc-{MARK}'),
+    admin('GET', 'programs/{caller}/{program}/calls', 404, 'red-clay',
+          'none'),
     admin('DELETE', 'programs/{caller}/{program}', 200, 'red-clay', POOR),
     admin('DELETE', 'programs/{caller}/{program}', 404, 'red-clay', 'none'),
     admin('GET', 'entries', 200),
@@ -187,7 +191,9 @@
         if 401 in item.replies:
             yield Step(item.method, item.path, 401, values, token='wrong')
         if 403 in item.replies:
-            yield Step(item.method, item.path, 403, values)
+            is_admin = item.path.startswith('/admin')
+            token = 'red-clay' if is_admin else 'support'
+            yield Step(item.method, item.path, 403, values, token=token)
 
 
 def run(deployment, step):
@@ -198,6 +204,7 @@
         'operator': deployments.OPERATOR_TOKEN,
         'wrong': 'wrong',
         'red-clay': deployments.token_of('red-clay'),
+        'support': deployments.token_of('support'),
     }
     headers = dict(step.headers)
     if step.token:
