--- a/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
@@ -115,7 +115,7 @@
         parts = self._gateway.answer(message)
         if not is_streamed:
             return await _whole_answer(message.call, message.offset, parts)
-        parts = pauses.with_pauses(parts)
+        parts = pauses.with_first_pause(parts)
         # The first part decides between a stream and an error status.
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(parts.aclose)
@@ -129,6 +129,7 @@
                 'cache-control': 'no-store',
             },
             parts=_event_stream(message.call, first, parts),
+            pause_comment=pauses.COMMENT,
         )
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
@@ -99,13 +99,14 @@
             self._gateway, message.call, parts, ends_program=not name
         )
         if body.stream:
-            closing = pauses.with_pauses(closing)
+            closing = pauses.with_first_pause(closing)
         first = await _first_part(closing)
         if body.stream:
             return http_message.Response(
                 200,
                 {'content-type': http_message.EVENT_STREAM_TYPE},
                 parts=completion.events(first, closing),
+                pause_comment=pauses.COMMENT,
             )
         return await completion.whole(first, closing)
 
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -13,6 +13,7 @@
 from magnoliawood_server.http import message as messages
 
 IDLE_LIMIT = datetime.timedelta(seconds=75)
+PAUSE_INTERVAL = datetime.timedelta(seconds=1)
 PROGRESS_LIMIT = datetime.timedelta(seconds=10)
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 HEAD_LIMIT_BYTES = 32 * 1024
@@ -46,6 +47,8 @@
     ) -> None:
         self._sock = sock
         self._progress_limit = progress_limit
+        self.write_lock = curio.Lock()
+        self.writes = 0
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=HEAD_LIMIT_BYTES
         )
@@ -62,9 +65,11 @@
             self._h11.receive_data(await self._receive())
 
     async def send(self, event: h11.Event) -> None:
-        data = memoryview(self._h11.send(event) or b'')
-        while data:
-            data = data[await self._send_some(data) :]
+        async with self.write_lock:
+            self.writes += 1
+            data = memoryview(self._h11.send(event) or b'')
+            while data:
+                data = data[await self._send_some(data) :]
 
     async def _send_some(self, data: memoryview) -> int:
         try:
@@ -248,17 +253,35 @@
         h11.Response(status_code=response.status, headers=[*headers.items()])
     )
     parts = response.parts
+    filler = await curio.spawn(
+        _fill_pauses, connection, response.pause_comment
+    )
     try:
         async for part in parts:
             if watcher.terminated:
                 raise ConnectionResetError('the caller closed')
             await connection.send(h11.Data(data=part))
     finally:
+        # A cancelled write would tear the stream of bytes.
+        async with connection.write_lock:
+            await filler.cancel()
         if hasattr(parts, 'aclose'):
             await parts.aclose()
     await connection.send(h11.EndOfMessage())
 
 
+async def _fill_pauses(connection: _Connection, comment: bytes) -> None:
+    """Send a comment after each interval in which nothing was sent."""
+    try:
+        while comment:
+            writes = connection.writes
+            await curio.sleep(PAUSE_INTERVAL.total_seconds())
+            if connection.writes == writes:
+                await connection.send(h11.Data(data=comment))
+    except OSError:
+        _log.debug('connection lost in a pause')
+
+
 async def _cancel_on_close(connection: _Connection) -> None:
     try:
         await connection.wait_for_close()
--- a/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
@@ -130,3 +130,36 @@
         return task.result
 
     assert curio.run(main) is None
+
+
+def test_pauses_of_a_stream_are_filled_with_comments(monkeypatch):
+    interval = datetime.timedelta(milliseconds=5)
+    monkeypatch.setattr(server, 'PAUSE_INTERVAL', interval)
+
+    async def parts():
+        yield b'first'
+        await curio.sleep(0.1)
+        yield b'last'
+
+    async def stream(request):
+        return messages.Response(200, parts=parts(), pause_comment=b':\n')
+
+    async def main():
+        client, peer = socket.socketpair()
+        task = await curio.spawn(
+            server.serve_connection, peer, stream, server.Activity()
+        )
+        await client.sendall(REQUEST)
+        answer = b''
+        while not answer.endswith(b'0\r\n\r\n'):
+            answer += await client.recv(65536)
+        await client.close()
+        await task.join()
+        await peer.close()
+        return answer
+
+    body = curio.run(main).partition(b'\r\n\r\n')[2]
+    start, _, rest = body.partition(b'first\r\n')
+    assert start == b'5\r\n'
+    assert rest.startswith(b'2\r\n:\n\r\n')
+    assert rest.endswith(b'4\r\nlast\r\n0\r\n\r\n')
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/tests/test_pauses.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/tests/test_pauses.py
@@ -9,11 +9,11 @@
 SHORT = datetime.timedelta(milliseconds=5)
 
 
-def collect(parts, interval):
+def collect(parts, interval=pauses.PAUSE_INTERVAL):
     async def main():
         found = []
         async with contextlib.aclosing(
-            pauses.with_pauses(parts, interval)
+            pauses.with_first_pause(parts, interval)
         ) as paused:
             async for part in paused:
                 found.append(part)
@@ -22,24 +22,28 @@
     return curio.run(main)
 
 
-def test_a_pause_yields_nothing_and_loses_no_part():
-    async def parts():
-        yield 1
-        await curio.sleep(0.05)
-        yield 2
+async def late(*numbers):
+    await curio.sleep(0.05)
+    for number in numbers:
+        yield number
 
-    found = collect(parts(), SHORT)
-    assert [part for part in found if part is not None] == [1, 2]
-    assert None in found
 
+async def broken(*numbers):
+    for number in numbers:
+        yield number
+    raise ValueError('broken')
 
-def test_an_error_reaches_the_reader():
-    async def parts():
-        yield 1
-        raise ValueError('broken')
 
+def test_a_late_first_part_is_announced_and_nothing_lost():
+    assert collect(late(1, 2), SHORT) == [None, 1, 2]
+    assert collect(late(1, 2)) == [1, 2]
+    assert collect(late()) == []
+
+
+@pytest.mark.parametrize('numbers', [(), (1,)])
+def test_an_error_reaches_the_reader(numbers):
     with pytest.raises(ValueError, match='broken'):
-        collect(parts(), SHORT)
+        collect(broken(*numbers))
 
 
 def test_leaving_early_closes_the_parts():
@@ -47,13 +51,15 @@
 
     async def parts():
         try:
-            while True:
-                yield 1
+            await curio.sleep(60)
+            yield 1
         finally:
             closed.append(True)
 
     async def main():
-        async with contextlib.aclosing(pauses.with_pauses(parts())) as paused:
+        async with contextlib.aclosing(
+            pauses.with_first_pause(parts(), SHORT)
+        ) as paused:
             await anext(paused)
 
     curio.run(main)
