Refuse version 0 and show a conflict also without its history

If-Match of 0 was taken for a creation; a conflict in a store outage, or with a malformed history, was reported as another error than the conflict. The step with If-Match 0 in test_openapi.py covers the first; the others are not covered by a test.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/admin_objects.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/admin_objects.py
@@ -173,7 +173,7 @@
         """Put a change in force here; if that fails, the watch will."""
         try:
             await self._configuration.refresh(version)
-        except errors.MagnoliawoodError:
+        except (errors.MagnoliawoodError, pydantic.ValidationError):
             _log.debug('configuration not read after a change')
 
     async def _with_credentials(
@@ -223,16 +223,23 @@
         problem = json.loads(response.body)
         current = conflict.current
         problem['current'] = _document(current) if current else None
-        log = await self._history.read(full_name)
-        change = (
-            log.find(current.version)
-            if current
-            else next(iter(log.changes[-1:]), None)
-        )
+        change = await self._find_change(full_name, current)
         problem['change'] = _change_document(change) if change else None
         response.body = json.dumps(problem).encode()
         return response
 
+    async def _find_change(
+        self, full_name: str, current: store.StoredObject | None
+    ) -> changes.Change | None:
+        """Return the change that made an object what it is, if known."""
+        try:
+            log = await self._history.read(full_name)
+        except errors.MagnoliawoodError:
+            return None
+        if current is not None:
+            return log.find(current.version)
+        return log.changes[-1] if log.changes else None
+
 
 def expected_version(request: http_message.Request) -> int:
     """Return the version that a change is based on, 0 to create.
@@ -242,7 +249,8 @@
     if request.header('if-none-match') == '*':
         return store.ABSENT
     text = request.header('if-match').strip('"')
-    if not (text.isascii() and text.isdigit()):
+    is_version = text.isascii() and text.isdigit() and int(text) > 0
+    if not is_version:
         raise errors.MagnoliawoodError(
             errors.ErrorCode.MALFORMED_REQUEST,
             'a change needs If-Match with the version it is based on, or '
--- a/packages/magnoliawood-server/magnoliawood_server/entry/change_history.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/change_history.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import pydantic
+
 from magnoliawood.config import change as changes
 from magnoliawood.core import errors
 from magnoliawood.platform import store
@@ -65,4 +67,9 @@
 def _parse(found: store.StoredObject | None) -> changes.ChangeLog:
     if found is None:
         return changes.ChangeLog()
-    return changes.ChangeLog.model_validate_json(found.value)
+    try:
+        return changes.ChangeLog.model_validate_json(found.value)
+    except pydantic.ValidationError as error:
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.INTERNAL, f'{found.name} is malformed'
+        ) from error
--- a/packages/magnoliawood-server/magnoliawood_server/openapi/caller_operations.py
+++ b/packages/magnoliawood-server/magnoliawood_server/openapi/caller_operations.py
@@ -12,8 +12,6 @@
     401: operations.problem('No bearer token, or an unknown one.'),
     403: operations.problem('The account is a viewer.'),
 }
-
-
 _UNKNOWN = operations.problem(
     'There is no such program, or it is of another caller.'
 )
