--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/tests/test_admin_objects.py
@@ -0,0 +1,124 @@
+import json
+
+import curio
+import pytest
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.platform import store
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.entry import admin_objects
+from magnoliawood_server.entry import change_history
+from magnoliawood_server.entry import configuration_keeper
+from magnoliawood_server.http import message as http_message
+
+
+class MemoryStore:
+    """Objects of one process; names under ``broken`` can't be reached."""
+
+    def __init__(self):
+        self.objects = {}
+        self.version = 0
+        self.broken = 'none'
+
+    def check(self, name):
+        if name.startswith(self.broken):
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.STORE_UNAVAILABLE, 'broken'
+            )
+
+    async def get(self, name):
+        self.check(name)
+        return self.objects.get(name)
+
+    async def scan(self, prefix):
+        self.check(prefix)
+        found = [
+            item
+            for name, item in self.objects.items()
+            if name.startswith(prefix)
+        ]
+        return store.Listing(self.version, found)
+
+    async def put(self, name, value, expected):
+        self.check(name)
+        found = self.objects.get(name)
+        if (found.version if found else store.ABSENT) != expected:
+            raise store.VersionConflict(name, found)
+        self.version += 1
+        self.objects[name] = store.StoredObject(name, self.version, value)
+        return self.objects[name]
+
+
+@pytest.fixture
+def memory():
+    return MemoryStore()
+
+
+@pytest.fixture
+def metrics():
+    return registries.Registry()
+
+
+@pytest.fixture
+def resource(memory, metrics):
+    return admin_objects.ConfigurationObjects(
+        memory,
+        configuration_keeper.ConfigurationKeeper(memory, ''),
+        change_history.ChangeHistory(memory, metrics),
+        clocks.ManualClock(),
+    )
+
+
+def put(resource, target, **headers):
+    named = {name.replace('_', '-'): text for name, text in headers.items()}
+    body = json.dumps({'name': 'pings', 'target_seconds': target}).encode()
+    request = http_message.Request('PUT', '/', named, body)
+    return curio.run(
+        resource.put, admin_objects.CLASSES, 'pings', request, 'ops'
+    )
+
+
+def history(resource):
+    answer = curio.run(resource.history, admin_objects.CLASSES, 'pings')
+    return json.loads(answer.body)
+
+
+def test_lost_line_of_the_history_shows_as_a_gap(memory, metrics, resource):
+    created = put(resource, 1, if_none_match='*')
+    assert history(resource)['is_complete']
+    memory.broken = 'history/'
+    changed = put(resource, 2, if_match=created.headers['etag'])
+    assert changed.status == 200
+    assert metrics.counter('history_writes_failed_total') == 1
+    memory.broken = 'none'
+    assert not history(resource)['is_complete']
+
+
+@pytest.mark.parametrize('fault', ['unreachable', 'malformed'])
+def test_conflict_is_told_without_the_history(memory, resource, fault):
+    put(resource, 1, if_none_match='*')
+    if fault == 'unreachable':
+        memory.broken = 'history/'
+    else:
+        (name,) = (n for n in memory.objects if n.startswith('history/'))
+        memory.objects[name] = store.StoredObject(name, 9, '{"x": 1}')
+    answer = put(resource, 2, if_match='"99"')
+    assert answer.status == 412
+    problem = json.loads(answer.body)
+    assert problem['current']['target_seconds'] == 1
+    assert problem['change'] is None
+
+
+def test_change_is_told_as_made_though_it_cannot_be_read(memory, resource):
+    memory.objects['config/class/odd'] = store.StoredObject(
+        'config/class/odd', 1, 'malformed'
+    )
+    assert put(resource, 1, if_none_match='*').status == 200
+
+
+@pytest.mark.parametrize('version', ['', '"0"', '"-1"', 'W/"3"', '"x"'])
+def test_change_needs_a_version(resource, version):
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        put(resource, 1, if_match=version)
+    assert caught.value.code == errors.ErrorCode.MALFORMED_REQUEST
