--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -18,6 +18,7 @@
 from magnoliawood_server.entry import admin_objects
 from magnoliawood_server.entry import call_executor
 from magnoliawood_server.entry import call_recorder
+from magnoliawood_server.entry import call_scheduler
 from magnoliawood_server.entry import caller_api
 from magnoliawood_server.entry import change_history
 from magnoliawood_server.entry import chat_api
@@ -31,6 +32,7 @@
 from magnoliawood_server.entry import record_holder
 from magnoliawood_server.entry import routes
 from magnoliawood_server.entry import shard_keeper
+from magnoliawood_server.entry import shared_state
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.http import server as http_server
@@ -91,6 +93,7 @@
                 self._guard.tick_forever,
                 self._guard.confirm_forever,
                 self._recorder.forget_forever,
+                self._shared_state.follow_forever,
             ):
                 await group.spawn(background)
             await group.spawn(self._peer_listener.run)
@@ -155,15 +158,23 @@
             self._pool,
             self._metrics,
         )
+        self._shared_state = shared_state.SharedState(
+            self._configuration,
+            self._membership,
+            self._keeper,
+            self._pool,
+            self._metrics,
+            [item for item in self._settings.entries.split(',') if item],
+        )
         policy = policies.make_policy(self._settings.policy)
         executor = call_executor.CallExecutor(
             self._sidecars,
             self._pool,
             self._clock,
             self._metrics,
-            policy.router,
-            policy.priority,
-            policy.hold_share,
+            call_scheduler.CallScheduler(
+                self._sidecars, self._clock, self._metrics, policy
+            ),
             self._recorder.record_intent,
         )
         self._guard = ownership_guard.OwnershipGuard(
@@ -307,6 +318,8 @@
             await stream.send(
                 messages.ShardMapText(shard_map.version, shard_map.to_text())
             )
+        elif isinstance(message, messages.SharedStateRequest):
+            await stream.send(self._shared_state.reply())
         elif self._held.handles(message):
             await self._held.handle_peer(stream, message)
         elif self._fleet.handles(message):
@@ -391,6 +404,7 @@
         gauge('records_held_for_peers', len(self._held.held))
         gauge('programs', len(self._programs))
         gauge('calls_under_way', self._service.calls_under_way)
+        gauge('entries_silent', self._membership.silent)
         gauge('sidecars_leaving', self._sidecars.leaving)
         gauge('map_version', self._keeper.map.version)
         gauge('configuration_version', self._configuration.current.version)
--- a/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/membership.py
@@ -27,6 +27,7 @@
     host: store.Host
     last_heard: datetime.timedelta
     reply: messages.ProbeReply | None = None
+    is_probing: bool = False
 
 
 def map_version_of(state: EntryState) -> int:
@@ -58,6 +59,36 @@
         self._entries: dict[str, EntryState] = {}
         self.is_leaving = False
         self._is_host_list_known = False
+        self._hosts: list[store.Host] = []
+
+    @property
+    def hosts(self) -> list[store.Host]:
+        """The host list as last read."""
+        return self._hosts
+
+    @property
+    def is_host_list_known(self) -> bool:
+        """Whether the host list was read or learnt."""
+        return self._is_host_list_known
+
+    def learn_hosts(self, hosts: list[store.Host]) -> None:
+        """Take another entry's host list if none was read yet."""
+        if hosts and not self._is_host_list_known:
+            self._update(hosts)
+
+    def newest_configuration(self) -> tuple[int, str]:
+        """Return the highest version that an entry answered with.
+
+        :returns: version and address of the entry, 0 if none is known
+        """
+        return max(
+            (
+                (state.reply.configuration_version, state.host.address)
+                for state in self._entries.values()
+                if state.reply is not None
+            ),
+            default=(0, ''),
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -83,6 +114,15 @@
         state = self._entries.get(entry)
         return state is not None and self._is_alive(state)
 
+    @property
+    def silent(self) -> int:
+        """Entries that left the last probe or more without an answer."""
+        now = self._clock.monotonic()
+        return sum(
+            now - state.last_heard > 2 * PROBE_INTERVAL
+            for state in self._entries.values()
+        )
+
     def others(self) -> list[EntryState]:
         """Return the other entries on the host list."""
         return list(self._entries.values())
@@ -112,7 +152,11 @@
     async def probe_forever(self) -> None:
         """Probe the other entries again and again."""
         while True:
-            await self.probe_all()
+            # One that is slow to answer must not hold up the others.
+            for state in list(self._entries.values()):
+                if not state.is_probing:
+                    state.is_probing = True
+                    await curio.spawn(self._probe, state, daemon=True)
             await curio.sleep(PROBE_INTERVAL.total_seconds())
 
     async def probe_all(self) -> None:
@@ -128,6 +172,7 @@
     def _update(self, hosts: list[store.Host]) -> None:
         self._sidecars.update_hosts(hosts)
         self._is_host_list_known = True
+        self._hosts = hosts
         entries = {
             host.name: host
             for host in hosts
@@ -145,11 +190,13 @@
 
     async def _probe(self, state: EntryState) -> None:
         try:
-            state.reply = await self._pool.ask(
+            state.reply = await self._pool.ask_twice(
                 state.host.address,
                 messages.Probe(self._entry),
                 PROBE_TIMEOUT,
             )
+            state.last_heard = self._clock.monotonic()
         except errors.MagnoliawoodError:
-            return
-        state.last_heard = self._clock.monotonic()
+            _log.debug('no answer', extra={'entry': state.host.name})
+        finally:
+            state.is_probing = False
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -96,6 +96,7 @@
         """Take no new order and wait for those accepted."""
         self._activity.is_closing = True
         await self._leaving.set()
+        await self._runner.end_holds()
         await curio.sleep(self._settings.stop_notice_seconds)
         await stop.wait_while(
             lambda: self._runner.waiting or self._answers_under_way
@@ -268,6 +269,7 @@
 def _make_upstream(
     settings: settings_models.SidecarSettings, clock: clocks.Clock
 ) -> upstreams.Upstream:
+    silence = datetime.timedelta(seconds=settings.upstream_silence_seconds)
     if settings.kind == 'engine':
-        return engine.EngineUpstream(settings.upstream, clock)
-    return service.ServiceUpstream(settings.upstream)
+        return engine.EngineUpstream(settings.upstream, clock, silence)
+    return service.ServiceUpstream(settings.upstream, silence)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
@@ -18,7 +18,6 @@
 from magnoliawood_server.sidecar import call_run
 
 CONTROL_TIMEOUT = datetime.timedelta(seconds=2)
-PROGRESS_TIMEOUT = datetime.timedelta(seconds=10)
 _END_OF_STREAM = '[DONE]'
 
 _log = logging.getLogger(__name__)
@@ -28,11 +27,18 @@
     """Client of one engine's streaming interface.
 
     :param address: IP number and port of the engine
+    :param silence: longest pause within an answer
     """
 
-    def __init__(self, address: str, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        clock: clocks.Clock,
+        silence: datetime.timedelta,
+    ) -> None:
         self._client = http_client.HttpClient(address)
         self._clock = clock
+        self._silence = silence
 
     async def run(self, run: call_run.CallRun) -> calls.CallOutcome:
         """Run a model turn, resuming after ``run.order.partial``."""
@@ -68,12 +74,17 @@
         request = http_client.json_request(
             'POST', '/v1/chat/completions', _body(run)
         )
-        async with self._client.open(request) as exchange:
-            async with curio.timeout_after(PROGRESS_TIMEOUT.total_seconds()):
+        silence = self._silence.total_seconds()
+        async with contextlib.AsyncExitStack() as stack:
+            async with curio.timeout_after(silence):
+                exchange = await stack.enter_async_context(
+                    self._client.open(request)
+                )
                 head = await exchange.read_head()
             if head.status != 200:
-                return await _refused(run, exchange, head.status)
-            return await _read_answer(run, exchange, self._clock)
+                async with curio.timeout_after(silence):
+                    return await _refused(run, exchange, head.status)
+            return await _read_answer(run, exchange, self._clock, silence)
 
 
 def _body(run: call_run.CallRun) -> dict[str, object]:
@@ -107,13 +118,14 @@
     run: call_run.CallRun,
     exchange: http_client.Exchange,
     clock: clocks.Clock,
+    silence: float,
 ) -> calls.CallOutcome:
     base_tokens = run.order.partial_tokens
     finish_reason = ''
     async with contextlib.aclosing(
         http_client.read_events(exchange.read_parts())
     ) as events:
-        while (data := await _next_event(events)) != _END_OF_STREAM:
+        while (data := await _next_event(events, silence)) != _END_OF_STREAM:
             if run.first_token_at is None:
                 run.first_token_at = clock.monotonic()
             chunk = json.loads(data)
@@ -133,9 +145,9 @@
 
 
 async def _next_event(
-    events: collections.abc.AsyncGenerator[str],
+    events: collections.abc.AsyncGenerator[str], silence: float
 ) -> str:
-    async with curio.timeout_after(PROGRESS_TIMEOUT.total_seconds()):
+    async with curio.timeout_after(silence):
         return await anext(events, _END_OF_STREAM)
 
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/support.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/support.py
@@ -68,9 +68,9 @@
     }
 
 
-def stream(address, method, path, body=None):
+def stream(address, method, path, body=None, silence_seconds=30.0):
     return answer_stream.AnswerStream(
-        address, 'token-of-red-clay', method, path, body
+        address, 'token-of-red-clay', method, path, body, silence_seconds
     )
 
 
@@ -103,18 +103,21 @@
     return sum(deployment.engine_state(name)['requests'].values())
 
 
-def open_program_of(deployment, owner):
-    """Open a program that a given entry owns."""
+def path_owned_by(deployment, owner):
+    """Return the path of a new program that a given entry will own."""
     entries = list(deployment.entries)
     while True:
         name = f'p-{uuid.uuid4().hex}'
         shard = identity.ProgramKey('red-clay', name).shard
         if shard_map.preferred_owner(shard, entries) == owner:
-            break
+            return f'/v1/programs/{name}'
+
+
+def open_program_of(deployment, owner):
+    """Open a program that a given entry owns."""
+    path = path_owned_by(deployment, owner)
     body = {'class': 'booking', 'budget': BUDGET}
-    path = f'/v1/programs/{name}'
-    node = deployment.entries[owner]
-    status, answer = ask(node, 'PUT', path, body)
+    status, answer = ask(deployment.entries[owner], 'PUT', path, body)
     assert status == 201, answer
     return path
 
@@ -139,3 +142,16 @@
             next(turns), 'GET', f'{path}?stream=1&offset={len(text)}'
         )
     raise AssertionError(f'not whole: {part.failure} {part.last_event}')
+
+
+def put_class(node, name, target_seconds=30, version=None):
+    """Write a class; return the status and the answer."""
+    headers = {'authorization': f'Bearer {deployments.OPERATOR_TOKEN}'}
+    if version is None:
+        headers['if-none-match'] = '*'
+    else:
+        headers['if-match'] = str(version)
+    return deployments.call(
+        node.http, 'PUT', f'/admin/v1/classes/{name}',
+        {'name': name, 'target_seconds': target_seconds}, headers,
+    )  # fmt: skip
