Keep the configuration moving past an object that can't be read

Cause: one malformed object, such as one that a newer release wrote with a field more, made from_objects raise, so no change of any class or account came in force at that entry any more. Such an object now keeps its known value, is named in one log line and counted in the gauge configuration_malformed_objects; the others come in force.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/admin_objects.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/admin_objects.py
@@ -173,7 +173,7 @@
         """Put a change in force here; if that fails, the watch will."""
         try:
             await self._configuration.refresh(version)
-        except (errors.MagnoliawoodError, pydantic.ValidationError):
+        except errors.MagnoliawoodError:
             _log.debug('configuration not read after a change')
 
     async def _with_credentials(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -407,6 +407,10 @@
         gauge('entries_silent', self._membership.silent)
         gauge('sidecars_leaving', self._sidecars.leaving)
         gauge('map_version', self._keeper.map.version)
+        gauge(
+            'configuration_malformed_objects',
+            len(self._configuration.current.malformed),
+        )
         gauge('configuration_version', self._configuration.current.version)
         return http_message.Response(
             200,
--- a/packages/magnoliawood-server/magnoliawood_server/entry/configuration_keeper.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/configuration_keeper.py
@@ -4,7 +4,6 @@
 import logging
 
 import curio
-import pydantic
 
 from magnoliawood.config import account as accounts
 from magnoliawood.config import configuration as configurations
@@ -76,7 +75,6 @@
         """Put a configuration in force unless a newer one is.
 
         :param changed_at: version of a change that the listing contains
-        :raises pydantic.ValidationError: if an object is malformed
         """
         if self.is_loaded and listing.version < self.listing.version:
             return
@@ -84,10 +82,16 @@
         # so entries with the same configuration would show different ones.
         versions = (item.version for item in listing.objects)
         version = max(self._current.version, changed_at, *versions, 0)
+        known = self._current
         self._current = configurations.Configuration.from_objects(
-            version, listing.objects
+            version, listing.objects, known
         )
         self._listing = listing
+        if self._current.malformed != known.malformed:
+            _log.error(
+                'configured objects malformed',
+                extra={'objects': sorted(self._current.malformed)},
+            )
 
     async def watch_forever(self) -> None:
         """Follow the store's changes."""
@@ -96,11 +100,6 @@
                 await self._watch_once()
             except errors.MagnoliawoodError:
                 await curio.sleep(_RETRY_INTERVAL.total_seconds())
-            except pydantic.ValidationError as error:
-                _log.error(
-                    'configuration malformed', extra={'error': str(error)}
-                )
-                await curio.sleep(_RETRY_INTERVAL.total_seconds())
 
     async def _watch_once(self) -> None:
         self._watches += 1
--- a/packages/magnoliawood/magnoliawood/config/configuration.py
+++ b/packages/magnoliawood/magnoliawood/config/configuration.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 import functools
+import typing
+
+import pydantic
 
 from magnoliawood.config import account as account_models
-from magnoliawood.config import drain as drains
 from magnoliawood.config import work_class as work_classes
 from magnoliawood.core import errors
 from magnoliawood.platform import store
@@ -14,12 +16,15 @@
 ACCOUNT_PREFIX = 'config/account/'
 DRAIN_PREFIX = 'config/drain/'
 
+Model = typing.TypeVar('Model', bound=pydantic.BaseModel)
+
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
     """Classes, accounts and drains at one version of the store.
 
     :param drained: names of the upstreams that get no new work
+    :param malformed: names of the objects that can't be read
     """
 
     version: int = 0
@@ -31,34 +36,50 @@
     )
     drained: frozenset[str] = frozenset()
 
+    malformed: frozenset[str] = frozenset()
+
     @classmethod
     def from_objects(
-        cls, version: int, objects: list[store.StoredObject]
+        cls,
+        version: int,
+        objects: list[store.StoredObject],
+        known: 'Configuration | None' = None,
     ) -> 'Configuration':
         """Build the configuration from the stored objects.
 
-        :raises pydantic.ValidationError: if an object is malformed
+        Explanation
+        ===========
+
+        An object that can't be read, such as one that a newer release
+        wrote, keeps the value that is known, if any. It does not hold up
+        the others.
+
+        :param known: the configuration in force
         """
-        found_classes = [
-            work_classes.WorkClass.model_validate_json(item.value)
-            for item in objects
-            if item.name.startswith(CLASS_PREFIX)
-        ]
-        found_accounts = [
-            account_models.Account.model_validate_json(item.value)
-            for item in objects
-            if item.name.startswith(ACCOUNT_PREFIX)
-        ]
+        known = known or cls()
+        malformed: set[str] = set()
+        classes = _parse(
+            CLASS_PREFIX,
+            work_classes.WorkClass,
+            objects,
+            known.classes,
+            malformed,
+        )
+        found_accounts = _parse(
+            ACCOUNT_PREFIX,
+            account_models.Account,
+            objects,
+            known.accounts,
+            malformed,
+        )
+        # The name alone says which upstream is drained.
         drained = frozenset(
-            drains.Drain.model_validate_json(item.value).upstream
+            item.name.removeprefix(DRAIN_PREFIX)
             for item in objects
             if item.name.startswith(DRAIN_PREFIX)
         )
         return cls(
-            version,
-            {item.name: item for item in found_classes},
-            {item.name: item for item in found_accounts},
-            drained,
+            version, classes, found_accounts, drained, frozenset(malformed)
         )
 
     def work_class(self, name: str) -> work_classes.WorkClass:
@@ -92,3 +113,25 @@
             for account in self.accounts.values()
             for digest in account.token_hashes
         }
+
+
+def _parse(
+    prefix: str,
+    model: type[Model],
+    objects: list[store.StoredObject],
+    known: dict[str, Model],
+    malformed: set[str],
+) -> dict[str, Model]:
+    """Return the objects under a prefix and note those that are malformed."""
+    found: dict[str, Model] = {}
+    for item in objects:
+        if not item.name.startswith(prefix):
+            continue
+        name = item.name.removeprefix(prefix)
+        try:
+            found[name] = model.model_validate_json(item.value)
+        except pydantic.ValidationError:
+            malformed.add(item.name)
+            if name in known:
+                found[name] = known[name]
+    return found
--- a/packages/magnoliawood/magnoliawood/config/tests/test_configuration.py
+++ b/packages/magnoliawood/magnoliawood/config/tests/test_configuration.py
@@ -40,3 +40,21 @@
         found.authenticate(token)
     assert caught.value.code == errors.ErrorCode.UNAUTHENTICATED
     assert not token or token not in caught.value.detail
+
+
+def test_malformed_object_keeps_its_value_and_holds_up_nothing():
+    before = configuration(account('a', 'one'), account('b', 'two'))
+    newer = store.StoredObject(
+        configurations.ACCOUNT_PREFIX + 'a', 10, '{"name": "a", "new": 1}'
+    )
+    unknown = store.StoredObject(
+        configurations.CLASS_PREFIX + 'c', 11, 'malformed'
+    )
+    changed = stored(configurations.ACCOUNT_PREFIX, account('b', 'three'), 12)
+    after = configurations.Configuration.from_objects(
+        12, [newer, unknown, changed], before
+    )
+    assert after.authenticate('one').name == 'a'
+    assert after.authenticate('three').name == 'b'
+    assert after.malformed == {newer.name, unknown.name}
+    assert not after.classes
