List configured objects past one that is malformed

One that is no JSON made the list of all classes or accounts answer 500; it is now named beside the others, and its own page says at which version to delete it. The new test failed before with a ValueError.

--- a/packages/magnoliawood-cli/magnoliawood_cli/output.py
+++ b/packages/magnoliawood-cli/magnoliawood_cli/output.py
@@ -26,6 +26,8 @@
     rows = value.get('items', [value])
     for line in table_lines(rows, columns):
         print(line)
+    for name in value.get('malformed', []):
+        print(f'malformed in the store: {name}')
     for name, reason in value.get('missing_entries', {}).items():
         print(f'no answer from {name}: {reason}')
     if value.get('next'):
--- a/packages/magnoliawood-server/magnoliawood_server/entry/admin_objects.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/admin_objects.py
@@ -70,12 +70,26 @@
     async def list(self, kind: ObjectKind) -> http_message.Response:
         """Return all objects of a kind."""
         listing = await self._objects.scan(kind.prefix)
-        items = [_document(item) for item in listing.objects]
-        return http_message.Response.from_json({'items': items})
+        readable, malformed = _split(listing.objects)
+        return http_message.Response.from_json(
+            {
+                'items': [_document(item) for item in readable],
+                'malformed': [
+                    item.name.removeprefix(kind.prefix) for item in malformed
+                ],
+            }
+        )
 
     async def show(self, kind: ObjectKind, name: str) -> http_message.Response:
         """Return one object."""
-        return _response(await self._get(kind, name))
+        found = await self._get(kind, name)
+        if not _is_readable(found):
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.INTERNAL,
+                f'{found.name} is malformed at version {found.version}; '
+                'delete it at that version, or change it',
+            )
+        return _response(found)
 
     async def history(
         self, kind: ObjectKind, name: str
@@ -222,7 +236,8 @@
         response = http_message.Response.from_error(conflict)
         problem = json.loads(response.body)
         current = conflict.current
-        problem['current'] = _document(current) if current else None
+        is_shown = current is not None and _is_readable(current)
+        problem['current'] = _document(current) if is_shown else None
         change = await self._find_change(full_name, current)
         problem['change'] = _change_document(change) if change else None
         response.body = json.dumps(problem).encode()
@@ -259,6 +274,23 @@
     return int(text)
 
 
+def _is_readable(item: store.StoredObject) -> bool:
+    try:
+        return isinstance(json.loads(item.value), dict)
+    except ValueError:
+        return False
+
+
+def _split(
+    items: typing.Iterable[store.StoredObject],
+) -> tuple[list[store.StoredObject], list[store.StoredObject]]:
+    """Return the readable objects and the others."""
+    readable, malformed = [], []
+    for item in items:
+        (readable if _is_readable(item) else malformed).append(item)
+    return readable, malformed
+
+
 def _absent(name: str) -> errors.MagnoliawoodError:
     return errors.MagnoliawoodError(
         errors.ErrorCode.NOT_FOUND, f'there is no {name!r}'
--- a/packages/magnoliawood-server/magnoliawood_server/entry/tests/test_admin_objects.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/tests/test_admin_objects.py
@@ -117,6 +117,19 @@
     assert put(resource, 1, if_none_match='*').status == 200
 
 
+def test_malformed_object_does_not_hide_the_others(memory, resource):
+    put(resource, 1, if_none_match='*')
+    name = 'config/class/odd'
+    memory.objects[name] = store.StoredObject(name, 9, 'malformed')
+    answer = curio.run(resource.list, admin_objects.CLASSES)
+    listed = json.loads(answer.body)
+    assert [item['name'] for item in listed['items']] == ['pings']
+    assert listed['malformed'] == ['odd']
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        curio.run(resource.show, admin_objects.CLASSES, 'odd')
+    assert 'version 9' in caught.value.detail
+
+
 @pytest.mark.parametrize('version', ['', '"0"', '"-1"', 'W/"3"', '"x"'])
 def test_change_needs_a_version(resource, version):
     with pytest.raises(errors.MagnoliawoodError) as caught:
--- a/packages/magnoliawood-server/magnoliawood_server/openapi/models.py
+++ b/packages/magnoliawood-server/magnoliawood_server/openapi/models.py
@@ -193,15 +193,23 @@
 
 
 class ClassList(Answer):
-    """All classes."""
+    """All classes.
+
+    :param malformed: names of those that can't be read
+    """
 
     items: list[ClassAnswer]
+    malformed: list[str]
 
 
 class AccountList(Answer):
-    """All accounts."""
+    """All accounts.
+
+    :param malformed: names of those that can't be read
+    """
 
     items: list[AccountAnswer]
+    malformed: list[str]
 
 
 class ChangeList(Answer):
