--- a/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/call_executor.py
@@ -213,7 +213,7 @@
             )
         try:
             await stream.send(self._order_message(execution))
-            return await self._follow(execution, stream)
+            return await self._follow(execution, stream, sidecar)
         except connections.PeerLost:
             return await self._settle_lost(execution, sidecar)
         except errors.MagnoliawoodError as error:
@@ -222,11 +222,16 @@
             stream.close()
 
     async def _follow(
-        self, execution: Execution, stream: connections.Stream
+        self,
+        execution: Execution,
+        stream: connections.Stream,
+        sidecar: sidecar_directory.Sidecar,
     ) -> calls.CallOutcome:
         while True:
             message = await stream.receive()
             if isinstance(message, messages.Finished):
+                if message.load is not None:
+                    sidecar.note_load(message.load)
                 return message.outcome
             await execution.answer.append(message.text, message.tokens)
 
@@ -264,7 +269,7 @@
                     len(execution.answer.text),
                 )
             )
-            return await self._follow(execution, stream)
+            return await self._follow(execution, stream, sidecar)
         finally:
             stream.close()
 
--- a/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/sidecar_directory.py
@@ -29,7 +29,8 @@
 
     :param is_followed: whether it will say at once that it is leaving
     :param orders: orders of this entry that are under way there
-    :param placed_tokens: prompts placed there since the last reply
+    :param placed_tokens: prompts placed there since the last report
+    :param orders_reported: own orders under way at the last report
     """
 
     host: store.Host
@@ -38,6 +39,7 @@
     is_followed: bool = False
     orders: int = 0
     placed_tokens: int = 0
+    orders_reported: int = 0
 
     @property
     def name(self) -> str:
@@ -60,6 +62,25 @@
             self.reply is not None and self.reply.leaving
         )
 
+    def note_load(self, load: messages.UpstreamLoad) -> None:
+        """Take in the load that came with an answer."""
+        if self.reply is None:
+            return
+        self.reply = dataclasses.replace(
+            self.reply,
+            waiting=load.waiting,
+            resident_tokens=load.resident_tokens,
+            seconds_per_call=load.seconds_per_call,
+            prefill_seconds=load.prefill_seconds,
+        )
+        # The call that brought the report does not wait any more.
+        self.note_report(self.orders - 1)
+
+    def note_report(self, orders: int) -> None:
+        """Correct the load by own orders from here on."""
+        self.placed_tokens = 0
+        self.orders_reported = orders
+
     def serves(self, kind: str, name: str) -> bool:
         """Whether its upstream is of a kind and serves a name."""
         reply = self.reply
@@ -195,7 +216,7 @@
                 messages.Hello(self._entry),
                 ANSWER_TIMEOUT,
             )
-            sidecar.placed_tokens = 0
+            sidecar.note_report(sidecar.orders)
             is_reachable = True
         except errors.MagnoliawoodError:
             is_reachable = False
@@ -249,7 +270,10 @@
     return routing.UpstreamView(
         sidecar.name,
         sidecar.host.data_centre,
-        max(reply.waiting, sidecar.orders),
+        max(
+            sidecar.orders,
+            reply.waiting + sidecar.orders - sidecar.orders_reported,
+        ),
         reply.seconds_per_call,
         reply.resident_tokens + sidecar.placed_tokens,
         reply.prefill_seconds,
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -140,11 +140,25 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLoad:
+    """Load of an upstream; the fields are those of the greeting."""
+
+    waiting: int
+    resident_tokens: int
+    seconds_per_call: float
+    prefill_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finished:
-    """End of a call."""
+    """End of a call.
+
+    :param load: load of the upstream that ran it, if a sidecar says so
+    """
 
     outcome: calls.CallOutcome
+    load: UpstreamLoad | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/answer.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/answer.py
@@ -76,13 +76,20 @@
 
 
 async def send_answer(
-    stream: connections.Stream, answer: AnswerBuffer, offset: int
+    stream: connections.Stream,
+    answer: AnswerBuffer,
+    offset: int,
+    load: collections.abc.Callable[[], messages.UpstreamLoad] | None = None,
 ) -> None:
-    """Send an answer to a peer from ``offset`` to its end."""
+    """Send an answer to a peer from ``offset`` to its end.
+
+    :param load: gives the load to state with the end
+    """
     async with contextlib.aclosing(answer.follow(offset)) as texts:
         async for text in texts:
             await stream.send(messages.Delta(text, answer.tokens))
-    await stream.send(messages.Finished(await answer.wait()))
+    outcome = await answer.wait()
+    await stream.send(messages.Finished(outcome, load() if load else None))
 
 
 def finished_answer(outcome: calls.CallOutcome) -> AnswerBuffer:
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -192,7 +192,9 @@
     ) -> None:
         self._answers_under_way += 1
         try:
-            await answers.send_answer(stream, run.answer, offset)
+            await answers.send_answer(
+                stream, run.answer, offset, self._runner.load
+            )
         finally:
             self._answers_under_way -= 1
 
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -77,6 +77,15 @@
         """Records of accepted calls."""
         return self._witness
 
+    def load(self) -> messages.UpstreamLoad:
+        """Return the load to state with an answer."""
+        return messages.UpstreamLoad(
+            self.waiting,
+            self._cache.resident_tokens,
+            self._speed.seconds_per_call,
+            self._speed.prefill_seconds_per_token,
+        )
+
     def find(self, call: identity.CallId) -> call_run.CallRun | None:
         """Return an accepted call, if it is known."""
         return self._runs.get(call)
