--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/scenario.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/scenario.py
@@ -232,6 +232,12 @@
             return None
         return self.deployment.sidecars[intents[-1].upstream]
 
+    def store_writes(self) -> int:
+        """Return the writes that have arrived at the store."""
+        address = self.deployment.platform.http
+        counts = deployments.call(address, 'GET', '/control/calls')[1]
+        return counts.get('PUT objects', 0)
+
     def set_leaving(self, node: deployments.Node, is_leaving: bool) -> None:
         """Change the platform's host list."""
         node.is_leaving = is_leaving
@@ -270,7 +276,7 @@
                 break
             if booking and answer.verdicts[-1:] == ['not_run']:
                 answer.false_verdicts += self.runs(*booking) > 0
-            assert time.monotonic() < limit, answer
+            assert time.monotonic() < limit, (answer.status, answer.body)
             time.sleep(_RETRY_SECONDS)
         answer.seconds = time.monotonic() - started
         return answer
