--- a/packages/magnoliawood-server/magnoliawood_server/entry/tests/test_sidecar_directory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/tests/test_sidecar_directory.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import pytest
 
 from magnoliawood.core import clock as clocks
@@ -52,3 +54,26 @@
     for last in ('one', 'two', 'three', ''):
         found = made.candidates('engine', 'model-a', 1, last)
         assert [sidecar.name for sidecar in found] == ['three']
+
+
+def test_own_orders_are_added_to_the_load_that_came_with_an_answer():
+    made = directory()
+    hear(made, 'one')
+    sidecar = made.find('one')
+    sidecar.orders = 3
+    sidecar.placed_tokens = 700
+    sidecar.note_load(messages.UpstreamLoad(5, 900, 0.5, 0.1))
+    # The answered call leaves, then two orders follow.
+    sidecar.orders = 4
+    view = sidecar_directory.view_of(sidecar)
+    assert (view.waiting, view.resident_tokens) == (7, 900)
+
+
+def test_a_leaving_sidecar_is_no_candidate():
+    made = directory()
+    hear(made, 'one', 'two', 'three')
+    made.update_hosts(
+        [dataclasses.replace(HOSTS[0], leaving=True), *HOSTS[1:]]
+    )
+    found = made.candidates('engine', 'model-a', 6, 'one')
+    assert {sidecar.name for sidecar in found} == {'two', 'three'}
