--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
@@ -23,6 +23,11 @@
         self.new_tokens = 0
         self.first_token_at: datetime.timedelta | None = None
 
+    @property
+    def caller(self) -> str:
+        """Name of the caller."""
+        return self.order.intended.call.program.caller
+
     @property
     def is_suspect(self) -> bool:
         """Whether it was running when an upstream crashed."""
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -12,6 +12,7 @@
 from magnoliawood.core import verdict as verdicts
 from magnoliawood.limits import admission as admissions
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import shares as caller_shares
 from magnoliawood.ownership import witness as witnesses
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import identity
@@ -70,6 +71,9 @@
         self._suspects_running = 0
         self._admission: admissions.Admission = admissions.NewProgramsLast()
         self._random = random.Random(name)
+        self._shares: caller_shares.CallerShares = caller_shares.EqualShares(
+            clock
+        )
         self._at_upstream: collections.Counter[str] = collections.Counter()
         self._speed = speeds.UpstreamSpeed(concurrency)
 
@@ -137,6 +141,7 @@
         self._under_way[call.program] += 1
         self._witness.accept(order.opened, order.intended)
         self._queue.push(run)
+        self._shares.note_waiting(run.caller, 1)
         await self._start_waiting()
         if not run.is_started and order.hold_until is not None:
             self._metrics.count('calls_held_total')
@@ -154,6 +159,10 @@
         call = order.intended.call
         decision = self._admission.decide(
             call.sequence == 1 and call.program.parent is None,
+            self._shares.is_over_waiting(
+                call.program.caller,
+                self._queue_limit * admissions.NEW_PROGRAM_SHARE,
+            ),
             order.deadline - self._clock.now(),
             queue,
         )
@@ -180,6 +189,7 @@
             await run.task.cancel(blocking=False)
             return
         self._queue.remove(run)
+        self._shares.note_waiting(run.caller, -1)
         await self._settle(run, _cancelled(run, verdicts.Verdict.NOT_RUN))
 
     def forget(self, call: identity.CallId) -> None:
@@ -206,14 +216,26 @@
 
     async def _start_waiting(self) -> None:
         while self._running < self._concurrency:
-            run = self._queue.pop(self._may_start)
+            run = self._queue.pop(self._may_start_in_share)
+            if run is None and not self._is_last_free():
+                run = self._queue.pop(self._may_start)
             if run is None:
                 return
             self._running += 1
             self._suspects_running += run.is_suspect
+            self._shares.note_waiting(run.caller, -1)
+            self._shares.note_running(run.caller, 1)
             self._cache.note_start(run)
             run.task = await curio.spawn(self._run, run, daemon=True)
 
+    def _is_last_free(self) -> bool:
+        reserved = self._shares.reserved(self._concurrency)
+        return self._running + reserved >= self._concurrency
+
+    def _may_start_in_share(self, run: call_run.CallRun) -> bool:
+        is_over = self._shares.is_over_running(run.caller, self._concurrency)
+        return not is_over and self._may_start(run)
+
     def _may_start(self, run: call_run.CallRun) -> bool:
         # A crash then adds a second crash to at most one suspect.
         return not (run.is_suspect and self._suspects_running)
@@ -226,6 +248,7 @@
             outcome = _cancelled(run, verdicts.Verdict.MAY_HAVE_RUN)
         self._running -= 1
         self._suspects_running -= run.is_suspect
+        self._shares.note_running(run.caller, -1)
         duration = self._clock.monotonic() - started
         self._metrics.record('upstream_seconds', duration)
         self._speed.record_call(duration)
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/load/caller_shares.py
@@ -0,0 +1,124 @@
+"""Measure how one caller's flood moves the latency of another's programs.
+
+Run ``python -m magnoliawood_testing.load.caller_shares --seeds 1,2,3``. Each
+seed runs twice: the calm caller alone, and beside one that opens ten times
+as many programs.
+"""
+
+import argparse
+import dataclasses
+import datetime
+import random
+import statistics
+import time
+
+import curio
+
+from magnoliawood_testing import cluster
+
+CALM = 'calm'
+BUSY = 'busy'
+BUSY_FACTOR = 10
+PROGRAMS_PER_SECOND = 1.0
+TURNS = 3
+MAX_TOKENS = 40
+PERCENTILE = 95
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What became of one caller's programs.
+
+    :param latencies: seconds from the planned start to the last answer
+    :param unfinished: programs that were given up
+    """
+
+    latencies: list[float] = dataclasses.field(default_factory=list)
+    unfinished: int = 0
+
+    @property
+    def p95(self) -> float:
+        """95th percentile of the latencies in seconds."""
+        return statistics.quantiles(self.latencies, n=100)[PERCENTILE - 1]
+
+
+async def _program(
+    addresses: list[str], caller: str, name: str, delay: float, tally: Tally
+) -> None:
+    await curio.sleep(delay)
+    started = time.monotonic()
+    client = cluster.Caller(addresses, f'token-of-{caller}')
+    try:
+        await client.open(name, 'booking')
+        for sequence in range(1, TURNS + 1):
+            await client.turn(name, sequence, f'{name} {sequence}', MAX_TOKENS)
+    except (RuntimeError, curio.TaskTimeout):
+        tally.unfinished += 1
+        return
+    tally.latencies.append(time.monotonic() - started)
+
+
+def _plan(source: random.Random, rate: float, seconds: float) -> list[float]:
+    times: list[float] = []
+    now = source.expovariate(rate)
+    while now < seconds:
+        times.append(now)
+        now += source.expovariate(rate)
+    return times
+
+
+async def _run(
+    addresses: list[str], seed: int, seconds: float, with_busy: bool
+) -> dict[str, Tally]:
+    tallies = {CALM: Tally(), BUSY: Tally()}
+    rates = {CALM: PROGRAMS_PER_SECOND}
+    if with_busy:
+        rates[BUSY] = PROGRAMS_PER_SECOND * BUSY_FACTOR
+    async with curio.TaskGroup() as group:
+        for caller, rate in rates.items():
+            source = random.Random(f'{seed} {caller}')
+            for number, delay in enumerate(_plan(source, rate, seconds)):
+                name = f'{caller}-{seed}-{with_busy}-{number}'
+                await group.spawn(
+                    _program, addresses, caller, name, delay, tallies[caller]
+                )
+    return tallies
+
+
+def _measure(seed: int, seconds: float, with_busy: bool) -> dict[str, Tally]:
+    settings: dict[str, object] = {'concurrency': 4, 'queue_limit': 32}
+    with cluster.Deployment(
+        step_seconds=0.01, sidecar_settings=settings
+    ) as deployment:
+        deployment.create_class('booking', 30)
+        deployment.create_account(CALM)
+        deployment.create_account(BUSY)
+        deployment.wait_for_configuration()
+        addresses = [node.http for node in deployment.entries.values()]
+        return curio.run(_run, addresses, seed, seconds, with_busy)
+
+
+def main() -> None:
+    """Print a line for each seed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', default='1,2,3')
+    parser.add_argument('--seconds', type=float, default=12.0)
+    options = parser.parse_args()
+    print(f'{datetime.datetime.now(datetime.UTC):%Y-%m-%d} {options.seconds=}')
+    for seed in map(int, options.seeds.split(',')):
+        alone = _measure(seed, options.seconds, False)[CALM]
+        both = _measure(seed, options.seconds, True)
+        beside, busy = both[CALM], both[BUSY]
+        print(
+            f'seed {seed}: calm alone p95 {alone.p95:.3f} s '
+            f'({len(alone.latencies)} programs, {alone.unfinished} given up); '
+            f'beside {BUSY_FACTOR}x p95 {beside.p95:.3f} s '
+            f'({len(beside.latencies)}, {beside.unfinished}); '
+            f'busy p95 {busy.p95:.3f} s '
+            f'({len(busy.latencies)}, {busy.unfinished})',
+            flush=True,
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_retry_storms.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_retry_storms.py
@@ -129,3 +129,28 @@
     retries, refusals = curio.run(main)
     assert refusals
     assert retries == [0] * PROGRAM_REQUEST_LIMIT
+
+
+def test_calm_caller_opens_programs_beside_a_flood(deployment):
+    deployment.create_account('kessick')
+    deployment.wait_for_configuration()
+
+    async def open_some(caller):
+        for number in range(5):
+            await caller.open(f'calm-{number}', 'booking')
+            await caller.turn(f'calm-{number}', 1, f'calm {number}')
+        return caller.retries
+
+    async def main():
+        entries = [node.http for node in deployment.entries.values()]
+        calm = cluster.Caller(entries, 'token-of-kessick')
+        refusals = []
+        async with curio.TaskGroup() as group:
+            for number in range(CALLERS):
+                await group.spawn(insist, deployment, number, refusals)
+            task = await group.spawn(open_some, calm)
+        return task.result, refusals
+
+    retries, refusals = curio.run(main)
+    assert refusals
+    assert retries == 0
--- a/packages/magnoliawood/magnoliawood/limits/admission.py
+++ b/packages/magnoliawood/magnoliawood/limits/admission.py
@@ -45,12 +45,15 @@
     def decide(
         self,
         is_new_program: bool,
+        is_over_share: bool,
         time_left: datetime.timedelta,
         queue: QueueState,
     ) -> Decision:
         """Return whether a call is taken.
 
         :param is_new_program: whether it is its program's first call
+        :param is_over_share: whether its caller fills its share of the
+            part of the queue that new programs may fill
         :param time_left: time until its deadline
         """
         ...
@@ -62,9 +65,10 @@
     Explanation
     ===========
 
-    A new program may fill half of the queue; the rest is kept for programs
-    that already cost work. A call whose turn would come after its deadline
-    is refused on arrival instead of waiting in vain.
+    New programs may fill half of the queue; the rest is kept for programs
+    that already cost work, and for new ones of callers below their share.
+    A call whose turn would come after its deadline is refused on arrival
+    instead of waiting in vain.
 
     Examples
     ========
@@ -72,15 +76,18 @@
     >>> admission = NewProgramsLast()
     >>> half = QueueState(4, 8, 0.1)
     >>> minute = datetime.timedelta(minutes=1)
-    >>> str(admission.decide(True, minute, half))
+    >>> str(admission.decide(True, True, minute, half))
     'new_program'
-    >>> str(admission.decide(False, minute, half))
+    >>> str(admission.decide(True, False, minute, half))
+    'admit'
+    >>> str(admission.decide(False, True, minute, half))
     'admit'
     """
 
     def decide(
         self,
         is_new_program: bool,
+        is_over_share: bool,
         time_left: datetime.timedelta,
         queue: QueueState,
     ) -> Decision:
@@ -89,8 +96,8 @@
             return Decision.QUEUE_FULL
         if queue.drain_time > time_left:
             return Decision.TOO_LATE
-        share = queue.limit * NEW_PROGRAM_SHARE
-        if is_new_program and queue.waiting >= share:
+        is_scarce = queue.waiting >= queue.limit * NEW_PROGRAM_SHARE
+        if is_new_program and is_over_share and is_scarce:
             return Decision.NEW_PROGRAM
         return Decision.ADMIT
 
@@ -101,6 +108,7 @@
     def decide(
         self,
         is_new_program: bool,
+        is_over_share: bool,
         time_left: datetime.timedelta,
         queue: QueueState,
     ) -> Decision:
--- a/packages/magnoliawood/magnoliawood/limits/tests/test_admission.py
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_admission.py
@@ -9,20 +9,23 @@
 
 
 @pytest.mark.parametrize(
-    ('is_new', 'waiting', 'left', 'expected'),
+    ('is_new', 'is_over', 'waiting', 'left', 'expected'),
     [
-        (True, 3, MINUTE, 'admit'),
-        (True, 4, MINUTE, 'new_program'),
-        (False, 7, MINUTE, 'admit'),
-        (False, 8, MINUTE, 'queue_full'),
-        (True, 8, MINUTE, 'queue_full'),
-        (False, 3, datetime.timedelta(seconds=2), 'too_late'),
-        (False, 0, datetime.timedelta(), 'admit'),
+        (True, True, 3, MINUTE, 'admit'),
+        (True, True, 4, MINUTE, 'new_program'),
+        (True, False, 7, MINUTE, 'admit'),
+        (False, True, 7, MINUTE, 'admit'),
+        (False, False, 8, MINUTE, 'queue_full'),
+        (True, False, 8, MINUTE, 'queue_full'),
+        (False, False, 3, datetime.timedelta(seconds=2), 'too_late'),
+        (False, False, 0, datetime.timedelta(), 'admit'),
     ],
 )
-def test_new_programs_are_refused_first(is_new, waiting, left, expected):
+def test_new_programs_are_refused_first(
+    is_new, is_over, waiting, left, expected
+):
     queue = admission.QueueState(waiting, 8, 1.0)
-    found = admission.NewProgramsLast().decide(is_new, left, queue)
+    found = admission.NewProgramsLast().decide(is_new, is_over, left, queue)
     assert found == expected
 
 
