Take a silent engine for silent, not for a cancelled call

A timeout is a kind of cancellation to curio, and the handler that cancels at the engine stood first, so a frozen link to the engine ended the call as cancelled instead of trying again. Ruled out: the proxy and the deadline, which fired in time.

--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/engine.py
@@ -44,13 +44,14 @@
         """Run a model turn, resuming after ``run.order.partial``."""
         try:
             return await self._stream(run)
+        # A timeout is a kind of cancellation to curio, so it comes first.
+        except curio.TaskTimeout:
+            return _failed(run, 'no progress', verdicts.Verdict.MAY_HAVE_RUN)
         except curio.CancelledError:
             await self._cancel(run)
             raise
         except http_client.ConnectFailed as error:
             return _failed(run, str(error), verdicts.Verdict.NOT_RUN)
-        except curio.TaskTimeout:
-            return _failed(run, 'no progress', verdicts.Verdict.MAY_HAVE_RUN)
         except (OSError, ValueError, KeyError) as error:
             return _failed(run, str(error), verdicts.Verdict.MAY_HAVE_RUN)
 
