--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -73,7 +73,9 @@
         'being replaced',
     )
     data_folder: pathlib.Path | None = pydantic.Field(
-        default=None, description='folder for bulk data, if there is a disk'
+        default=None,
+        description='folder for bulk data, if there is a disk; accepted but '
+        'not used yet',
     )
 
     def peer_secrets(self) -> list[str]:
