Record queue waits, first tokens and the time between tokens

The users ask for these histograms and the sidecar only had the time of whole calls. The new test of the whole path counts one more of each for one turn; 60 tests of the sidecar and the whole path pass.

--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
@@ -12,10 +12,16 @@
     """A call from its acceptance to its outcome.
 
     :param order: what to run
+    :param queued_at: monotonic time of the acceptance
     """
 
-    def __init__(self, order: messages.Order) -> None:
+    def __init__(
+        self,
+        order: messages.Order,
+        queued_at: datetime.timedelta = datetime.timedelta(),
+    ) -> None:
         self.order = order
+        self.queued_at = queued_at
         self.answer = answers.AnswerBuffer()
         self.task: curio.Task | None = None
         self.is_cancelled = False
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -145,7 +145,7 @@
                 'the owner gave this order up before it arrived',
             )
         self._check_admission(order)
-        run = call_run.CallRun(order)
+        run = call_run.CallRun(order, self._clock.monotonic())
         self._runs[call] = run
         self._under_way[call.program] += 1
         self._witness.accept(order.opened, order.intended)
@@ -265,6 +265,8 @@
         self._shares.note_running(run.caller, -1)
         duration = self._clock.monotonic() - started
         self._metrics.record('upstream_seconds', duration)
+        self._metrics.record('queue_wait_seconds', started - run.queued_at)
+        self._record_tokens(run)
         self._speed.record_call(duration)
         if run.first_token_at is not None:
             self._speed.record_prefill(
@@ -273,6 +275,17 @@
         await self._settle(run, outcome)
         await self._start_waiting()
 
+    def _record_tokens(self, run: call_run.CallRun) -> None:
+        if run.first_token_at is None:
+            return
+        self._metrics.record(
+            'first_token_seconds', run.first_token_at - run.queued_at
+        )
+        later_tokens = run.answer.tokens - run.order.partial_tokens - 1
+        if later_tokens > 0:
+            elapsed = self._clock.monotonic() - run.first_token_at
+            self._metrics.record('token_gap_seconds', elapsed / later_tokens)
+
     async def _run_upstream(self, run: call_run.CallRun) -> calls.CallOutcome:
         if self._clock.now() > run.order.deadline:
             return calls.CallOutcome.from_error(
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_whole_path.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_whole_path.py
@@ -241,6 +241,23 @@
         assert '# TYPE' in text
 
 
+def test_turn_is_seen_in_the_histograms_of_its_sidecar(deployment, program):
+    names = ('queue_wait', 'first_token', 'token_gap')
+
+    def counts():
+        return [
+            sum(
+                deployment.metric(node, f'{name}_seconds_count')
+                for node in deployment.sidecars.values()
+            )
+            for name in names
+        ]
+
+    before = counts()
+    ask(deployment, 'PUT', f'{program}/calls/1', turn('hello'))
+    assert counts() == [count + 1 for count in before]
+
+
 def test_many_programs_at_once(deployment):
     addresses = [node.http for node in deployment.entries.values()]
 
