--- a/packages/magnoliawood-testing/magnoliawood_testing/chaos/checker.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/chaos/checker.py
@@ -88,9 +88,8 @@
 
     def _held(self) -> dict[str, int]:
         held: dict[str, int] = {}
-        for name in self._deployment.upstreams:
-            if name.startswith('engine'):
-                held |= self._deployment.engine_state(name)['held']
+        for engine in self._deployment.engines():
+            held |= self._deployment.engine_state(engine.name)['held']
         return held
 
     def _get(
--- a/packages/magnoliawood-testing/magnoliawood_testing/chaos/injector.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/chaos/injector.py
@@ -50,17 +50,9 @@
             case kinds.KILL_SIDECAR | kinds.FREEZE_SIDECAR:
                 return list(deployment.sidecars.values())
             case kinds.KILL_ENGINE:
-                return [
-                    node
-                    for name, node in deployment.upstreams.items()
-                    if name.startswith('engine')
-                ]
+                return deployment.engines()
             case kinds.SERVICE_LOSES_REPLY:
-                return [
-                    node
-                    for name, node in deployment.upstreams.items()
-                    if not name.startswith('engine')
-                ]
+                return deployment.services()
         return [deployment.platform]
 
     def _begin(self, fault: schedules.Fault, node: deployments.Node) -> None:
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -176,6 +176,19 @@
             *self.entries.values(),
         ]
 
+    def engines(self) -> list[Node]:
+        """Return the model engines."""
+        return [
+            node
+            for name, node in self.upstreams.items()
+            if name.startswith('engine')
+        ]
+
+    def services(self) -> list[Node]:
+        """Return the plain services."""
+        engines = self.engines()
+        return [n for n in self.upstreams.values() if n not in engines]
+
     def is_ready(self) -> bool:
         """Whether all running entries are ready and see all upstreams."""
         return all(
