Stop reading requests once a planned stop has been announced

Ruled out: the notice being too short; the balancer uses all hosts of a zone when fewer than half are ready, so requests never cease by themselves. Idle connections are now closed unread after the notice, so callers may repeat any request.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -44,6 +44,9 @@
         self._settings = settings
         self._clock = clock
         self._activity = callers.CallerActivity()
+        self._caller_listener = listeners.Listener(
+            settings.caller_listen, self._serve_caller
+        )
         self._registry = registries.Registry()
         self._beliefs = beliefs_module.Beliefs(clock)
         self._board = loads.LoadBoard(clock)
@@ -116,12 +119,12 @@
     async def _drain(self) -> None:
         self._activity.is_closing = True
         await curio.sleep(STOP_NOTICE.total_seconds())
+        await self._caller_listener.stop()
+        await self._activity.close_idle()
         await stop.wait_while(lambda: self._activity.requests > 0)
 
     async def _listen_for_callers(self) -> None:
-        await listeners.Listener(
-            self._settings.caller_listen, self._serve_caller
-        ).run()
+        await self._caller_listener.run()
 
     async def _serve_caller(self, sock: curio.io.Socket) -> None:
         await callers.CallerConnection(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -54,10 +54,21 @@
 
     :param requests: requests whose response is not sent yet
     :param is_closing: whether each connection ends with its next response
+    :param is_closed: whether no further request is read
+    :param waiting: tasks of connections that wait for a request
     """
 
     requests: int = 0
     is_closing: bool = False
+    is_closed: bool = False
+    waiting: set[curio.Task] = dataclasses.field(default_factory=set)
+
+    async def close_idle(self) -> None:
+        """Close connections without a request, and read no further ones."""
+        self.is_closing = True
+        self.is_closed = True
+        for task in list(self.waiting):
+            await task.cancel(blocking=False)
 
 
 class Responder:
@@ -253,10 +264,33 @@
             and not self._h11.trailing_data[0]
         )
         limit = limits.idle_timeout if is_idle else limits.header_timeout
+        if is_idle:
+            await self._wait_for_request(limit)
         async with curio.ignore_after(limit.total_seconds()):
             return await self._sock.recv(_READ_SIZE_BYTES)
         raise ConnectionResetError('the caller sends nothing')
 
+    async def _wait_for_request(self, limit: datetime.timedelta) -> None:
+        """Wait for a request without reading any of it.
+
+        Explanation
+        ===========
+
+        A connection that is closed before its request is read tells the
+        caller that it may send the request again.
+        """
+        task = await curio.current_task()
+        self._activity.waiting.add(task)
+        try:
+            async with curio.timeout_after(limit.total_seconds()):
+                await curio.traps._read_wait(self._sock)
+        except (curio.TaskTimeout, curio.TaskCancelled) as error:
+            raise ConnectionResetError('closed while idle') from error
+        finally:
+            self._activity.waiting.discard(task)
+        if self._activity.is_closed:
+            raise ConnectionResetError('closed while idle')
+
     async def _wait_for_close(self) -> None:
         """Read ahead until the caller closes its side."""
         ahead = 0
