--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -16,6 +16,7 @@
 from magnoliawood_server.gateway import handler as handlers
 from magnoliawood_server.gateway import readiness
 from magnoliawood_server.gateway import record_client as record_clients
+from magnoliawood_server.gateway import relay as relays
 from magnoliawood_server.gateway import store_watch
 from magnoliawood_server.gateway import turn_guard
 from magnoliawood_server.gateway import upstream_pool
@@ -56,7 +57,9 @@
         self._crashes = crash_list.CrashList(clock)
         self._records = record_clients.RecordClient(
             group_stores.GroupStore(objects.StoreClient(settings.store)),
-            self._peers,
+            relays.RelayingAsker(
+                self._peers, lambda: self._gossip.live_peers(), clock
+            ),
             clock,
         )
         self._gossip = gossips.Gossip(
@@ -65,6 +68,7 @@
             settings.seeds,
             self._beliefs,
             self._board,
+            self._selector,
             self._crashes,
             self._records,
             self._peers,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -23,9 +23,7 @@
 
 
 class ResponseAborted(Exception):  # noqa: N818
-    """The response can't be completed; the connection must not look
-    complete.
-    """
+    """The response can't be completed and must not look complete."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -9,10 +9,12 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.fleet import load as loads
+from magnoliawood.fleet import selection
 from magnoliawood.limits import crash_list
 from magnoliawood_server.gateway import beliefs as beliefs_module
 from magnoliawood_server.gateway import messages
 from magnoliawood_server.gateway import record_client as record_clients
+from magnoliawood_server.gateway import relay as relays
 from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import pool as pools
 
@@ -34,6 +36,8 @@
         self.next_report = now
         self.is_busy = False
         self.is_silent = False
+        self.has_answered = False
+        self.notes_told = 0
 
 
 class Gossip:
@@ -50,6 +54,7 @@
         seeds: tuple[str, ...],
         beliefs: beliefs_module.Beliefs,
         board: loads.LoadBoard,
+        selector: selection.Selector,
         crashes: crash_list.CrashList,
         records: record_clients.RecordClient,
         pool: pools.PeerPool,
@@ -59,6 +64,7 @@
         self._address = address
         self._beliefs = beliefs
         self._board = board
+        self._selector = selector
         self._crashes = crashes
         self._records = records
         self._pool = pool
@@ -73,6 +79,17 @@
             if address != self._address and address not in self._peers:
                 self._peers[address] = _Peer(self._clock.monotonic())
 
+    def live_peers(self) -> list[str]:
+        """Return the addresses of gateways that answered lately."""
+        oldest = self._clock.monotonic() - ASK_TIMEOUT
+        return [
+            address
+            for address, peer in self._peers.items()
+            if not peer.is_silent
+            and peer.has_answered
+            and peer.last_answer >= oldest
+        ]
+
     async def run(self) -> None:
         """Report for ever."""
         while True:
@@ -105,6 +122,10 @@
                         self._beliefs.snapshot(), self._records.group
                     )
                 )
+            case messages.RelayQuestion():
+                await stream.send(
+                    await relays.relay(self._pool, message, ASK_TIMEOUT)
+                )
             case _:
                 raise errors.MagnoliawoodError(
                     errors.ErrorCode.MALFORMED_REQUEST,
@@ -115,6 +136,8 @@
         self._board.note_peer(report.host, report.requests)
         for record in report.crashes:
             self._crashes.merge(record)
+        for note in report.prompts:
+            self._selector.note_peer(note)
         self.add_peers([report.address])
         is_behind = (
             report.version < self._beliefs.version
@@ -124,9 +147,11 @@
 
     async def _report(self, address: str, peer: _Peer) -> None:
         try:
+            news = self._selector.notes_after(peer.notes_told)
             reply = await self._pool.ask(
-                address, self._make_report(), ASK_TIMEOUT
+                address, self._make_report(news.notes), ASK_TIMEOUT
             )
+            peer.notes_told = news.count
         except errors.MagnoliawoodError as error:
             self._note_silent(address, peer, str(error))
         else:
@@ -139,6 +164,7 @@
     ) -> None:
         now = self._clock.monotonic()
         peer.last_answer = now
+        peer.has_answered = True
         peer.next_report = now + REPORT_INTERVAL
         if peer.is_silent:
             peer.is_silent = False
@@ -178,7 +204,9 @@
             return
         self._records.note_group(reply.group)
 
-    def _make_report(self) -> messages.GatewayReport:
+    def _make_report(
+        self, prompts: list[selection.PromptNote]
+    ) -> messages.GatewayReport:
         return messages.GatewayReport(
             self._host,
             self._address,
@@ -187,4 +215,5 @@
             self._beliefs.version,
             self._beliefs.directory.revision,
             self._crashes.recent(),
+            prompts,
         )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -215,7 +215,7 @@
         finally:
             self._board.end(upstream.id)
         if result is not None and not result.ending.has_not_run:
-            self._selector.note_sent(upstream, self._work(job))
+            self._selector.note_sent(upstream.id, job.terms.parts)
         return result
 
     def _choose(self, job: _Job) -> directories.Upstream | None:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from magnoliawood.fleet import selection
 from magnoliawood.limits import crash_list
 from magnoliawood.replication import group as groups
 from magnoliawood_server.gateway import beliefs
@@ -18,6 +19,7 @@
     :param version: version of its configuration
     :param revision: revision that its upstreams are as of
     :param crashes: requests that it suspects, as far as they are new
+    :param prompts: prompts that it sent since its last report
     """
 
     host: str
@@ -27,6 +29,7 @@
     version: int
     revision: int
     crashes: list[crash_list.CrashRecord]
+    prompts: list[selection.PromptNote]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,4 +56,30 @@
     group: groups.Group | None
 
 
-control.register(GatewayReport, ReportTaken, GetSnapshot, SnapshotReply)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayQuestion:
+    """Asks a gateway to put a question to a keeper.
+
+    :param address: address of the keeper
+    :param question: the question as a frame
+    """
+
+    address: str
+    question: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedAnswer:
+    """The keeper's answer as a frame."""
+
+    answer: bytes
+
+
+control.register(
+    RelayQuestion,
+    RelayedAnswer,
+    GatewayReport,
+    ReportTaken,
+    GetSnapshot,
+    SnapshotReply,
+)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quorum_calls.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quorum_calls.py
@@ -8,7 +8,6 @@
 import curio
 
 from magnoliawood.core import errors
-from magnoliawood_server.peer import pool as pools
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,8 +31,24 @@
     error: errors.MagnoliawoodError | None = None
 
 
+class Asker(typing.Protocol):
+    """Sends one message to a peer and returns its answer."""
+
+    async def ask(
+        self,
+        address: str,
+        message: typing.Any,
+        timeout: datetime.timedelta,
+    ) -> typing.Any:
+        """Ask a peer.
+
+        :raises MagnoliawoodError: if it refuses or does not answer
+        """
+        ...
+
+
 async def ask_all(
-    pool: pools.PeerPool,
+    asker: Asker,
     questions: collections.abc.Sequence[Question],
     timeout: datetime.timedelta,
     is_enough: collections.abc.Callable[[list[Answer]], bool],
@@ -50,7 +65,7 @@
     """
     arrived: curio.Queue = curio.Queue()
     for question in questions:
-        await curio.spawn(_ask, pool, question, timeout, arrived, daemon=True)
+        await curio.spawn(_ask, asker, question, timeout, arrived, daemon=True)
     answers: list[Answer] = []
     while len(answers) < len(questions) and not is_enough(answers):
         answers.append(await arrived.get())
@@ -58,13 +73,13 @@
 
 
 async def _ask(
-    pool: pools.PeerPool,
+    asker: Asker,
     question: Question,
     timeout: datetime.timedelta,
     arrived: curio.Queue,
 ) -> None:
     try:
-        reply = await pool.ask(question.address, question.message, timeout)
+        reply = await asker.ask(question.address, question.message, timeout)
         answer = Answer(question.peer, reply)
     except errors.MagnoliawoodError as error:
         answer = Answer(question.peer, error=error)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -14,7 +14,6 @@
 from magnoliawood.turns import records
 from magnoliawood_server.gateway import quorum_calls
 from magnoliawood_server.keeper import messages
-from magnoliawood_server.peer import pool as pools
 from magnoliawood_server.platform import group_store as group_stores
 from magnoliawood_server.platform import objects
 
@@ -39,7 +38,7 @@
     def __init__(
         self,
         store: group_stores.GroupStore,
-        pool: pools.PeerPool,
+        pool: quorum_calls.Asker,
         clock: clocks.Clock,
     ) -> None:
         self._store = store
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -91,7 +91,7 @@
         :raises MagnoliawoodError: with ``budget_exhausted``,
             ``unknown_call`` or ``store_unavailable``; the turn does not run
         """
-        reading = await curio.spawn(self._read_history, terms, route)
+        reading = await curio.spawn(self._try_history, terms, route)
         try:
             charge = await self._charge(terms)
         except BaseException:
@@ -99,9 +99,12 @@
             raise
         try:
             history = await reading.join()
-        except BaseException as error:
+        except curio.CancelledError:
             await self._withdraw(charge)
-            raise (error.__cause__ or error) from None
+            raise
+        if isinstance(history, errors.MagnoliawoodError):
+            await self._withdraw(charge)
+            raise history
         return Turn(
             terms.request_id,
             terms.previous_turn_id,
@@ -198,6 +201,15 @@
                 self._settle, self._settled(charge, 0), daemon=True
             )
 
+    async def _try_history(
+        self, terms: requests.CallerTerms, route: configurations.Route
+    ) -> bytes | errors.MagnoliawoodError:
+        """Return the history, or why there is none."""
+        try:
+            return await self._read_history(terms, route)
+        except errors.MagnoliawoodError as error:
+            return error
+
     async def _read_history(
         self, terms: requests.CallerTerms, route: configurations.Route
     ) -> bytes:
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_copy.py
@@ -0,0 +1,74 @@
+"""Records survive what a loss of power leaves of the files."""
+
+import curio
+import pytest
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.replication import group as groups
+from magnoliawood.turns import records
+from magnoliawood_server.keeper import copy as copies
+from magnoliawood_server.keeper import disk_log
+
+FAR = 4e9
+
+
+def _turn(name, previous=''):
+    return records.TurnRecord(name, previous, b'in', b'out', FAR)
+
+
+async def _write(copy, *found):
+    writer = await curio.spawn(copy.run, daemon=True)
+    await copy.write([records.encode(record) for record in found])
+    await writer.cancel()
+
+
+def _joined(folder, epoch=1):
+    copy = copies.DiskCopy(folder, clocks.ManualClock())
+    member = groups.Member(copy.state.disk_id, 'host', '')
+    copy.note_group(groups.Group(epoch, 0, (member,)))
+    return copy
+
+
+def test_records_are_there_after_a_restart(tmp_path):
+    copy = _joined(tmp_path)
+    curio.run(_write, copy, _turn('t1'), _turn('t2', 't1'))
+    again = copies.DiskCopy(tmp_path, clocks.ManualClock())
+    assert again.state.disk_id == copy.state.disk_id
+    assert [t.turn_id for t in again.table.chain('t2')] == ['t2', 't1']
+
+
+def test_torn_entry_does_not_hide_records_of_a_later_start(tmp_path):
+    curio.run(_write, _joined(tmp_path), _turn('t1'))
+    segment = next(tmp_path.glob('records-*.log'))
+    with segment.open('ab') as file:
+        file.write(disk_log.frame(b'lost')[:-2])
+    curio.run(_write, _joined(tmp_path), _turn('t2', 't1'))
+    again = copies.DiskCopy(tmp_path, clocks.ManualClock())
+    assert [t.turn_id for t in again.table.chain('t2')] == ['t2', 't1']
+
+
+def test_emptied_disk_is_another_disk(tmp_path):
+    first = copies.DiskCopy(tmp_path / 'a', clocks.ManualClock())
+    second = copies.DiskCopy(tmp_path / 'b', clocks.ManualClock())
+    assert first.state.disk_id != second.state.disk_id
+
+
+def test_sealed_epoch_is_refused_also_after_a_restart(tmp_path):
+    copy = _joined(tmp_path)
+    copy.seal(groups.Group(5, 0, copy.group.members))
+    again = _joined(tmp_path)
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        again.check(4, again.state.disk_id)
+    assert caught.value.code is errors.ErrorCode.STALE_EPOCH
+
+
+def test_incomplete_copy_takes_no_part(tmp_path):
+    copy = copies.DiskCopy(tmp_path, clocks.ManualClock())
+    member = groups.Member(copy.state.disk_id, 'host', '', since=3)
+    copy.note_group(groups.Group(3, 0, (member,)))
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        copy.check(3, copy.state.disk_id)
+    assert caught.value.code is errors.ErrorCode.COPY_INCOMPLETE
+    copy.mark_complete(3)
+    copy.check(3, copy.state.disk_id)
--- a/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
@@ -38,8 +38,9 @@
 
 
 def decode_terms(headers: Headers) -> CallerTerms:
-    """Return what the headers of a request say; malformed values count
-    as absent.
+    """Return what the headers of a request say.
+
+    Malformed values count as absent.
     """
     found = {name: value.decode('latin-1') for name, value in headers}
 
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/logs.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/logs.py
@@ -32,3 +32,5 @@
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(logging.INFO)
+    # It warns of each call that ends in the instant of its timeout.
+    logging.getLogger('curio').setLevel(logging.ERROR)
--- a/packages/magnoliawood/magnoliawood/fleet/selection.py
+++ b/packages/magnoliawood/magnoliawood/fleet/selection.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import hashlib
+import itertools
 
 from magnoliawood.fleet import directory as directories
 from magnoliawood.fleet import load as loads
@@ -23,6 +24,8 @@
 _AVOIDED_MS = 10_000.0
 # Shared parts that are remembered for one upstream.
 _PART_LIMIT = 4000
+# Notes that are kept for peers.
+_NOTE_LIMIT = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,10 +58,10 @@
             collections.OrderedDict()
         )
 
-    def note(self, parts: collections.abc.Iterable[PromptPart]) -> None:
-        for part in parts:
-            self._parts[part.id] = None
-            self._parts.move_to_end(part.id)
+    def note(self, part_ids: collections.abc.Iterable[str]) -> None:
+        for part_id in part_ids:
+            self._parts[part_id] = None
+            self._parts.move_to_end(part_id)
         while len(self._parts) > _PART_LIMIT:
             self._parts.popitem(last=False)
 
@@ -72,6 +75,22 @@
         return total
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptNote:
+    """Parts of a prompt that an upstream was sent."""
+
+    upstream_id: str
+    part_ids: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewNotes:
+    """Notes, and how many there are with those before."""
+
+    notes: list[PromptNote]
+    count: int
+
+
 class Selector:
     """Chooses the upstream with the least expected cost.
 
@@ -91,6 +110,10 @@
         self._board = board
         self._data_centre = data_centre
         self._memories: dict[str, _PartMemory] = {}
+        self._notes: collections.deque[PromptNote] = collections.deque(
+            maxlen=_NOTE_LIMIT
+        )
+        self._note_count = 0
 
     def choose(
         self,
@@ -107,10 +130,29 @@
             default=None,
         )
 
-    def note_sent(self, upstream: directories.Upstream, work: Work) -> None:
+    def note_sent(
+        self, upstream_id: str, parts: collections.abc.Iterable[PromptPart]
+    ) -> None:
         """Remember the prompt of a request that an upstream has run."""
-        memory = self._memories.setdefault(upstream.id, _PartMemory())
-        memory.note(work.parts)
+        note = PromptNote(upstream_id, [part.id for part in parts])
+        self.note_peer(note)
+        self._notes.append(note)
+        self._note_count += 1
+
+    def note_peer(self, note: PromptNote) -> None:
+        """Take over what another gateway has sent."""
+        memory = self._memories.setdefault(note.upstream_id, _PartMemory())
+        memory.note(note.part_ids)
+
+    def notes_after(self, count: int) -> NewNotes:
+        """Return the notes of this process after the first ``count``.
+
+        The oldest are left out if they are too many.
+        """
+        fresh = min(self._note_count - count, len(self._notes))
+        start = len(self._notes) - fresh
+        notes = list(itertools.islice(self._notes, start, None))
+        return NewNotes(notes, self._note_count)
 
     def forget_except(self, upstream_ids: set[str]) -> None:
         """Drop what is known of upstreams that are gone."""
@@ -130,8 +172,10 @@
         if not work.parts:
             return cost + busy_ms * requests / max(1, upstream.slots)
         memory = self._memories.get(upstream.id, _PartMemory())
-        cost += memory.missing_tokens(work.parts) / _READ_TOKENS_PER_MS
         running = min(requests, upstream.slots)
+        # While an engine reads a prompt, all that run on it wait.
+        missing = memory.missing_tokens(work.parts)
+        cost += missing / _READ_TOKENS_PER_MS * (1 + running)
         return cost + (
             running * work.output_tokens * _SLOWDOWN_MS_PER_TOKEN * _BOTH_WAYS
         )
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/fleet/tests/test_selection.py
@@ -0,0 +1,100 @@
+"""Choice of upstreams for load patterns without a network."""
+
+import pytest
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.fleet import directory
+from magnoliawood.fleet import load
+from magnoliawood.fleet import selection
+
+SHARED = selection.PromptPart('shared', 12_600)
+OWN = selection.PromptPart('own', 5_000)
+
+
+def _engine(name, data_centre='dc-1'):
+    return directory.Upstream(name, 'llm', '10.0.0.1:80', data_centre, 48)
+
+
+@pytest.fixture
+def board():
+    return load.LoadBoard(clocks.ManualClock())
+
+
+@pytest.fixture
+def selector(board):
+    return selection.Selector(board, 'dc-1')
+
+
+def _begin(board, name, count):
+    for _ in range(count):
+        board.begin(name)
+
+
+def test_line_of_turns_stays_while_engines_are_busy(board, selector):
+    engines = [_engine('e-1'), _engine('e-2')]
+    selector.note_sent('e-1', (SHARED, OWN))
+    selector.note_sent('e-2', (SHARED,))
+    _begin(board, 'e-1', 24)
+    _begin(board, 'e-2', 20)
+    work = selection.Work((SHARED, OWN), 256)
+    assert selector.choose(engines, work).id == 'e-1'
+
+
+def test_new_line_goes_to_the_engine_with_less_work(board, selector):
+    engines = [_engine('e-1'), _engine('e-2')]
+    for engine in engines:
+        selector.note_sent(engine.id, (SHARED,))
+    _begin(board, 'e-1', 10)
+    _begin(board, 'e-2', 4)
+    work = selection.Work((SHARED, OWN), 256)
+    assert selector.choose(engines, work).id == 'e-2'
+
+
+def test_all_gateways_start_a_shared_part_at_the_same_engine():
+    engines = [_engine(f'e-{number}') for number in range(6)]
+    work = selection.Work((SHARED,), 256)
+    chosen = {
+        selection.Selector(load.LoadBoard(clocks.ManualClock()), 'dc-1')
+        .choose(order, work)
+        .id
+        for order in (engines, engines[::-1])
+    }
+    assert len(chosen) == 1
+
+
+def test_full_service_upstream_is_left_for_one_with_free_slots(
+    board, selector
+):
+    services = [
+        directory.Upstream(name, 'app', '10.0.0.1:80', zone, 6)
+        for name, zone in (('near', 'dc-1'), ('far', 'dc-2'))
+    ]
+    _begin(board, 'near', 6)
+    _begin(board, 'far', 2)
+    assert selector.choose(services, selection.Work()).id == 'far'
+
+
+def test_upstream_that_failed_is_the_last_choice(board, selector):
+    engines = [_engine('e-1'), _engine('e-2')]
+    board.note_failure('e-1')
+    _begin(board, 'e-2', 40)
+    work = selection.Work((SHARED,), 256)
+    assert selector.choose(engines, work).id == 'e-2'
+    assert selector.choose(engines[:1], work).id == 'e-1'
+
+
+def test_line_that_moves_between_gateways_keeps_its_engine(board, selector):
+    other = selection.Selector(load.LoadBoard(clocks.ManualClock()), 'dc-2')
+    engines = [_engine(f'e-{number}') for number in range(6)]
+    first = selection.Work((SHARED, OWN), 256)
+    chosen = selector.choose(engines, first)
+    selector.note_sent(chosen.id, first.parts)
+    news = selector.notes_after(0)
+    for note in news.notes:
+        other.note_peer(note)
+    assert selector.notes_after(news.count).notes == []
+    own = selection.PromptPart('other-own', 300)
+    assert (
+        other.choose(engines, selection.Work((SHARED, OWN, own), 256)).id
+        == chosen.id
+    )
