--- a/packages/magnoliawood-server/magnoliawood_server/platform/launch.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/launch.py
@@ -35,3 +35,7 @@
 
         app = keeper_app.KeeperApp(settings, clocks.SystemClock())
     raise SystemExit(curio.run(app.run))
+
+
+if __name__ == '__main__':
+    main(sys.argv[1])
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -0,0 +1,355 @@
+"""A deployment on the users' platform, as real processes on loopback."""
+
+import dataclasses
+import datetime
+import http.client
+import itertools
+import json
+import pathlib
+import shutil
+import tempfile
+import time
+import typing
+
+import curio
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood_server.keeper import messages
+from magnoliawood_server.peer import pool as pools
+from magnoliawood_testing.cluster import process as processes
+from magnoliawood_testing.standins import metadata_store
+from magnoliawood_testing.standins import signed_upstream
+
+HOST = 'app.example'
+_LAUNCH = 'magnoliawood_server.platform.launch'
+_WAIT_SECONDS = 20.0
+_CALL_SECONDS = 10.0
+_ASK_TIMEOUT = datetime.timedelta(seconds=1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Response of one call; without a status it was cut."""
+
+    status: int | None
+    headers: dict[str, str]
+    body: bytes
+
+
+class HostedDeployment:
+    """Store, upstreams, keepers and gateways.
+
+    :param keepers: hosts with a disk
+    :param losses: disks that may be lost at once
+    """
+
+    def __init__(
+        self, keepers: int = 3, gateways: int = 2, losses: int = 1
+    ) -> None:
+        self.folder = pathlib.Path(tempfile.mkdtemp())
+        self._losses = losses
+        self._probes = itertools.count()
+        self.store_address = processes.free_address()
+        self._store = self._standin('store', metadata_store, {})
+        self.upstreams = {
+            name: processes.free_address() for name in ('i-1', 'i-2')
+        }
+        self._upstream_processes = [
+            processes.Process(
+                name,
+                signed_upstream.__name__,
+                {'listen': address, 'incarnation': name},
+                self.folder,
+            )
+            for name, address in self.upstreams.items()
+        ]
+        self._peer_addresses = [
+            processes.free_address() for _ in range(gateways)
+        ]
+        self.gateways = [self._gateway(number) for number in range(gateways)]
+        self.keepers = [self._keeper(number) for number in range(keepers)]
+
+    def __enter__(self) -> 'HostedDeployment':
+        self._store.start()
+        for started in self._upstream_processes:
+            started.start()
+        self._wait(lambda: self.store('GET', '/objects/config').status)
+        self._register()
+        for started in (*self.keepers, *self.gateways):
+            started.start()
+        self.wait_until_ready()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for started in (
+            *self.gateways,
+            *self.keepers,
+            *self._upstream_processes,
+            self._store,
+        ):
+            started.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def store(self, method: str, target: str, body: object = None) -> Reply:
+        """Call the store."""
+        return _call(self.store_address, method, target, {}, body)
+
+    def upstream(self, name: str, target: str, body: object = None) -> Reply:
+        """Call a control page of an upstream."""
+        method = 'GET' if body is None else 'POST'
+        return _call(self.upstreams[name], method, target, {}, body)
+
+    def runs(self) -> dict[str, int]:
+        """Return how often each request ran, on all upstreams together."""
+        total: dict[str, int] = {}
+        for name in self.upstreams:
+            found = json.loads(self.upstream(name, '/control/runs').body)
+            for request_id, count in found['runs'].items():
+                total[request_id] = total.get(request_id, 0) + count
+        return total
+
+    def body_of(self, request_id: str) -> str:
+        """Return the body with which a request ran."""
+        for name in self.upstreams:
+            found = json.loads(self.upstream(name, '/control/runs').body)
+            if request_id in found['bodies']:
+                return found['bodies'][request_id]
+        raise AssertionError(f'{request_id} did not run')
+
+    def call(
+        self,
+        gateway: int,
+        path: str,
+        request_id: str,
+        body: bytes = b'',
+        **headers: str,
+    ) -> Reply:
+        """Send a request to a gateway."""
+        named = {
+            name.replace('_', '-'): text for name, text in headers.items()
+        }
+        return _call(
+            self._caller_address(gateway),
+            'POST',
+            path,
+            {
+                'Host': HOST,
+                'Request-Id': request_id,
+                'Deadline-Ms': '4000',
+                **named,
+            },
+            body,
+        )
+
+    def is_ready(self, gateway: int) -> bool:
+        """Whether a gateway says that it takes requests."""
+        address = self._address(gateway, 'ready')
+        return _call(address, 'GET', '/readyz', {}, None).status == 200
+
+    def wait_until_ready(self) -> None:
+        """Wait until all gateways take requests and turns are kept."""
+        for number in range(len(self.gateways)):
+            self._wait(lambda at=number: self.is_ready(at))
+            self._wait(lambda at=number: self._serves_turns(at))
+
+    def _serves_turns(self, gateway: int) -> bool:
+        name = f'probe-{next(self._probes)}'
+        return self.call(gateway, '/turns/stream', name).status == 200
+
+    def group(self) -> dict[str, typing.Any]:
+        """Return the group of copies as the store has it."""
+        found = self.store('GET', '/objects/copy-groups/main')
+        return json.loads(found.body)['spec']
+
+    def wait_for_copies(self) -> None:
+        """Wait until each member's copy is complete.
+
+        Explanation
+        ===========
+
+        Only then may another disk be lost.
+        """
+        self._wait(lambda: curio.run(self._are_copies_complete))
+
+    async def _are_copies_complete(self) -> bool:
+        pool = pools.PeerPool(clocks.SystemClock(), None)
+        for member in self.group()['members']:
+            try:
+                status = await pool.ask(
+                    member['address'], messages.GetCopyStatus(), _ASK_TIMEOUT
+                )
+            except errors.MagnoliawoodError:
+                return False
+            if status.disk_id != member['disk_id']:
+                return False
+            if status.copied_epoch < member['since']:
+                return False
+        return True
+
+    def wait_for(self, condition: typing.Callable[[], object]) -> None:
+        """Wait until a condition holds."""
+        self._wait(condition)
+
+    def empty_disk(self, keeper: int) -> None:
+        """Remove the data of a keeper that does not run."""
+        shutil.rmtree(self._data_folder(keeper))
+
+    def put_configuration(
+        self, version: int, routes: list[dict[str, typing.Any]]
+    ) -> None:
+        """Write a configuration as an operator does."""
+        spec = {
+            'version': version,
+            'routes': routes,
+            'services': [
+                {'name': 'llm', 'engine': {'slots': 8, 'chunk_tokens': 16}}
+            ],
+            'limits': {},
+        }
+        body = {'metadata': {'name': 'main'}, 'spec': spec}
+        if self.store('GET', '/objects/config/main').status == 200:
+            self.store('PUT', '/objects/config/main', body)
+        else:
+            self.store('POST', '/objects/config', body)
+
+    def _register(self) -> None:
+        self.put_configuration(1, standard_routes())
+        for name, address in self.upstreams.items():
+            spec = {
+                'service': 'llm',
+                'address': address,
+                'zone': 'zone-1',
+                'slots': 8,
+                'state': 'ready',
+            }
+            body = {'metadata': {'name': name}, 'spec': spec}
+            self.store('POST', '/objects/servers', body)
+
+    def _standin(
+        self, name: str, module: typing.Any, arguments: dict[str, object]
+    ) -> processes.Process:
+        return processes.Process(
+            name,
+            module.__name__,
+            {'listen': self.store_address, **arguments},
+            self.folder,
+        )
+
+    def _gateway(self, number: int) -> processes.Process:
+        listen = {
+            'front': processes.free_address(),
+            'ready': processes.free_address(),
+            'control': self._peer_addresses[number],
+        }
+        return self._process(f'gateway-{number}', 'gateway', listen, None)
+
+    def _keeper(self, number: int) -> processes.Process:
+        return self._process(
+            f'keeper-{number}', 'keeper', {}, self._data_folder(number)
+        )
+
+    def _data_folder(self, number: int) -> pathlib.Path:
+        return self.folder / f'data-{number}'
+
+    def _process(
+        self,
+        name: str,
+        role: str,
+        listen: dict[str, str],
+        data_folder: pathlib.Path | None,
+    ) -> processes.Process:
+        port = int(processes.free_address().rpartition(':')[2])
+        settings = {
+            'node_name': name,
+            'ip': '127.0.0.1',
+            'zone': 'zone-1',
+            'listen': listen,
+            'port_range': [port, port],
+            'seeds': self._peer_addresses,
+            'data_dir': data_folder and str(data_folder),
+            'fault_tolerance': {'machines': self._losses},
+            'platform': {'address': self.store_address},
+        }
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(settings), encoding='utf-8')
+        return processes.Process(
+            name,
+            _LAUNCH,
+            {},
+            self.folder,
+            role,
+            {'MAGNOLIAWOOD_CONFIG': str(path)},
+        )
+
+    def _address(self, gateway: int, purpose: str) -> str:
+        path = self.folder / f'gateway-{gateway}.json'
+        settings = json.loads(path.read_text(encoding='utf-8'))
+        return settings['listen'][purpose]
+
+    def _caller_address(self, gateway: int) -> str:
+        return self._address(gateway, 'front')
+
+    @staticmethod
+    def _wait(condition: typing.Callable[[], object]) -> None:
+        limit = time.monotonic() + _WAIT_SECONDS
+        while not condition():
+            if time.monotonic() > limit:
+                raise AssertionError('the condition does not come true')
+            time.sleep(0.05)
+
+
+def standard_routes() -> list[dict[str, typing.Any]]:
+    """Return a route of each kind."""
+    common = {
+        'host': HOST,
+        'timeout_ms': 4000,
+        'target_latency_ms': 250,
+        'priority': 1,
+        'service': 'llm',
+        'max_attempts': 2,
+    }
+    return [
+        {**common, 'name': 'safe', 'path_prefix': '/safe/', 'kind': 'safe'},
+        {**common, 'name': 'once', 'path_prefix': '/once/', 'kind': 'unsafe'},
+        {
+            **common,
+            'name': 'turns',
+            'path_prefix': '/turns/',
+            'kind': 'streaming',
+            'retain': True,
+            'retain_s': 60,
+        },
+        {
+            **common,
+            'name': 'streams',
+            'path_prefix': '/streams/',
+            'kind': 'streaming',
+            'resumable': True,
+        },
+    ]
+
+
+def _call(
+    address: str,
+    method: str,
+    target: str,
+    headers: dict[str, str],
+    body: object,
+) -> Reply:
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    connection = http.client.HTTPConnection(address, timeout=_CALL_SECONDS)
+    try:
+        connection.request(
+            method, target, b'' if body is None else data, headers
+        )
+        response = connection.getresponse()
+        return Reply(
+            response.status,
+            {name.lower(): value for name, value in response.getheaders()},
+            response.read(),
+        )
+    except (OSError, http.client.HTTPException):
+        return Reply(None, {}, b'')
+    finally:
+        connection.close()
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/process.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/process.py
@@ -50,6 +50,7 @@
 
     :param name: name of the log file
     :param folder: folder of the log files
+    :param environment: variables besides those of this process
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         arguments: dict[str, object],
         folder: pathlib.Path,
         command: str = '',
+        environment: dict[str, str] | None = None,
     ) -> None:
         self.name = name
         self._folder = folder
@@ -73,6 +75,7 @@
             *([command] if command else []),
             *flags,
         ]
+        self._environment = environment or {}
         self._popen: subprocess.Popen | None = None
 
     @property
@@ -92,7 +95,11 @@
 
     def start(self) -> None:
         """Start the process."""
-        environment = {**os.environ, 'PYTHONUNBUFFERED': '1'}
+        environment = {
+            **os.environ,
+            'PYTHONUNBUFFERED': '1',
+            **self._environment,
+        }
         with self.log_path.open('ab') as log:
             self._popen = subprocess.Popen(
                 self._command,
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -0,0 +1,103 @@
+"""Stand-in of an upstream on the users' platform.
+
+It signs what it runs, checks who is meant and counts each run. A request to
+a path that ends with ``/stream`` gets a stream of events.
+"""
+
+import argparse
+import collections
+import collections.abc
+
+import curio
+
+from magnoliawood_server.http import message as http_message
+from magnoliawood_testing.standins import control
+
+EVENTS = 5
+
+
+class SignedUpstreamFaults(control.Faults):
+    """Timing and faults.
+
+    :param event_seconds: time between two events
+    :param refusals: requests to refuse without running them
+    :param lost_answers: answers to lose after the request ran
+    :param cut_after: events after which each stream is cut; none if
+        negative
+    """
+
+    event_seconds: float = 0.005
+    refusals: int = 0
+    lost_answers: int = 0
+    cut_after: int = -1
+
+
+class SignedUpstream:
+    """Runs what is meant for its incarnation."""
+
+    def __init__(self, incarnation: str) -> None:
+        self._incarnation = incarnation
+        self._bodies: dict[str, str] = {}
+        self._runs: collections.Counter[str] = collections.Counter()
+        self.faults = SignedUpstreamFaults()
+
+    async def handle(
+        self, request: http_message.Request
+    ) -> http_message.Response:
+        """Serve one request."""
+        match request.path:
+            case '/control/faults':
+                self.faults = control.updated(self.faults, request)
+                return http_message.Response.from_json({})
+            case '/control/runs':
+                return http_message.Response.from_json(
+                    {'runs': dict(self._runs), 'bodies': self._bodies}
+                )
+        echo = {'request-id': request.header('request-id')}
+        if request.header('expect-instance') != self._incarnation:
+            return http_message.Response(421, echo)
+        if self.faults.refusals:
+            self.faults.refusals -= 1
+            return http_message.Response(503, {**echo, 'not-executed': '1'})
+        return self._run(request, echo)
+
+    def _run(
+        self, request: http_message.Request, echo: dict[str, str]
+    ) -> http_message.Response:
+        request_id = echo['request-id']
+        self._runs[request_id] += 1
+        self._bodies[request_id] = request.body.decode('latin-1')
+        signed = {**echo, 'server-stamp': f'{self._incarnation}.{request_id}'}
+        if self.faults.lost_answers:
+            self.faults.lost_answers -= 1
+            raise ConnectionResetError('answer lost')
+        if not request.path.endswith('/stream'):
+            return http_message.Response(200, signed, b'done')
+        first = int(request.header('last-event-id') or 0) + 1
+        return http_message.Response(
+            200,
+            {**signed, 'content-type': http_message.EVENT_STREAM_TYPE},
+            parts=self._events(first),
+        )
+
+    async def _events(
+        self, first: int
+    ) -> collections.abc.AsyncGenerator[bytes]:
+        for number in range(first, EVENTS + 1):
+            if number - first == self.faults.cut_after:
+                raise ConnectionResetError('stream cut')
+            await curio.sleep(self.faults.event_seconds)
+            yield f'id: {number}\ndata: word{number}\n\n'.encode()
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--listen', required=True)
+    parser.add_argument('--incarnation', required=True)
+    options = parser.parse_args()
+    control.serve(options.listen, SignedUpstream(options.incarnation).handle)
+
+
+if __name__ == '__main__':
+    main()
