Take a response that ends early for a lost connection

Cause: an upstream that crashed within a response was taken for one that sends malformed bytes, so the request was never suspected of the crash.

--- a/packages/magnoliawood-server/magnoliawood_server/http/connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/connection.py
@@ -20,6 +20,7 @@
 _PROBE_LIMIT = 3
 
 Headers = list[tuple[bytes, bytes]]
+_Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
 class MalformedReply(ConnectionError):  # noqa: N818
@@ -54,6 +55,7 @@
         self._request: h11.Request | None = None
         self._idle_limit: datetime.timedelta | None = None
         self._is_closed = False
+        self._is_ended = False
         self._unsent = memoryview(b'')
         self._sender: curio.Task | None = None
 
@@ -86,6 +88,7 @@
         """Whether the last exchange left the connection clean."""
         return (
             not self._is_closed
+            and not self._is_ended
             and not self._unsent
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
@@ -151,7 +154,7 @@
         while isinstance(event := await self._next_event(), h11.Data):
             yield bytes(event.data)
         if not isinstance(event, h11.EndOfMessage):
-            raise MalformedReply('closed within the response')
+            raise ConnectionResetError('closed within the response')
 
     async def read_whole(self) -> bytes:
         """Read the whole body.
@@ -202,7 +205,7 @@
         while isinstance(event, h11.InformationalResponse):
             event = await self._next_event()
         if not isinstance(event, h11.Response):
-            raise MalformedReply('closed before the response')
+            raise ConnectionResetError('closed before the response')
         return event
 
     def _is_own(self, head: h11.Response) -> bool:
@@ -217,15 +220,19 @@
         if found and seconds.isdigit():
             self._idle_limit = datetime.timedelta(seconds=int(seconds))
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(self) -> _Event:
         while True:
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
+                if self._is_ended:
+                    raise ConnectionResetError('closed too early') from error
                 raise MalformedReply(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._h11.receive_data(await self._sock.recv(_READ_SIZE_BYTES))
+            data = await self._sock.recv(_READ_SIZE_BYTES)
+            self._is_ended = not data
+            self._h11.receive_data(data)
 
 
 def _find(
