--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -166,7 +166,7 @@
         try:
             while await self._serve_next():
                 pass
-        except (OSError, ResponseAborted, h11.LocalProtocolError) as error:
+        except (OSError, ResponseAborted, h11.ProtocolError) as error:
             _log.debug('connection ended', extra={'reason': str(error)})
 
     async def send_events(self, *events: h11.Event) -> None:
@@ -209,16 +209,37 @@
         return True
 
     async def _handle(self, request: CallerRequest) -> None:
-        """Run the handler until it ends or the caller is gone."""
+        """Run the handler until it ends or the caller is gone.
+
+        :raises ResponseAborted: if the connection must be closed
+        """
         async with curio.TaskGroup(wait=any) as tasks:
-            handling = await tasks.spawn(
-                self._handler, request, Responder(self)
-            )
+            handling = await tasks.spawn(self._run_handler, request)
             await tasks.spawn(self._wait_for_close)
         if handling.cancelled:
-            raise ConnectionResetError('the caller closed the connection')
-        if handling.exception is not None:
-            raise handling.exception
+            raise ResponseAborted('the caller closed the connection')
+        if handling.result is not None:
+            raise handling.result
+
+    async def _run_handler(
+        self, request: CallerRequest
+    ) -> ResponseAborted | None:
+        """Run the handler and return why the connection has to end."""
+        responder = Responder(self)
+        try:
+            await self._handler(request, responder)
+        except ResponseAborted as aborted:
+            return aborted
+        except OSError as error:
+            return ResponseAborted(str(error))
+        except Exception as error:
+            _log.exception('handler failed')
+            if responder.is_started:
+                return ResponseAborted(str(error))
+            await responder.send_whole(
+                int(http.HTTPStatus.BAD_GATEWAY), [], b''
+            )
+        return None
 
     async def _read_request(self) -> CallerRequest | None:
         head = await self._next_event()
