--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -25,6 +25,7 @@
 from magnoliawood_server.platform import objects
 from magnoliawood_server.platform import settings as settings_files
 from magnoliawood_server.runtime import listener as listeners
+from magnoliawood_server.runtime import metrics_page
 from magnoliawood_server.runtime import stop
 
 HOUSEKEEPING_INTERVAL = datetime.timedelta(seconds=2)
@@ -112,6 +113,11 @@
             )
             await curio.spawn(self._records.refresh, daemon=True)
             await tasks.spawn(self._gossip.run)
+            await tasks.spawn(
+                metrics_page.metrics_listener(
+                    self._settings.metrics_listen, self._registry
+                ).run
+            )
             await tasks.spawn(self._keep_house)
             stopping = await tasks.spawn(self._wait_for_stop, signals)
         return int(stopping.result)
@@ -141,8 +147,7 @@
 
     async def _listen_for_readiness(self) -> None:
         checks = readiness.ReadinessHandler(
-            lambda: self._beliefs.is_ready and not self._activity.is_closing,
-            self._registry,
+            lambda: self._beliefs.is_ready and not self._activity.is_closing
         )
         # Questions about readiness are no requests of callers.
         activity = callers.CallerActivity()
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -265,7 +265,7 @@
             arrived,
         )
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(self) -> connections.Event:
         while True:
             event = self._h11.next_event()
             if event is not h11.NEED_DATA:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -278,7 +278,7 @@
 
     async def _before_end(self, job: _Job) -> None:
         """Store a turn that must last before its stream ends."""
-        if job.turn is None or job.turn.keep_for is None:
+        if job.turn is None or not job.turn.keep_for:
             return
         try:
             await self._guard.keep(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -155,7 +155,7 @@
             if answer.reply is not None:
                 self.note_group(answer.reply.group)
 
-    async def _read_turns(self, turn_id: str) -> list[records.Record]:
+    async def _read_turns(self, turn_id: str) -> list[records.TurnRecord]:
         def question(member: groups.Member, epoch: int) -> typing.Any:
             return messages.ReadChain(epoch, member.disk_id, turn_id)
 
@@ -165,7 +165,12 @@
             is_final=lambda reply: bool(reply.records),
         )
         longest = max(replies, key=lambda reply: len(reply.records))
-        return [records.decode(entry) for entry in longest.records]
+        decoded = map(records.decode, longest.records)
+        return [
+            record
+            for record in decoded
+            if isinstance(record, records.TurnRecord)
+        ]
 
     async def _ask(
         self,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -32,14 +32,14 @@
 
     :param charge: the most that it may spend, if the program has a budget
     :param history: what goes in front of its input
-    :param keep_for: how long it is to be kept; nothing if it is not
+    :param keep_for: how long it is to be kept; zero if it is not
     """
 
     request_id: str
     previous_id: str
     charge: records.ChargeRecord | None
     history: bytes
-    keep_for: datetime.timedelta | None
+    keep_for: datetime.timedelta
 
 
 class _TurnCache:
@@ -110,7 +110,9 @@
             terms.previous_turn_id,
             charge,
             history,
-            route.history_period if route.keeps_history else None,
+            route.history_period
+            if route.keeps_history
+            else datetime.timedelta(),
         )
 
     async def keep(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_pool.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_pool.py
@@ -6,6 +6,7 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.fleet import directory
 from magnoliawood_server.http import connection as connections
+from magnoliawood_server.platform import names
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=400)
 # Idle connections that are kept to one upstream.
@@ -43,7 +44,7 @@
                 return candidate.connection
             await candidate.connection.close()
         return await connections.ClientConnection.open(
-            upstream.address, CONNECT_TIMEOUT
+            upstream.address, CONNECT_TIMEOUT, names.REQUEST_ID
         )
 
     async def give_back(
--- a/packages/magnoliawood-server/magnoliawood_server/http/client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/client.py
@@ -85,7 +85,9 @@
                 body += part
         return bytes(body)
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(
+        self,
+    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         while True:
             try:
                 event = self._h11.next_event()
--- a/packages/magnoliawood-server/magnoliawood_server/http/connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/connection.py
@@ -10,7 +10,6 @@
 from magnoliawood_server.http import client
 
 _READ_SIZE_BYTES = 64 * 1024
-_REQUEST_ID = b'request-id'
 _KEEP_ALIVE = b'keep-alive'
 _TIMEOUT_PARAMETER = 'timeout='
 # A peer that acknowledges nothing for this long counts as lost.
@@ -20,7 +19,10 @@
 _PROBE_LIMIT = 3
 
 Headers = list[tuple[bytes, bytes]]
-_Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+_NO_REQUEST = h11.Request(
+    method='GET', target='/', headers=[(b'host', b'none')]
+)
+Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
 class MalformedReply(ConnectionError):  # noqa: N818
@@ -47,12 +49,17 @@
     """One connection to an HTTP server, one request at a time.
 
     :param sock: connected socket
+    :param identity_header: header that responses repeat, to tell one that
+        belongs to another request; none if empty
     """
 
-    def __init__(self, sock: curio.io.Socket) -> None:
+    def __init__(
+        self, sock: curio.io.Socket, identity_header: bytes = b''
+    ) -> None:
         self._sock = sock
+        self._identity_header = identity_header
         self._h11 = h11.Connection(h11.CLIENT)
-        self._request: h11.Request | None = None
+        self._request = _NO_REQUEST
         self._idle_limit: datetime.timedelta | None = None
         self._is_closed = False
         self._is_ended = False
@@ -61,7 +68,10 @@
 
     @classmethod
     async def open(
-        cls, address: str, timeout: datetime.timedelta
+        cls,
+        address: str,
+        timeout: datetime.timedelta,
+        identity_header: bytes = b'',
     ) -> 'ClientConnection':
         """Connect to an address.
 
@@ -76,7 +86,7 @@
                 f'no connection to {address}'
             ) from error
         set_options(sock._socket)
-        return cls(sock)
+        return cls(sock, identity_header)
 
     @property
     def idle_limit(self) -> datetime.timedelta | None:
@@ -209,8 +219,8 @@
         return event
 
     def _is_own(self, head: h11.Response) -> bool:
-        sent = _find(self._request.headers, _REQUEST_ID)
-        echoed = _find(head.headers, _REQUEST_ID)
+        sent = _find(self._request.headers, self._identity_header)
+        echoed = _find(head.headers, self._identity_header)
         return not sent or not echoed or sent == echoed
 
     def _note_idle_limit(self, head: h11.Response) -> None:
@@ -220,7 +230,7 @@
         if found and seconds.isdigit():
             self._idle_limit = datetime.timedelta(seconds=int(seconds))
 
-    async def _next_event(self) -> _Event:
+    async def _next_event(self) -> Event:
         while True:
             try:
                 event = self._h11.next_event()
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -10,6 +10,7 @@
 import h11
 
 from magnoliawood.core import errors
+from magnoliawood_server.http import connection as connections
 from magnoliawood_server.http import message as messages
 
 IDLE_LIMIT = datetime.timedelta(seconds=75)
@@ -53,7 +54,7 @@
             h11.SERVER, max_incomplete_event_size=HEAD_LIMIT_BYTES
         )
 
-    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def next_event(self) -> connections.Event:
         while True:
             event = self._h11.next_event()
             if event is not h11.NEED_DATA:
@@ -253,6 +254,7 @@
         h11.Response(status_code=response.status, headers=[*headers.items()])
     )
     parts = response.parts
+    assert parts is not None  # Only responses in parts come here.
     filler = await curio.spawn(
         _fill_pauses, connection, response.pause_comment
     )
--- a/packages/magnoliawood-server/magnoliawood_server/http/tests/test_connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/tests/test_connection.py
@@ -19,7 +19,9 @@
 
 async def _exchange(sent, ends=False):
     ours, theirs = socket.socketpair()
-    connection = connections.ClientConnection(curio.io.Socket(ours))
+    connection = connections.ClientConnection(
+        curio.io.Socket(ours), b'request-id'
+    )
     with theirs:
         await connection.send('POST', '/', HEADERS, b'body')
         theirs.sendall(sent)
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
@@ -7,6 +7,7 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.replication import group as groups
+from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.keeper import copy as copies
 from magnoliawood_server.keeper import group_keeper as group_keepers
 from magnoliawood_server.keeper import service as services
@@ -15,6 +16,7 @@
 from magnoliawood_server.platform import objects
 from magnoliawood_server.platform import settings as settings_files
 from magnoliawood_server.runtime import listener as listeners
+from magnoliawood_server.runtime import metrics_page
 from magnoliawood_server.runtime import stop
 
 CLEAN_INTERVAL = datetime.timedelta(seconds=5)
@@ -37,6 +39,7 @@
         self._clock = clock
         self._copy = copies.DiskCopy(settings.data_folder, clock)
         self._pool = pools.PeerPool(clock, None)
+        self._registry = registries.Registry()
 
     async def run(self) -> int:
         """Serve until asked to stop.
@@ -51,7 +54,9 @@
                 'copied_epoch': self._copy.state.copied_epoch,
             },
         )
-        service = services.KeeperService(self._copy)
+        service = services.KeeperService(
+            self._copy, self._clock, self._registry
+        )
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._copy.run)
             await tasks.spawn(self._clean_forever)
@@ -64,6 +69,11 @@
                 ).run
             )
             await tasks.spawn(self._group_keeper().run)
+            await tasks.spawn(
+                metrics_page.metrics_listener(
+                    self._settings.metrics_listen, self._registry
+                ).run
+            )
             await tasks.spawn(signals.wait)
         _log.info('stopped')
         return int(stop.ExitCode.DRAINED)
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/copy.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/copy.py
@@ -54,8 +54,12 @@
     @property
     def is_complete(self) -> bool:
         """Whether this copy may answer what is absent."""
-        member = self._group and self._group.find(self._state.disk_id)
-        return member is not None and self._state.copied_epoch >= member.since
+        if self._group is None:
+            return False
+        member = self._group.find(self._state.disk_id)
+        if member is None:
+            return False
+        return self._state.copied_epoch >= member.since
 
     async def run(self) -> None:
         """Write to the disk for ever."""
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
@@ -82,7 +82,7 @@
 
     def load(self) -> list[bytes]:
         """Return the entries of all segments, the oldest first."""
-        found = []
+        found: list[bytes] = []
         for path in self._segments():
             content = path.read_bytes()
             found += parse(content)
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
@@ -4,7 +4,9 @@
 import logging
 import typing
 
+from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
+from magnoliawood.telemetry import registry as registries
 from magnoliawood.turns import records
 from magnoliawood_server.keeper import copy as copies
 from magnoliawood_server.keeper import messages
@@ -21,8 +23,15 @@
     :param copy: the copy on this host
     """
 
-    def __init__(self, copy: copies.DiskCopy) -> None:
+    def __init__(
+        self,
+        copy: copies.DiskCopy,
+        clock: clocks.Clock,
+        registry: registries.Registry,
+    ) -> None:
         self._copy = copy
+        self._clock = clock
+        self._registry = registry
 
     async def serve(
         self, stream: connections.Stream, message: typing.Any
@@ -31,6 +40,15 @@
 
         :raises MagnoliawoodError: if the request is refused
         """
+        try:
+            await self._serve(stream, message)
+        except errors.MagnoliawoodError as error:
+            self._registry.count('copy_refusals_total', reason=str(error.code))
+            raise
+
+    async def _serve(
+        self, stream: connections.Stream, message: typing.Any
+    ) -> None:
         match message:
             case messages.WriteRecords():
                 await stream.send(await self._write(message))
@@ -55,12 +73,16 @@
         self, message: messages.WriteRecords
     ) -> messages.RecordsWritten:
         self._copy.check(message.epoch, message.disk_id)
+        began = self._clock.monotonic()
         try:
             await self._copy.write(message.records)
         except OSError as error:
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.STORE_UNAVAILABLE, f'disk: {error}'
             ) from error
+        self._registry.record(
+            'disk_write_seconds', self._clock.monotonic() - began
+        )
         # A newer group may have been sealed while the disk wrote.
         self._copy.check(message.epoch, message.disk_id)
         return messages.RecordsWritten()
--- a/packages/magnoliawood-server/magnoliawood_server/peer/connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/connection.py
@@ -273,6 +273,7 @@
         await curio.spawn(self._handle, stream, frame.message, daemon=True)
 
     async def _handle(self, stream: Stream, message: typing.Any) -> None:
+        assert self._handler is not None  # Checked before it was spawned.
         try:
             await self._handler(stream, message)
         except PeerLost:
--- a/packages/magnoliawood-server/magnoliawood_server/platform/decoding.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/decoding.py
@@ -75,11 +75,13 @@
     engine: _EngineFields | None = None
 
     def decode(self) -> configurations.Service:
-        engine = self.engine and configurations.Engine(
-            self.engine.slots,
-            self.engine.kv_capacity,
-            self.engine.chunk_tokens,
-        )
+        engine = None
+        if self.engine is not None:
+            engine = configurations.Engine(
+                self.engine.slots,
+                self.engine.kv_capacity,
+                self.engine.chunk_tokens,
+            )
         return configurations.Service(self.name, self.max_conns, engine)
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/platform/launch.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/launch.py
@@ -29,12 +29,12 @@
     if role == 'gateway':
         from magnoliawood_server.gateway import app as gateway_app
 
-        app = gateway_app.GatewayApp(settings, clocks.SystemClock())
+        run = gateway_app.GatewayApp(settings, clocks.SystemClock()).run
     else:
         from magnoliawood_server.keeper import app as keeper_app
 
-        app = keeper_app.KeeperApp(settings, clocks.SystemClock())
-    raise SystemExit(curio.run(app.run))
+        run = keeper_app.KeeperApp(settings, clocks.SystemClock()).run
+    raise SystemExit(curio.run(run))
 
 
 if __name__ == '__main__':
--- a/packages/magnoliawood-server/magnoliawood_server/platform/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/settings.py
@@ -10,6 +10,10 @@
 
 from magnoliawood_server.platform import names
 
+# The deploy file names the same port.
+DEFAULT_METRICS_PORT = 9102
+_METRICS_VARIABLE = 'MAGNOLIAWOOD_METRICS_PORT'
+
 
 class _Limits(pydantic.BaseModel):
     memory_mb: float = 128
@@ -53,6 +57,7 @@
     :param caller_listen: address for callers; empty on disk hosts
     :param readiness_listen: address at which readiness is asked for
     :param peer_listen: address for other processes of the system
+    :param metrics_listen: address of the metrics
     :param seeds: peer addresses of some gateways; they may be stale
     :param store: address of the platform's store
     :param losses: disks that may be lost at once
@@ -64,6 +69,7 @@
     caller_listen: str
     readiness_listen: str
     peer_listen: str
+    metrics_listen: str
     seeds: tuple[str, ...]
     store: str
     losses: int
@@ -79,12 +85,16 @@
     :raises ValueError: if it is malformed
     """
     path = pathlib.Path(os.environ[names.SETTINGS_VARIABLE])
-    return parse(json.loads(path.read_text(encoding='utf-8')))
+    port = int(os.environ.get(_METRICS_VARIABLE, DEFAULT_METRICS_PORT))
+    return parse(json.loads(path.read_text(encoding='utf-8')), port)
 
 
-def parse(fields: object) -> HostSettings:
+def parse(
+    fields: object, metrics_port: int = DEFAULT_METRICS_PORT
+) -> HostSettings:
     """Return the settings that a file's fields hold.
 
+    :param metrics_port: port of the metrics, the same on each host
     :raises ValueError: if a field is missing or malformed
     """
     boot = _BootFile.model_validate(fields)
@@ -95,6 +105,7 @@
         caller_listen=boot.listen.get('front', ''),
         readiness_listen=boot.listen.get('ready', ''),
         peer_listen=boot.listen.get('control', f'{boot.ip}:{first_port}'),
+        metrics_listen=f'{boot.ip}:{metrics_port}',
         seeds=tuple(boot.seeds),
         store=boot.platform.address,
         losses=boot.fault_tolerance.machines,
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/metrics_page.py
@@ -0,0 +1,38 @@
+"""Serves the metrics of a process at an address of their own."""
+
+from magnoliawood.core import errors
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.http import message as messages
+from magnoliawood_server.runtime import listener as listeners
+
+METRICS_PATH = '/metrics'
+_TEXT_TYPE = 'text/plain; version=0.0.4'
+
+
+class MetricsPage:
+    """Handler of the metrics address."""
+
+    def __init__(self, registry: registries.Registry) -> None:
+        self._registry = registry
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answer one question.
+
+        :raises MagnoliawoodError: with ``not_found`` for other pages
+        """
+        if request.path != METRICS_PATH:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.NOT_FOUND, f'no page {request.path}'
+            )
+        return messages.Response(
+            200,
+            {'content-type': _TEXT_TYPE},
+            self._registry.exposition().encode(),
+        )
+
+
+def metrics_listener(
+    address: str, registry: registries.Registry
+) -> listeners.Listener:
+    """Return a listener that serves a registry."""
+    return listeners.http_listener(address, MetricsPage(registry).handle)
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -279,7 +279,12 @@
             {},
             self.folder,
             role,
-            {'MAGNOLIAWOOD_CONFIG': str(path)},
+            {
+                'MAGNOLIAWOOD_CONFIG': str(path),
+                'MAGNOLIAWOOD_METRICS_PORT': processes.free_address().split(
+                    ':'
+                )[1],
+            },
         )
 
     def _address(self, gateway: int, purpose: str) -> str:
