--- a/packages/magnoliawood-cli/magnoliawood_cli/main.py
+++ b/packages/magnoliawood-cli/magnoliawood_cli/main.py
@@ -1,6 +1,7 @@
 """Command line ``magnoliactl``."""
 
 import itertools
+import pathlib
 import sys
 import typing
 
@@ -11,6 +12,7 @@
 from magnoliawood_cli import class_commands
 from magnoliawood_cli import client as clients
 from magnoliawood_cli import exit_codes
+from magnoliawood_cli import explanation
 from magnoliawood_cli import fleet_commands
 from magnoliawood_cli import output as outputs
 from magnoliawood_cli import program_commands
@@ -90,6 +92,24 @@
     )
 
 
+@_cli.command('explain')
+def explain_request(
+    request_id: str,
+    logs: typing.Annotated[
+        list[pathlib.Path],
+        typer.Argument(help='log files of gateways and keepers'),
+    ],
+) -> None:
+    """Show what log files say of a request and of what decided on it."""
+    lines = explanation.read_lines(logs)
+    found = explanation.explain(lines, request_id)
+    if not found:
+        print(f'no line about {request_id}')
+        raise typer.Exit(exit_codes.ExitCode.FAILED)
+    for line in found:
+        print(line.text)
+
+
 def _error_lines(
     error: errors.MagnoliawoodError,
 ) -> typing.Iterator[str]:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -183,17 +183,17 @@
         except BaseException:
             await self._withdraw(charge)
             raise
-        admission = quorum.decide_budget(
-            (copy.charges for copy in copies),
-            terms.request_id,
-            terms.budget_tokens,
+        decision = quorum.decide_budget(
+            (copy.charges for copy in copies), terms.budget_tokens
         )
-        if admission is quorum.Admission.GRANTED:
+        if decision.is_granted:
             return charge
         await self._withdraw(charge)
         raise errors.MagnoliawoodError(
             errors.ErrorCode.BUDGET_EXHAUSTED,
-            f'budget of {terms.budget_tokens} tokens is spent',
+            f'budget of {terms.budget_tokens} tokens, '
+            f'{decision.charged_tokens} charged by {decision.attempts} '
+            f'attempts, {terms.output_tokens} of them for this one',
         )
 
     async def _withdraw(self, charge: records.ChargeRecord | None) -> None:
--- a/packages/magnoliawood/magnoliawood/replication/quorum.py
+++ b/packages/magnoliawood/magnoliawood/replication/quorum.py
@@ -2,24 +2,28 @@
 
 import collections.abc
 import dataclasses
-import enum
 
 from magnoliawood.turns import ledger as ledgers
 from magnoliawood.turns import records
 
 
-class Admission(enum.Enum):
-    """Whether an attempt may spend tokens."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetDecision:
+    """Whether an attempt may spend tokens, and why.
+
+    :param charged_tokens: what all attempts together may have spent
+    :param attempts: how many attempts that are
+    """
 
-    GRANTED = 'granted'
-    EXHAUSTED = 'exhausted'
+    is_granted: bool
+    charged_tokens: int
+    attempts: int
 
 
 def decide_budget(
     copies: collections.abc.Iterable[collections.abc.Iterable[ledgers.Charge]],
-    attempt_id: str,
     budget_tokens: int,
-) -> Admission:
+) -> BudgetDecision:
     """Decide on an attempt that has its charge on a write quorum.
 
     Explanation
@@ -33,19 +37,19 @@
     ========
 
     >>> copy = [ledgers.Charge('a', 80, False), ledgers.Charge('b', 80, False)]
-    >>> decide_budget([copy, copy[:1]], 'b', 160)
-    <Admission.GRANTED: 'granted'>
-    >>> decide_budget([copy[:1], copy], 'b', 159)
-    <Admission.EXHAUSTED: 'exhausted'>
+    >>> decide_budget([copy, copy[:1]], 160).is_granted
+    True
+    >>> decide_budget([copy[:1], copy], 159)
+    BudgetDecision(is_granted=False, charged_tokens=160, attempts=2)
 
     :param copies: charges of the program as a read quorum knows them
     """
     ledger = ledgers.Ledger()
     for charges in copies:
         ledger.merge(charges)
-    if ledger.total <= budget_tokens:
-        return Admission.GRANTED
-    return Admission.EXHAUSTED
+    return BudgetDecision(
+        ledger.total <= budget_tokens, ledger.total, len(ledger.charges)
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/magnoliawood/magnoliawood/replication/tests/test_budget_model.py
+++ b/packages/magnoliawood/magnoliawood/replication/tests/test_budget_model.py
@@ -52,9 +52,9 @@
     charge = ledgers.Charge(name, COST, False)
     copies.write(charge)
     yield
-    admission = quorum.decide_budget(copies.read(), name, budget)
+    decision = quorum.decide_budget(copies.read(), budget)
     yield
-    if admission is quorum.Admission.GRANTED:
+    if decision.is_granted:
         granted.append(name)
 
 
@@ -86,7 +86,7 @@
     charge = ledgers.Charge(name, COST, False)
     known = [*copies.read(), [charge]]
     yield
-    if quorum.decide_budget(known, name, budget) is quorum.Admission.GRANTED:
+    if quorum.decide_budget(known, budget).is_granted:
         granted.append(name)
     copies.write(charge)
     yield
--- a/packages/magnoliawood/magnoliawood/turns/ledger.py
+++ b/packages/magnoliawood/magnoliawood/turns/ledger.py
@@ -58,11 +58,6 @@
             if known is None or _supersedes(charge, known):
                 self._charges[charge.attempt_id] = charge
 
-    def total_without(self, attempt_id: str) -> int:
-        """Return the tokens of all other attempts."""
-        known = self._charges.get(attempt_id)
-        return self.total - (known.tokens if known else 0)
-
 
 def _supersedes(charge: Charge, known: Charge) -> bool:
     if charge.is_settled != known.is_settled:
