--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -21,6 +21,8 @@
 RETRY_AFTER = datetime.timedelta(milliseconds=300)
 # The group is read again at most so often.
 REFRESH_INTERVAL = datetime.timedelta(milliseconds=400)
+# Failed quorums are logged at most so often, with their number.
+WARN_INTERVAL = datetime.timedelta(milliseconds=500)
 # Tries of one operation, since the group may change in between.
 TRIES = 2
 
@@ -47,6 +49,8 @@
         self._group: groups.Group | None = None
         self._refresh_lock = curio.Lock()
         self._refreshed: datetime.timedelta | None = None
+        self._warned: datetime.timedelta | None = None
+        self._unlogged = 0
 
     @property
     def group(self) -> groups.Group | None:
@@ -239,6 +243,20 @@
             is_final is not None and any(map(is_final, replies))
         ):
             return replies
+        self._warn(group, needed, answers)
+        return None
+
+    def _warn(
+        self,
+        group: groups.Group,
+        needed: int,
+        answers: list[quorum_calls.Answer],
+    ) -> None:
+        """Log a failed quorum, but not once for each request."""
+        now = self._clock.monotonic()
+        if self._warned is not None and now - self._warned < WARN_INTERVAL:
+            self._unlogged += 1
+            return
         _log.warning(
             'too few copies answered',
             extra={
@@ -247,6 +265,8 @@
                 'errors': [
                     str(answer.error) for answer in answers if answer.error
                 ],
+                'times_before': self._unlogged,
             },
         )
-        return None
+        self._warned = now
+        self._unlogged = 0
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_record_client.py
@@ -0,0 +1,129 @@
+"""Quorums of answers, without a network."""
+
+import datetime
+
+import curio
+import pytest
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.replication import group as groups
+from magnoliawood.replication import quorum
+from magnoliawood.turns import records
+from magnoliawood_server.gateway import record_client
+from magnoliawood_server.keeper import messages
+from magnoliawood_server.platform import group_store
+from magnoliawood_server.platform import objects
+
+DISKS = tuple(groups.Member(name, name, name) for name in 'abc')
+GROUP = groups.Group(4, 1, DISKS)
+TURN = records.TurnRecord('t1', '', b'in', b'out', 4e9)
+
+
+class _Store:
+    """The group as the platform's store has it."""
+
+    def __init__(self, group=GROUP):
+        self.group = group
+
+    async def read(self):
+        if self.group is None:
+            raise objects.StoreUnavailable('outage')
+        return group_store.StoredGroup(self.group, 1)
+
+
+class _Asker:
+    """Keepers by address; an error in place of one refuses."""
+
+    def __init__(self, **keepers):
+        self.keepers = keepers
+        self.asked = []
+
+    async def ask(self, address, message, timeout):
+        assert timeout > datetime.timedelta()
+        self.asked.append((address, message))
+        keeper = self.keepers[address]
+        if isinstance(keeper, errors.ErrorCode):
+            raise errors.MagnoliawoodError(keeper, address)
+        return keeper(message)
+
+
+def _empty(message):
+    match message:
+        case messages.ReadChain():
+            return messages.ChainRecords([])
+        case messages.GetCopyStatus():
+            return messages.CopyStatus('x', 0, None)
+        case messages.ReadCharges():
+            return messages.Charges([])
+    return messages.RecordsWritten()
+
+
+def _with_turn(message):
+    if isinstance(message, messages.ReadChain):
+        return messages.ChainRecords([records.encode(TURN)])
+    return _empty(message)
+
+
+def _client(asker, store=None):
+    return record_client.RecordClient(
+        store or _Store(), asker, clocks.SystemClock()
+    )
+
+
+LOST = errors.ErrorCode.PEER_LOST
+
+
+def test_record_counts_with_one_copy_lost():
+    client = _client(_Asker(a=_empty, b=LOST, c=_empty))
+    curio.run(client.write, [TURN])
+
+
+@pytest.mark.parametrize('code', [LOST, errors.ErrorCode.COPY_INCOMPLETE])
+def test_record_does_not_count_with_too_few_copies(code):
+    client = _client(_Asker(a=_empty, b=code, c=code))
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        curio.run(client.write, [TURN])
+    assert caught.value.status == 503
+    assert caught.value.retry_after > datetime.timedelta()
+
+
+def test_turn_on_one_copy_is_found():
+    client = _client(_Asker(a=_empty, b=LOST, c=_with_turn))
+    chain = curio.run(client.read_chain, quorum.Chain('t1'))
+    assert chain.body == b'inout'
+
+
+def test_turn_is_absent_only_when_a_read_quorum_says_so():
+    client = _client(_Asker(a=_empty, b=_empty, c=LOST))
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        curio.run(client.read_chain, quorum.Chain('t1'))
+    assert caught.value.status == 404
+
+
+def test_turn_is_not_denied_by_too_few_copies():
+    client = _client(_Asker(a=_empty, b=LOST, c=LOST))
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        curio.run(client.read_chain, quorum.Chain('t1'))
+    assert caught.value.status == 503
+
+
+def test_newer_group_is_learned_from_a_keeper_in_a_store_outage():
+    joined = GROUP.replace('b', groups.Member('d', 'd', 'd'))
+
+    def newer(message):
+        if isinstance(message, messages.GetCopyStatus):
+            return messages.CopyStatus('a', 4, joined)
+        if message.epoch < joined.epoch:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.STALE_EPOCH, 'older'
+            )
+        return _empty(message)
+
+    asker = _Asker(a=newer, b=LOST, c=newer, d=newer)
+    store = _Store()
+    client = _client(asker, store)
+    client.note_group(GROUP)
+    store.group = None
+    curio.run(client.write, [TURN])
+    assert client.group == joined
