Let a group of two disks outlive the loss of one

Cause: after a host was emptied without a spare, the group has two disks; a disk that replaced a lost one waited for copies from both, one of which is gone. Found by reading; the test fails without the change. Every record of such a group is on both disks, so one source is enough. Ruled out: the same for changes of size, where the old group still answers.

--- a/packages/magnoliawood/magnoliawood/replication/group.py
+++ b/packages/magnoliawood/magnoliawood/replication/group.py
@@ -119,7 +119,9 @@
             epoch=epoch,
             members=(*others, dataclasses.replace(joining, since=epoch)),
             sources=self.members,
-            sources_needed=self._seals(),
+            # These meet each write quorum; the replaced disk is left out of
+            # both, so the others need not wait for it.
+            sources_needed=self.read_quorum,
         )
 
     def remove(self, disk_id: str) -> 'Group':
--- a/packages/magnoliawood/magnoliawood/replication/tests/test_group.py
+++ b/packages/magnoliawood/magnoliawood/replication/tests/test_group.py
@@ -49,3 +49,11 @@
     group = groups.Group.first(_disks(2), 1)
     with pytest.raises(errors.MagnoliawoodError):
         group.remove('d0')
+
+
+def test_small_group_outlives_the_loss_of_a_disk():
+    """Emptying a host leaves two disks; then one of them is lost."""
+    group = groups.Group.first(_disks(3), 1).remove('d0')
+    changed = group.replace('d1', groups.Member('new', 'new', ''))
+    left = [m for m in changed.sources if m.disk_id != 'd1']
+    assert len(left) >= changed.sources_needed
