--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -26,6 +26,7 @@
 from magnoliawood_server.platform import settings as settings_files
 from magnoliawood_server.runtime import listener as listeners
 from magnoliawood_server.runtime import metrics_page
+from magnoliawood_server.runtime import reload
 from magnoliawood_server.runtime import stop
 
 HOUSEKEEPING_INTERVAL = datetime.timedelta(seconds=2)
@@ -92,6 +93,7 @@
         :returns: the process's exit code
         """
         signals = stop.StopSignals()
+        reloads = reload.ReloadSignals(settings_files.load, self._reload)
         _log.info('started')
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._listen_for_readiness)
@@ -112,6 +114,7 @@
                 store_watch.UpstreamWatch(store, self._beliefs).run
             )
             await curio.spawn(self._records.refresh, daemon=True)
+            await tasks.spawn(self._records.probe_forever)
             await tasks.spawn(self._gossip.run)
             await tasks.spawn(
                 metrics_page.metrics_listener(
@@ -119,9 +122,14 @@
                 ).run
             )
             await tasks.spawn(self._keep_house)
+            await tasks.spawn(reloads.run)
             stopping = await tasks.spawn(self._wait_for_stop, signals)
         return int(stopping.result)
 
+    def _reload(self, settings: settings_files.HostSettings) -> None:
+        """Take over what may change while the process runs."""
+        self._gossip.add_peers(settings.seeds)
+
     async def _wait_for_stop(self, signals: stop.StopSignals) -> int:
         limit = self._settings.stop_limit - STOP_RESERVE
         return int(await stop.drain(signals, self._drain, limit))
@@ -147,7 +155,11 @@
 
     async def _listen_for_readiness(self) -> None:
         checks = readiness.ReadinessHandler(
-            lambda: self._beliefs.is_ready and not self._activity.is_closing
+            lambda: (
+                self._beliefs.is_ready
+                and self._records.is_reachable
+                and not self._activity.is_closing
+            )
         )
         # Questions about readiness are no requests of callers.
         activity = callers.CallerActivity()
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -9,6 +9,7 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
+from magnoliawood.limits import circuit
 from magnoliawood.replication import group as groups
 from magnoliawood.replication import quorum
 from magnoliawood.turns import records
@@ -26,6 +27,9 @@
 # Tries of one operation, since the group may change in between.
 TRIES = 2
 
+# No program has this name.
+_PROBED_PROGRAM = ''
+
 _log = logging.getLogger(__name__)
 
 Questions = collections.abc.Callable[[groups.Member, int], typing.Any]
@@ -49,6 +53,7 @@
         self._group: groups.Group | None = None
         self._refresh_lock = curio.Lock()
         self._refreshed: datetime.timedelta | None = None
+        self._circuit = circuit.Circuit(clock)
         self._warned: datetime.timedelta | None = None
         self._unlogged = 0
 
@@ -57,6 +62,11 @@
         """The newest group that is known."""
         return self._group
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether enough copies answered lately."""
+        return not self._circuit.is_open
+
     def note_group(self, group: groups.Group | None) -> None:
         """Take over a group unless a newer one is known."""
         if group is None:
@@ -115,6 +125,23 @@
                 )
         return chain
 
+    async def probe_forever(self) -> None:
+        """Find out when copies that were lost answer again.
+
+        Explanation
+        ===========
+
+        A gateway that reaches too few copies says that it isn't ready, so
+        no request may come that would find out.
+        """
+        while True:
+            await curio.sleep(circuit.PROBE_INTERVAL.total_seconds())
+            if self._circuit.is_open:
+                try:
+                    await self.read_charges(_PROBED_PROGRAM)
+                except errors.MagnoliawoodError:
+                    continue
+
     async def refresh(self) -> None:
         """Read the group again, unless that was done a moment ago."""
         async with self._refresh_lock:
@@ -186,6 +213,8 @@
 
         :param is_final: whether one reply is enough by itself
         """
+        if not self._circuit.may_try():
+            raise _unavailable()
         for last_try in (False,) * (TRIES - 1) + (True,):
             if self._group is None:
                 await self.refresh()
@@ -195,14 +224,25 @@
                     group, question, quorum_of(group), is_final
                 )
                 if replies is not None:
+                    self._note_reachable(True)
                     return replies
             if not last_try:
                 await self.refresh()
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.STORE_UNAVAILABLE,
-            'too few copies of the records answered',
-            retry_after=RETRY_AFTER,
-        )
+        self._note_reachable(False)
+        raise _unavailable()
+
+    def _note_reachable(self, is_reachable: bool) -> None:
+        was_open = self._circuit.is_open
+        if is_reachable:
+            self._circuit.note_success()
+        else:
+            self._circuit.note_failure()
+        if self._circuit.is_open != was_open:
+            change = 'lost' if self._circuit.is_open else 'regained'
+            _log.warning(
+                f'copies {change}',
+                extra={'epoch': self._group.epoch if self._group else 0},
+            )
 
     async def _ask_group(
         self,
@@ -270,3 +310,11 @@
         )
         self._warned = now
         self._unlogged = 0
+
+
+def _unavailable() -> errors.MagnoliawoodError:
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.STORE_UNAVAILABLE,
+        'too few copies of the records answered',
+        retry_after=RETRY_AFTER,
+    )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_record_client.py
@@ -127,3 +127,26 @@
     store.group = None
     curio.run(client.write, [TURN])
     assert client.group == joined
+
+
+def test_callers_of_a_gateway_that_is_cut_off_are_refused_at_once():
+    """Load pattern: all turns of a gateway that reaches no keeper."""
+    asker = _Asker(a=LOST, b=LOST, c=LOST)
+    clock = clocks.ManualClock()
+    client = record_client.RecordClient(_Store(), asker, clock)
+    for _ in range(2):
+        with pytest.raises(errors.MagnoliawoodError):
+            curio.run(client.write, [TURN])
+        clock.advance(datetime.timedelta(seconds=1))
+    assert not client.is_reachable
+    with pytest.raises(errors.MagnoliawoodError):
+        curio.run(client.write, [TURN])
+    asked = len(asker.asked)
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        curio.run(client.write, [TURN])
+    assert len(asker.asked) == asked
+    assert caught.value.retry_after > datetime.timedelta()
+    asker.keepers = dict.fromkeys('abc', _empty)
+    clock.advance(datetime.timedelta(seconds=1))
+    curio.run(client.write, [TURN])
+    assert client.is_reachable
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
@@ -17,6 +17,7 @@
 from magnoliawood_server.platform import settings as settings_files
 from magnoliawood_server.runtime import listener as listeners
 from magnoliawood_server.runtime import metrics_page
+from magnoliawood_server.runtime import reload
 from magnoliawood_server.runtime import stop
 
 CLEAN_INTERVAL = datetime.timedelta(seconds=5)
@@ -47,6 +48,7 @@
         :returns: the process's exit code
         """
         signals = stop.StopSignals()
+        reloads = reload.ReloadSignals(settings_files.load, _keep_settings)
         _log.info(
             'started',
             extra={
@@ -69,6 +71,7 @@
                 ).run
             )
             await tasks.spawn(self._group_keeper().run)
+            await tasks.spawn(reloads.run)
             await tasks.spawn(
                 metrics_page.metrics_listener(
                     self._settings.metrics_listen, self._registry
@@ -100,3 +103,7 @@
                 await self._copy.clean()
             except OSError as error:
                 _log.error('disk refused', extra={'error': str(error)})
+
+
+def _keep_settings(settings: settings_files.HostSettings) -> None:
+    """Change nothing: a keeper has no setting that may change."""
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
@@ -256,3 +256,31 @@
     own.wait_for(
         lambda: _turn(own, 1, _name(), b'x', Previous_Turn=first).status == 200
     )
+
+
+def test_gateways_say_so_while_too_few_copies_answer(own):
+    for keeper in own.keepers[:2]:
+        keeper.kill()
+    # Refusals are immediate; some of them have to come first.
+    own.wait_for(
+        lambda: (
+            _turn(own, 0, _name(), b'x').status == 503 and not own.is_ready(0)
+        )
+    )
+    own.keepers[0].start()
+    own.wait_for(lambda: own.is_ready(0))
+    own.wait_for(lambda: _turn(own, 0, _name(), b'x').status == 200)
+
+
+def test_processes_go_on_when_asked_to_read_their_settings(shared):
+    processes = (*shared.gateways, *shared.keepers)
+    for process in processes:
+        process.send_signal(signal.SIGHUP)
+    for process in processes:
+        shared.wait_for(
+            lambda log=process.log_path: (
+                'settings read again' in log.read_text()
+            )
+        )
+    assert all(process.is_running for process in processes)
+    assert _turn(shared, 0, _name(), b'x').status == 200
