Change the group only when enough copies are complete

Copying again and again wrote all records anew each time until the log no longer fitted into memory at a start. Ruled out: the split (no effect on gateways), the stalled disk (came later). Now: a change needs as many complete copies as it names sources; keepers learn of it at once; the spare goes first; copying writes only what is new; the log is read entry by entry. Polls take old answers, which cost a tenth; a change still rests on a conditional write. Tests without a network and with four keepers; the first failed before.

--- a/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
@@ -85,6 +85,6 @@
         while True:
             page = await stream.receive()
             if page.records:
-                await self._copy.write(page.records)
+                await self._copy.write_new(page.records)
             if page.is_last:
                 return
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/copy.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/copy.py
@@ -129,6 +129,22 @@
             self._table.apply(record)
         await self._log.append(entries)
 
+    async def write_new(
+        self, entries: collections.abc.Sequence[bytes]
+    ) -> None:
+        """Store the records that are not here yet.
+
+        :raises OSError: if the disk refuses them
+        :raises ValueError: if a record is malformed
+        """
+        new = [
+            entry
+            for entry in entries
+            if self._table.is_new(records.decode(entry))
+        ]
+        if new:
+            await self.write(new)
+
     async def clean(self) -> None:
         """Drop expired records, and rewrite the log if it pays.
 
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
@@ -80,14 +80,12 @@
         """Size of all segments."""
         return self._total_bytes
 
-    def load(self) -> list[bytes]:
-        """Return the entries of all segments, the oldest first."""
-        found: list[bytes] = []
+    def load(self) -> collections.abc.Iterator[bytes]:
+        """Yield the entries of all segments, the oldest first."""
         for path in self._segments():
             content = path.read_bytes()
-            found += parse(content)
             self._total_bytes += len(content)
-        return found
+            yield from parse(content)
 
     async def append(self, entries: collections.abc.Iterable[bytes]) -> None:
         """Append entries and wait until they are on disk.
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/group_keeper.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/group_keeper.py
@@ -17,12 +17,14 @@
 
 ROUND_INTERVAL = datetime.timedelta(milliseconds=300)
 # How often the store is read while nothing seems to change.
-REFRESH_INTERVAL = datetime.timedelta(seconds=3)
+REFRESH_INTERVAL = datetime.timedelta(seconds=1)
+# A copy that could not be completed is tried again after this.
+COPY_PAUSE = datetime.timedelta(milliseconds=600)
 PROBE_TIMEOUT = datetime.timedelta(milliseconds=400)
 # Silence of a member after which a spare disk takes its place.
 SILENCE_LIMIT = datetime.timedelta(seconds=2)
 # How long a leaving member waits for a spare disk to take its place.
-LEAVE_NOTICE = datetime.timedelta(seconds=1.2)
+LEAVE_NOTICE = datetime.timedelta(seconds=2.5)
 # How long the first group waits for its full size.
 FIRST_GROUP_WAIT = datetime.timedelta(seconds=3)
 
@@ -54,6 +56,7 @@
         self._copier = copiers.Copier(copy, pool)
         self._started = clock.monotonic()
         self._is_registered = False
+        self._next_copy = datetime.timedelta()
         self._refreshed: datetime.timedelta | None = None
         self._stored: group_stores.StoredGroup | None = None
         self._evacuations: dict[str, bool] = {}
@@ -109,7 +112,11 @@
         return bool(is_behind) or age > REFRESH_INTERVAL
 
     async def _refresh(self) -> None:
-        self._stored = await self._store.read()
+        # A change rests on a fresh read: it is refused at an old revision.
+        is_fresh = self._refreshed is None
+        found = await self._store.read(may_be_old=not is_fresh)
+        if is_fresh or _is_newer(found, self._stored):
+            self._stored = found
         if self._stored is not None:
             self._copy.note_group(self._stored.group)
         self._evacuations = await self._store.evacuations()
@@ -130,16 +137,66 @@
         group = self._copy.group
         if group is None or self._copy.is_complete:
             return
-        if group.find(self._member.disk_id) is not None:
-            await self._copier.complete(group)
+        now = self._clock.monotonic()
+        if group.find(self._member.disk_id) is None or now < self._next_copy:
+            return
+        if not await self._copier.complete(group):
+            self._next_copy = now + COPY_PAUSE
 
     async def _join(self, stored: group_stores.StoredGroup) -> None:
         changed = await self._joined(stored.group)
         if changed is None:
             return
+        if await self._has_sources(stored.group, changed):
+            await self._change(stored, changed)
+            _log.info('joins the group', extra={'epoch': changed.epoch})
+
+    async def _has_sources(
+        self, group: groups.Group, changed: groups.Group
+    ) -> bool:
+        """Whether enough copies are complete to make the changed group's.
+
+        Explanation
+        ===========
+
+        A change before that would leave copies to be completed from copies
+        that never are.
+        """
+        statuses = await self._ask_all(group)
+        complete = sum(
+            _is_complete(member, status)
+            for member, status in zip(group.members, statuses, strict=True)
+        )
+        if complete < changed.sources_needed:
+            _log.info(
+                'group not changed yet',
+                extra={
+                    'epoch': group.epoch,
+                    'complete': complete,
+                    'needed': changed.sources_needed,
+                },
+            )
+        return complete >= changed.sources_needed
+
+    async def _change(
+        self, stored: group_stores.StoredGroup, changed: groups.Group
+    ) -> None:
+        """Store a group and tell those that it concerns.
+
+        :raises RevisionConflict: if another host was first
+        """
         await self._store.change(stored, changed)
-        _log.info('joins the group', extra={'epoch': changed.epoch})
+        self._refreshed = None
         await self._refresh()
+        told = {
+            member.address: member
+            for member in (*changed.sources, *changed.members)
+        }
+        async with curio.TaskGroup() as tasks:
+            for member in told.values():
+                await tasks.spawn(
+                    self._ask, member, messages.TakeGroup(changed)
+                )
 
     async def _joined(self, group: groups.Group) -> groups.Group | None:
         """Return the group with this disk, if it is needed there."""
@@ -193,17 +250,19 @@
     ) -> list[messages.CopyStatus | None]:
         async with curio.TaskGroup() as tasks:
             started = [
-                await tasks.spawn(self._ask_status, member)
+                await tasks.spawn(self._ask, member, messages.GetCopyStatus())
                 for member in group.members
             ]
         return [task.result for task in started]
 
-    async def _ask_status(
-        self, member: groups.Member
+    async def _ask(
+        self,
+        member: groups.Member,
+        message: messages.GetCopyStatus | messages.TakeGroup,
     ) -> messages.CopyStatus | None:
         try:
             return await self._pool.ask_twice(
-                member.address, messages.GetCopyStatus(), PROBE_TIMEOUT
+                member.address, message, PROBE_TIMEOUT
             )
         except errors.MagnoliawoodError:
             return None
@@ -231,17 +290,35 @@
             _log.info('host is empty', extra={'epoch': stored.group.epoch})
 
     async def _withdraw(self, stored: group_stores.StoredGroup) -> None:
-        if stored.group.can_shrink:
-            changed = stored.group.remove(self._member.disk_id)
-            await self._store.change(stored, changed)
+        if not stored.group.can_shrink:
+            return
+        changed = stored.group.remove(self._member.disk_id)
+        if await self._has_sources(stored.group, changed):
+            await self._change(stored, changed)
             _log.info('leaves the group', extra={'epoch': changed.epoch})
-        await self._refresh()
 
     async def _is_complete_elsewhere(self, group: groups.Group) -> bool:
         statuses = await self._ask_all(group)
         return all(
-            status is not None
-            and status.disk_id == member.disk_id
-            and status.copied_epoch >= member.since
+            _is_complete(member, status)
             for member, status in zip(group.members, statuses, strict=True)
         )
+
+
+def _is_complete(
+    member: groups.Member, status: messages.CopyStatus | None
+) -> bool:
+    return (
+        status is not None
+        and status.disk_id == member.disk_id
+        and status.copied_epoch >= member.since
+    )
+
+
+def _is_newer(
+    found: group_stores.StoredGroup | None,
+    known: group_stores.StoredGroup | None,
+) -> bool:
+    if found is None or known is None:
+        return known is None
+    return found.revision > known.revision
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/messages.py
@@ -75,6 +75,13 @@
     group: groups.Group | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakeGroup:
+    """Tells a keeper of a new group; answered by its :class:`CopyStatus`."""
+
+    group: groups.Group
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CopyAll:
     """Asks a copy to refuse older epochs, then to send all its records."""
@@ -100,6 +107,7 @@
     ChainRecords,
     GetCopyStatus,
     CopyStatus,
+    TakeGroup,
     CopyAll,
     CopyPage,
 )
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
@@ -61,6 +61,9 @@
                 await stream.send(self._chain(message.turn_id))
             case messages.GetCopyStatus():
                 await stream.send(self._status())
+            case messages.TakeGroup():
+                self._copy.note_group(message.group)
+                await stream.send(self._status())
             case messages.CopyAll():
                 await self._copy_all(stream, message)
             case _:
--- a/packages/magnoliawood-server/magnoliawood_server/platform/group_store.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/group_store.py
@@ -28,12 +28,14 @@
     def __init__(self, client: objects.StoreClient) -> None:
         self._client = client
 
-    async def read(self) -> StoredGroup | None:
+    async def read(self, may_be_old: bool = False) -> StoredGroup | None:
         """Return the group, or nothing before there is one.
 
         :raises StoreUnavailable: if the store does not answer
         """
-        stored = await self._client.get(names.KIND_GROUP, names.NAME_GROUP)
+        stored = await self._client.get(
+            names.KIND_GROUP, names.NAME_GROUP, may_be_old
+        )
         if stored is None:
             return None
         return StoredGroup(decoding.decode_group(stored.spec), stored.revision)
@@ -92,7 +94,9 @@
 
         :raises StoreUnavailable: if the store does not answer
         """
-        listing = await self._client.list(names.KIND_EVACUATIONS)
+        listing = await self._client.list(
+            names.KIND_EVACUATIONS, may_be_old=True
+        )
         return {
             stored.name: _state(stored) == names.EVACUATION_DONE
             for stored in listing.objects
--- a/packages/magnoliawood-server/magnoliawood_server/platform/objects.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/objects.py
@@ -23,6 +23,7 @@
 _CONFLICT = 409
 _GONE = 410
 _HOST = b'store'
+_MAY_BE_OLD = {'serializable': '1'}
 
 _log = logging.getLogger(__name__)
 
@@ -100,27 +101,33 @@
         self._connection: connections.ClientConnection | None = None
         self._lock = curio.Lock()
 
-    async def list(self, kind: str) -> Listing:
+    async def list(self, kind: str, may_be_old: bool = False) -> Listing:
         """Return all objects of a kind.
 
+        :param may_be_old: whether what was so some seconds ago will do,
+            which costs a tenth
         :raises StoreUnavailable: if the store does not answer
         """
         found: list[StoredObject] = []
-        query: dict[str, str] = {}
+        query = dict(_MAY_BE_OLD) if may_be_old else {}
         while True:
             _, reply = await self._call('GET', _target(kind, '', query))
             page = [_decode(item) for item in reply.get('items', [])]
             found += filter(None, page)
             if not reply.get('more') or not reply['items']:
                 return Listing(tuple(found), int(reply['current_rev']))
-            query = {'after': _name_of(reply['items'][-1])}
+            query['after'] = _name_of(reply['items'][-1])
 
-    async def get(self, kind: str, name: str) -> StoredObject | None:
+    async def get(
+        self, kind: str, name: str, may_be_old: bool = False
+    ) -> StoredObject | None:
         """Return an object, or nothing if it is absent.
 
+        :param may_be_old: whether what was so some seconds ago will do
         :raises StoreUnavailable: if the store does not answer
         """
-        status, reply = await self._call('GET', _target(kind, name))
+        query = _MAY_BE_OLD if may_be_old else None
+        status, reply = await self._call('GET', _target(kind, name, query))
         return None if status == _NOT_FOUND else _decode(reply)
 
     async def watch(self, kind: str, revision: int) -> Changes:
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
@@ -284,3 +284,24 @@
         )
     assert all(process.is_running for process in processes)
     assert _turn(shared, 0, _name(), b'x').status == 200
+
+
+def test_host_is_emptied_while_another_stands_by():
+    """The spare takes the place; the group never waits for itself."""
+    with hosted.HostedDeployment(keepers=4) as own:
+        first = _name()
+        assert _turn(own, 0, first, b'one|').status == 200
+        for _ in range(2):
+            host = own.group()['members'][0]['host']
+            body = {'metadata': {'name': host}, 'spec': {'duration_s': 5}}
+            own.store('POST', '/objects/retirements', body)
+            own.wait_for(
+                lambda at=host: (
+                    b'"completed"'
+                    in own.store('GET', f'/objects/retirements/{at}').body
+                )
+            )
+            own.wait_for_copies()
+            own.keepers[int(host[-1])].kill()
+        reply = _turn(own, 1, _name(), b'x', Previous_Turn=first)
+        assert reply.status == 200
--- a/packages/magnoliawood/magnoliawood/turns/table.py
+++ b/packages/magnoliawood/magnoliawood/turns/table.py
@@ -28,13 +28,22 @@
 
     def apply(self, record: records.Record) -> None:
         """Add a record, which may be known already."""
+        if not self.is_new(record):
+            return
         if isinstance(record, records.TurnRecord):
             self._turns[record.turn_id] = record
             return
         charges = self._ledgers.setdefault(record.program_id, {})
-        known = charges.get(record.attempt_id)
-        if known is None or record.is_settled or not known.is_settled:
-            charges[record.attempt_id] = record
+        charges[record.attempt_id] = record
+
+    def is_new(self, record: records.Record) -> bool:
+        """Whether a record adds something."""
+        if isinstance(record, records.TurnRecord):
+            return record.turn_id not in self._turns
+        known = self._ledgers.get(record.program_id, {}).get(record.attempt_id)
+        if known is None:
+            return True
+        return record.is_settled and not known.is_settled
 
     def chain(self, turn_id: str) -> list[records.TurnRecord]:
         """Return a turn and those before it, as far as they are here.
