--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
@@ -305,3 +305,22 @@
             own.keepers[int(host[-1])].kill()
         reply = _turn(own, 1, _name(), b'x', Previous_Turn=first)
         assert reply.status == 200
+
+
+def test_request_that_crashed_two_upstreams_is_refused_everywhere(shared):
+    for upstream in shared.upstreams:
+        shared.upstream(upstream, '/control/faults', {'poison': 'bad'})
+    statuses = []
+
+    def is_refused():
+        for gateway in range(2):
+            reply = shared.call(gateway, '/once/page', _name(), b'bad')
+            statuses.append(reply.status)
+        return statuses[-2:] == [503, 503]
+
+    shared.wait_for(is_refused)
+    for upstream in shared.upstreams:
+        shared.upstream(upstream, '/control/faults', {'poison': ''})
+    # Each crashed an upstream once, and news of that travel for a moment.
+    assert statuses.count(502) <= 4
+    assert shared.call(0, '/once/page', _name(), b'good').status == 200
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -24,12 +24,14 @@
     :param lost_answers: answers to lose after the request ran
     :param cut_after: events after which each stream is cut; none if
         negative
+    :param poison: body of requests whose answer is always lost
     """
 
     event_seconds: float = 0.005
     refusals: int = 0
     lost_answers: int = 0
     cut_after: int = -1
+    poison: str = ''
 
 
 class SignedUpstream:
@@ -71,6 +73,8 @@
         if self.faults.lost_answers:
             self.faults.lost_answers -= 1
             raise ConnectionResetError('answer lost')
+        if self.faults.poison and self._is_poison(request):
+            raise ConnectionResetError('poisoned')
         if not request.path.endswith('/stream'):
             return http_message.Response(200, signed, b'done')
         first = int(request.header('last-event-id') or 0) + 1
@@ -80,6 +84,9 @@
             parts=self._events(first),
         )
 
+    def _is_poison(self, request: http_message.Request) -> bool:
+        return request.body.decode('latin-1') == self.faults.poison
+
     async def _events(
         self, first: int
     ) -> collections.abc.AsyncGenerator[bytes]:
