Keep removed entries only after an outage for everyone; tell none to others

Ruled out: a late watch (the others knew within 5 ms), a missed event. Now an outage counts as one for everyone only if no peer reaches the store for two seconds; a probe, at a tenth of the price, finds silent outages; only entries that are listed are told.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -108,10 +108,17 @@
             )
             store = self._settings.store
             await tasks.spawn(
-                store_watch.ConfigurationWatch(store, self._beliefs).run
+                store_watch.ConfigurationWatch(
+                    store, self._beliefs, self._gossip
+                ).run
+            )
+            await tasks.spawn(
+                store_watch.UpstreamWatch(
+                    store, self._beliefs, self._gossip
+                ).run
             )
             await tasks.spawn(
-                store_watch.UpstreamWatch(store, self._beliefs).run
+                store_watch.StoreProbe(store, self._beliefs, self._gossip).run
             )
             await curio.spawn(self._records.refresh, daemon=True)
             await tasks.spawn(self._records.probe_forever)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/beliefs.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/beliefs.py
@@ -1,19 +1,16 @@
 """What this gateway believes of the configuration and the upstreams."""
 
 import dataclasses
-import datetime
 import json
 import logging
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.fleet import directory as directories
+from magnoliawood.fleet import outage as outages
 from magnoliawood.routes import configuration as configurations
 from magnoliawood.routes import table as tables
 from magnoliawood_server.platform import decoding
 
-# Trouble with the store as recent as this may have let entries lapse.
-_OUTAGE_MEMORY = datetime.timedelta(seconds=6)
-
 _log = logging.getLogger(__name__)
 
 
@@ -35,11 +32,10 @@
     """The newest configuration and the upstreams that are known here."""
 
     def __init__(self, clock: clocks.Clock) -> None:
-        self._clock = clock
         self._table: tables.RouteTable | None = None
         self._configuration_text = b''
         self._directory = directories.UpstreamDirectory(clock)
-        self._last_outage: datetime.timedelta | None = None
+        self._outage = outages.StoreOutage(clock)
 
     @property
     def table(self) -> tables.RouteTable | None:
@@ -69,22 +65,15 @@
         return self._table is not None and self._directory.revision > 0
 
     @property
-    def is_after_outage(self) -> bool:
-        """Whether entries may have lapsed because the store was away."""
-        if self._last_outage is None:
-            return False
-        age = self._clock.monotonic() - self._last_outage
-        return age < _OUTAGE_MEMORY
-
-    def note_outage(self) -> None:
-        """Note that the store did not answer just now."""
-        self._last_outage = self._clock.monotonic()
+    def outage(self) -> outages.StoreOutage:
+        """What is known of the store's last outage."""
+        return self._outage
 
     def snapshot(self) -> Snapshot:
         """Return what a peer may take over."""
         return Snapshot(
             self._configuration_text,
-            self._directory.all(),
+            self._directory.listed(),
             self._directory.revision,
         )
 
@@ -119,7 +108,9 @@
             self.take_configuration(json.loads(snapshot.configuration), source)
         if snapshot.revision > self._directory.revision:
             self._directory.replace(
-                snapshot.upstreams, snapshot.revision, self.is_after_outage
+                snapshot.upstreams,
+                snapshot.revision,
+                self._outage.lapsed_until,
             )
             _log.info(
                 'upstreams learned from a peer',
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -20,6 +20,8 @@
 
 REPORT_INTERVAL = datetime.timedelta(milliseconds=100)
 ASK_TIMEOUT = datetime.timedelta(milliseconds=700)
+# What peers say of the store counts for this long.
+STORE_REPORT_LIMIT = datetime.timedelta(milliseconds=500)
 # A peer that did not answer is asked again after this.
 SILENT_PAUSE = datetime.timedelta(seconds=1)
 # Peers that have not answered for this long are forgotten.
@@ -71,6 +73,7 @@
         self._clock = clock
         self._peers: dict[str, _Peer] = {}
         self._seeds = seeds
+        self._store_reached: datetime.timedelta | None = None
         self.add_peers(seeds)
 
     def add_peers(self, addresses: typing.Iterable[str]) -> None:
@@ -90,6 +93,13 @@
             and peer.last_answer >= oldest
         ]
 
+    def do_reach_store(self) -> bool:
+        """Whether a peer said lately that the store answers."""
+        if self._store_reached is None:
+            return False
+        age = self._clock.monotonic() - self._store_reached
+        return age < STORE_REPORT_LIMIT
+
     async def run(self) -> None:
         """Report for ever."""
         while True:
@@ -134,6 +144,8 @@
 
     def _take(self, report: messages.GatewayReport) -> messages.ReportTaken:
         self._board.note_peer(report.host, report.requests)
+        if report.does_reach_store:
+            self._store_reached = self._clock.monotonic()
         for record in report.crashes:
             self._crashes.merge(record)
         for note in report.prompts:
@@ -214,6 +226,7 @@
             self._board.own(),
             self._beliefs.version,
             self._beliefs.directory.revision,
+            self._beliefs.outage.is_reachable,
             self._crashes.recent(),
             prompts,
         )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
@@ -18,6 +18,7 @@
     :param requests: its requests under way by upstream
     :param version: version of its configuration
     :param revision: revision that its upstreams are as of
+    :param does_reach_store: whether the platform's store answered it last
     :param crashes: requests that it suspects, as far as they are new
     :param prompts: prompts that it sent since its last report
     """
@@ -28,6 +29,7 @@
     requests: dict[str, int]
     version: int
     revision: int
+    does_reach_store: bool
     crashes: list[crash_list.CrashRecord]
     prompts: list[selection.PromptNote]
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/store_watch.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/store_watch.py
@@ -4,6 +4,7 @@
 import datetime
 import logging
 import random
+import typing
 
 import curio
 
@@ -15,19 +16,66 @@
 
 RETRY_START = datetime.timedelta(milliseconds=150)
 RETRY_LIMIT = datetime.timedelta(seconds=1)
+PROBE_INTERVAL = datetime.timedelta(seconds=1)
 
 _log = logging.getLogger(__name__)
 
 
+class Peers(typing.Protocol):
+    """What the other gateways say of the store."""
+
+    def do_reach_store(self) -> bool:
+        """Whether a peer said lately that the store answers."""
+        ...
+
+
+class StoreProbe:
+    """Asks the store for one object again and again.
+
+    Explanation
+    ===========
+
+    A watch may wait in silence through a whole outage. Old answers will do,
+    which cost a tenth.
+    """
+
+    def __init__(
+        self, address: str, beliefs: beliefs_module.Beliefs, peers: Peers
+    ) -> None:
+        self._client = objects.StoreClient(address)
+        self._beliefs = beliefs
+        self._peers = peers
+
+    async def run(self) -> None:
+        """Ask for ever."""
+        while True:
+            await curio.sleep(PROBE_INTERVAL.total_seconds())
+            try:
+                await self._client.get(
+                    names.KIND_CONFIGURATION,
+                    names.NAME_CONFIGURATION,
+                    may_be_old=True,
+                )
+            except objects.StoreUnavailable:
+                self._beliefs.outage.note_failure(self._peers.do_reach_store())
+            else:
+                self._beliefs.outage.note_answer()
+
+
 class _Watch:
     """Lists one kind and follows its changes; starts anew when need be."""
 
     def __init__(
-        self, address: str, kind: str, beliefs: beliefs_module.Beliefs
+        self,
+        address: str,
+        kind: str,
+        beliefs: beliefs_module.Beliefs,
+        peers: Peers,
     ) -> None:
         self._client = objects.StoreClient(address)
         self._kind = kind
         self._beliefs = beliefs
+        self._peers = peers
         self._is_lost = False
 
     async def run(self) -> None:
@@ -54,17 +102,19 @@
 
     async def _follow(self) -> None:
         listing = await self._client.list(self._kind)
+        self._beliefs.outage.note_answer()
         self.take_list(listing)
         self._note_regained()
         revision = listing.revision
         while True:
             changes = await self._client.watch(self._kind, revision)
+            self._beliefs.outage.note_answer()
             if changes.changes:
                 self.take_changes(changes)
             revision = max(revision, changes.revision)
 
     def _note_lost(self, reason: str) -> None:
-        self._beliefs.note_outage()
+        self._beliefs.outage.note_failure(self._peers.do_reach_store())
         if not self._is_lost:
             self._is_lost = True
             _log.warning(
@@ -80,8 +130,10 @@
 class ConfigurationWatch(_Watch):
     """Follows the configuration."""
 
-    def __init__(self, address: str, beliefs: beliefs_module.Beliefs) -> None:
-        super().__init__(address, names.KIND_CONFIGURATION, beliefs)
+    def __init__(
+        self, address: str, beliefs: beliefs_module.Beliefs, peers: Peers
+    ) -> None:
+        super().__init__(address, names.KIND_CONFIGURATION, beliefs, peers)
 
     def take_list(self, listing: objects.Listing) -> None:
         """Take over the newest configuration, if there is one."""
@@ -112,8 +164,10 @@
 class UpstreamWatch(_Watch):
     """Follows the entries of upstreams."""
 
-    def __init__(self, address: str, beliefs: beliefs_module.Beliefs) -> None:
-        super().__init__(address, names.KIND_UPSTREAMS, beliefs)
+    def __init__(
+        self, address: str, beliefs: beliefs_module.Beliefs, peers: Peers
+    ) -> None:
+        super().__init__(address, names.KIND_UPSTREAMS, beliefs, peers)
 
     def take_list(self, listing: objects.Listing) -> None:
         """Take over all entries."""
@@ -123,7 +177,7 @@
         ]
         known = [upstream for upstream in decoded if upstream is not None]
         self._beliefs.directory.replace(
-            known, listing.revision, self._beliefs.is_after_outage
+            known, listing.revision, self._beliefs.outage.lapsed_until
         )
         _log.info(
             'upstreams listed',
@@ -134,7 +188,7 @@
         """Take over changed entries."""
         decoded = [_decode(change) for change in changes.changes]
         self._beliefs.directory.apply(
-            decoded, changes.revision, self._beliefs.is_after_outage
+            decoded, changes.revision, self._beliefs.outage.lapsed_until
         )
         for change in decoded:
             _log.info(
--- a/packages/magnoliawood/magnoliawood/fleet/directory.py
+++ b/packages/magnoliawood/magnoliawood/fleet/directory.py
@@ -8,7 +8,7 @@
 
 # An upstream whose entry lapsed in a store outage registers again within
 # this time of the store's return.
-REREGISTRATION_LIMIT = datetime.timedelta(seconds=2)
+LAPSE_PERIOD = datetime.timedelta(seconds=2)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,18 +46,18 @@
     Revisions only rise, so a late or repeated message never brings back an
     older state. While the store is unavailable, entries may lapse although
     their upstreams live; such an upstream stays usable until
-    :data:`REREGISTRATION_LIMIT` after the store's return.
+    :data:`LAPSE_PERIOD` after the store's return.
 
     Examples
     ========
 
     >>> directory = UpstreamDirectory(clocks.ManualClock())
     >>> engine = Upstream('i-1', 'llm', '10.0.0.1:80', 'dc-1', 8)
-    >>> directory.replace([engine], 10, is_after_outage=False)
+    >>> directory.replace([engine], 10, None)
     >>> [upstream.id for upstream in directory.usable('llm')]
     ['i-1']
     >>> gone = UpstreamChange('i-1', None)
-    >>> directory.apply([gone], 11, is_after_outage=False)
+    >>> directory.apply([gone], 11, None)
     >>> directory.usable('llm')
     []
     """
@@ -65,7 +65,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._upstreams: dict[str, Upstream] = {}
-        self._missing_since: dict[str, datetime.timedelta] = {}
+        self._lapsed_until: dict[str, datetime.timedelta] = {}
         self._revision = 0
 
     @property
@@ -75,9 +75,21 @@
 
     def all(self) -> list[Upstream]:
         """Return every upstream that is not known to be gone."""
-        self._drop_missing()
+        self._drop_lapsed()
         return list(self._upstreams.values())
 
+    def listed(self) -> list[Upstream]:
+        """Return the upstreams that have an entry; none that lapsed.
+
+        Only these may be told to others, who could not tell when a lapsed
+        one is gone.
+        """
+        return [
+            upstream
+            for upstream in self.all()
+            if upstream.id not in self._lapsed_until
+        ]
+
     def find(self, upstream_id: str) -> Upstream | None:
         """Return an upstream by its id."""
         return self._upstreams.get(upstream_id)
@@ -94,63 +106,65 @@
         self,
         upstreams: collections.abc.Iterable[Upstream],
         revision: int,
-        is_after_outage: bool,
+        lapsed_until: datetime.timedelta | None,
     ) -> None:
         """Take over a whole list.
 
-        :param is_after_outage: whether absent entries may have lapsed
+        :param lapsed_until: monotonic time until which an absent entry may
+            only have lapsed; without one it is gone
         """
         if revision < self._revision:
             return
-        listed = {upstream.id: upstream for upstream in upstreams}
-        absent = self._upstreams.keys() - listed.keys()
-        kept = {
-            upstream_id: self._upstreams[upstream_id]
-            for upstream_id in absent
-            if is_after_outage
-        }
-        now = self._clock.monotonic()
-        self._missing_since = {
-            upstream_id: self._missing_since.get(upstream_id, now)
-            for upstream_id in kept
-        }
-        self._upstreams = kept | listed
         self._revision = revision
+        listed = {upstream.id: upstream for upstream in upstreams}
+        for upstream_id in self._upstreams.keys() - listed.keys():
+            self._note_removed(upstream_id, lapsed_until)
+        for upstream in listed.values():
+            self._note_present(upstream)
 
     def apply(
         self,
         changes: collections.abc.Iterable[UpstreamChange],
         revision: int,
-        is_after_outage: bool,
+        lapsed_until: datetime.timedelta | None,
     ) -> None:
         """Take over all changes up to a revision.
 
-        :param is_after_outage: whether removed entries may only have lapsed
+        :param lapsed_until: monotonic time until which a removed entry may
+            only have lapsed; without one it is gone
         """
         if revision <= self._revision:
             return
         self._revision = revision
         for change in changes:
             if change.upstream is not None:
-                self._upstreams[change.id] = change.upstream
-                self._missing_since.pop(change.id, None)
-            elif not is_after_outage:
-                self.drop(change.id)
-            elif change.id in self._upstreams:
-                now = self._clock.monotonic()
-                self._missing_since.setdefault(change.id, now)
+                self._note_present(change.upstream)
+            else:
+                self._note_removed(change.id, lapsed_until)
 
     def drop(self, upstream_id: str) -> None:
         """Forget an upstream that is certainly gone."""
         self._upstreams.pop(upstream_id, None)
-        self._missing_since.pop(upstream_id, None)
+        self._lapsed_until.pop(upstream_id, None)
+
+    def _note_present(self, upstream: Upstream) -> None:
+        self._upstreams[upstream.id] = upstream
+        self._lapsed_until.pop(upstream.id, None)
+
+    def _note_removed(
+        self, upstream_id: str, lapsed_until: datetime.timedelta | None
+    ) -> None:
+        if lapsed_until is None:
+            self.drop(upstream_id)
+        elif upstream_id in self._upstreams:
+            self._lapsed_until.setdefault(upstream_id, lapsed_until)
 
-    def _drop_missing(self) -> None:
+    def _drop_lapsed(self) -> None:
         now = self._clock.monotonic()
         gone = [
             upstream_id
-            for upstream_id, since in self._missing_since.items()
-            if now - since > REREGISTRATION_LIMIT
+            for upstream_id, until in self._lapsed_until.items()
+            if now > until
         ]
         for upstream_id in gone:
             self.drop(upstream_id)
