--- a/packages/magnoliawood-testing/magnoliawood_testing/capacity/__main__.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/capacity/__main__.py
@@ -1,6 +1,7 @@
 """Measures all slopes and prints them with their projection."""
 
 from magnoliawood_testing.capacity import chart_slopes
+from magnoliawood_testing.capacity import hosted_slopes
 from magnoliawood_testing.capacity import process_slopes
 from magnoliawood_testing.capacity import projection
 from magnoliawood_testing.capacity import state_slopes
@@ -13,6 +14,7 @@
         *chart_slopes.measure(),
         *state_slopes.measure(),
         *wire_slopes.measure(),
+        *hosted_slopes.measure(),
         *process_slopes.measure(),
     ]
     print('| slope | value | unit |\n|---|---:|---|')
