Charge each attempt by itself, also when a request id comes again

Cause: a charge bore the caller's request id. An attempt that was refused and withdrawn closed the charge of that id, so a second attempt with it ran without being charged. The users' clients take a new id for each attempt; nothing holds others to that. Ruled out: the change of the group, which happened at the same moment. The test fails without the change.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 demo: setup
 	$(BIN)/python -m magnoliawood_testing.demo
+	$(BIN)/python -m magnoliawood_testing.hosted_demo
 
 .PHONY: serve docs
 serve: setup
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -149,9 +149,7 @@
                 return await self._relay(connection, answer)
             body = await connection.read_whole()
         except OSError as error:
-            reason = str(error) or type(error).__name__
-            is_lost = not isinstance(error, connections.MalformedReply)
-            return Result(Ending.FAILED, reason, is_lost)
+            return _failed(error)
         return await self._deliver_whole(answer, body)
 
     async def _deliver_whole(
@@ -184,9 +182,7 @@
             except StopAsyncIteration:
                 break
             except OSError as error:
-                reason = str(error) or type(error).__name__
-                is_lost = not isinstance(error, connections.MalformedReply)
-                return Result(Ending.FAILED, reason, is_lost)
+                return _failed(error)
             await self._pass_on(answer, splitter.feed(part))
         if splitter.rest:
             return Result(Ending.FAILED, 'stream ended within an event')
@@ -216,6 +212,13 @@
             )
 
 
+def _failed(error: OSError) -> Result:
+    """Return the result of an attempt whose connection failed."""
+    reason = str(error) or type(error).__name__
+    is_lost = not isinstance(error, connections.MalformedReply)
+    return Result(Ending.FAILED, reason, is_lost)
+
+
 async def within(
     limit: datetime.timedelta,
     running: collections.abc.Awaitable[Result],
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 import logging
+import secrets
 
 import curio
 
@@ -159,7 +160,7 @@
                 _log.warning(
                     'settlement not stored',
                     extra={
-                        'request_id': charge.attempt_id,
+                        'request_id': charge.attempt_id.rpartition('.')[0],
                         'error': str(error),
                     },
                 )
@@ -170,9 +171,11 @@
     ) -> records.ChargeRecord | None:
         if terms.budget_tokens is None or not terms.program_id:
             return None
+        # A caller may send one id twice; each attempt has its own charge.
+        attempt_id = f'{terms.request_id}.{secrets.token_hex(4)}'
         charge = records.ChargeRecord(
             terms.program_id,
-            terms.request_id,
+            attempt_id,
             terms.output_tokens,
             False,
             (self._clock.now() + CHARGE_PERIOD).timestamp(),
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
@@ -324,3 +324,15 @@
     # Each crashed an upstream once, and news of that travel for a moment.
     assert statuses.count(502) <= 4
     assert shared.call(0, '/once/page', _name(), b'good').status == 200
+
+
+def test_request_id_that_is_used_again_is_charged_again(shared):
+    """An attempt was refused and withdrawn; its id came back and ran."""
+    name, program = _name(), _name('p')
+    statuses = [
+        _turn(
+            shared, 0, name, b'x', Program_Id=program, Token_Budget='160'
+        ).status
+        for _ in range(3)
+    ]
+    assert statuses == [200, 200, 402]
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/hosted_demo.py
@@ -0,0 +1,115 @@
+"""Shows the path on the users' platform with a disk and a process lost."""
+
+import sys
+import time
+
+from magnoliawood_testing.cluster import hosted
+
+TURNS = 6
+TURN_TOKENS = 80
+_RETRY_SECONDS = 0.3
+
+
+def main() -> None:
+    """Run a program of turns and exit with 0 if all of it checks out."""
+    began = time.monotonic()
+    with hosted.HostedDeployment(keepers=3, gateways=2) as deployment:
+        checks = {
+            'history whole after each turn': _run_program(deployment),
+            'budget refused the next turn': _is_refused(deployment),
+            'copies complete again': _are_copies_whole(deployment),
+        }
+    for check, holds in checks.items():
+        print(f'{"ok" if holds else "FAILED":7} {check}')
+    print(f"users' platform: {time.monotonic() - began:.1f} s")
+    sys.exit(not all(checks.values()))
+
+
+def _run_program(deployment: hosted.HostedDeployment) -> bool:
+    """Run turns through both gateways; lose a disk and a gateway midway."""
+    previous, expected = '', ''
+    for number in range(TURNS):
+        if number == TURNS // 2:
+            _lose_some(deployment)
+        name, text = f'turn-{number}', f'question {number}|'
+        answer = _turn(deployment, number % 2, name, previous, text)
+        if deployment.body_of(name) != expected + text:
+            return False
+        expected += text + answer
+        previous = name
+    return True
+
+
+def _lose_some(deployment: hosted.HostedDeployment) -> None:
+    print('a disk is lost, and a gateway is killed')
+    keeper = deployment.keepers[0]
+    keeper.kill()
+    deployment.empty_disk(0)
+    keeper.start()
+    gateway = deployment.gateways[1]
+    gateway.kill()
+    gateway.start()
+    deployment.wait_until_ready()
+
+
+def _turn(
+    deployment: hosted.HostedDeployment,
+    gateway: int,
+    name: str,
+    previous: str,
+    text: str,
+) -> str:
+    """Run a turn, coming back when asked to, and return its output."""
+    while True:
+        headers = {'Previous_Turn': previous} if previous else {}
+        reply = deployment.call(
+            gateway,
+            '/turns/stream',
+            name,
+            text.encode(),
+            Program_Id='demo',
+            Token_Budget=str(TURNS * TURN_TOKENS),
+            Token_Usage=f'10,{TURN_TOKENS}',
+            **headers,
+        )
+        if reply.status == 200:
+            break
+        time.sleep(_RETRY_SECONDS)
+    lines = reply.body.decode().splitlines()
+    return ''.join(
+        line.removeprefix('data: ') + '\n'
+        for line in lines
+        if line.startswith('data: ')
+    )
+
+
+def _is_refused(deployment: hosted.HostedDeployment) -> bool:
+    """Whether a turn beyond the budget is refused for its budget."""
+    while (status := _status_beyond_budget(deployment)) == 503:
+        time.sleep(_RETRY_SECONDS)
+    print(f'the turn beyond the budget is answered {status}')
+    return status == 402
+
+
+def _status_beyond_budget(
+    deployment: hosted.HostedDeployment,
+) -> int | None:
+    reply = deployment.call(
+        0,
+        '/turns/stream',
+        'one-too-many',
+        b'x',
+        Program_Id='demo',
+        Token_Budget=str(TURNS * TURN_TOKENS),
+        Token_Usage=f'10,{TURN_TOKENS}',
+    )
+    return reply.status
+
+
+def _are_copies_whole(deployment: hosted.HostedDeployment) -> bool:
+    deployment.wait_for_copies()
+    return len(deployment.group()['members']) == len(deployment.keepers)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/magnoliawood/magnoliawood/turns/records.py
+++ b/packages/magnoliawood/magnoliawood/turns/records.py
@@ -37,7 +37,7 @@
 class ChargeRecord:
     """Tokens charged to a program for one attempt at a turn.
 
-    :param attempt_id: identity of the request
+    :param attempt_id: identity of the attempt, never used twice
     :param tokens: the most that it may generate, or what it did generate
     :param is_settled: whether the attempt has ended
     :param expires_at: Unix time in seconds until which it is kept
--- a/packages/magnoliawood/magnoliawood/turns/table.py
+++ b/packages/magnoliawood/magnoliawood/turns/table.py
@@ -43,7 +43,9 @@
         known = self._ledgers.get(record.program_id, {}).get(record.attempt_id)
         if known is None:
             return True
-        return record.is_settled and not known.is_settled
+        if record.is_settled != known.is_settled:
+            return record.is_settled
+        return record.tokens > known.tokens
 
     def chain(self, turn_id: str) -> list[records.TurnRecord]:
         """Return a turn and those before it, as far as they are here.
