--- a/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
@@ -71,7 +71,6 @@
         self._batch = _Batch()
         self._wake = curio.Event()
         self._descriptor = -1
-        self._segment: pathlib.Path | None = None
         self._segment_bytes = 0
         self._total_bytes = 0
 
@@ -145,9 +144,9 @@
     def _open_segment(self) -> None:
         segments = self._segments()
         last = int(segments[-1].stem.split('-')[1]) if segments else 0
-        self._segment = self._folder / f'records-{last + 1:08d}.log'
+        path = self._folder / f'records-{last + 1:08d}.log'
         self._descriptor = os.open(
-            self._segment, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND
+            path, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND
         )
         self._segment_bytes = 0
 
--- a/packages/magnoliawood-server/magnoliawood_server/platform/names.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/names.py
@@ -66,12 +66,10 @@
 # The system's own kinds.
 KIND_GROUP = 'copy-groups'
 KIND_DISKS = 'copy-disks'
-KIND_GATEWAYS = 'gateways'
 NAME_CONFIGURATION = 'main'
 NAME_GROUP = 'main'
 
 STATE_LEAVING = 'draining'
-STATE_READY = 'ready'
 EVACUATION_RUNNING = 'running'
 EVACUATION_DONE = 'completed'
 
--- a/packages/magnoliawood/magnoliawood/fleet/directory.py
+++ b/packages/magnoliawood/magnoliawood/fleet/directory.py
@@ -90,10 +90,6 @@
             if upstream.id not in self._lapsed_until
         ]
 
-    def find(self, upstream_id: str) -> Upstream | None:
-        """Return an upstream by its id."""
-        return self._upstreams.get(upstream_id)
-
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that take new work."""
         return [
