Keep track of records that a disk has not confirmed

Cause: a copy's table knows records before the disk does. A record that the disk refused stayed there, so a later copy from other disks skipped it as known and the copy counted as complete without it on disk. The same held for a write still under way. DiskLog.rewrite closed the segment on the loop while the worker thread could be writing to it. Change: the copy keeps the set of unconfirmed records; copying writes them again, and a copy is marked complete only after they are on disk. A rewrite is a batch that begins a new segment, so a write under way ends where it began and only older segments are removed. Ruled out: applying to the table after the sync; a charge that is not durable yet must count against a budget.

--- a/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
@@ -50,7 +50,7 @@
         )
         if copied < group.sources_needed:
             return False
-        self._copy.mark_complete(group.epoch)
+        await self._copy.mark_complete(group.epoch)
         return True
 
     async def _copy_from(
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/copy.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/copy.py
@@ -33,6 +33,8 @@
         self._table = tables.RecordTable(clock)
         for data in self._log.load():
             self._table.apply(records.decode(data))
+        # Records that the disk has not confirmed, or refused.
+        self._unsynced: set[records.Record] = set()
         self._group: groups.Group | None = None
         self._epoch = self._state.sealed_epoch
 
@@ -89,11 +91,21 @@
                 dataclasses.replace(self._state, sealed_epoch=group.epoch)
             )
 
-    def mark_complete(self, epoch: int) -> None:
+    async def mark_complete(self, epoch: int) -> None:
         """Note that the copy has all records of the groups before.
 
+        Explanation
+        ===========
+
+        A source may lack a record that only this copy was sent, so what the
+        disk has not confirmed yet is written first.
+
         :raises OSError: if the disk refuses it
         """
+        if self._unsynced:
+            await self.write(
+                [records.encode(record) for record in self._unsynced]
+            )
         self._save(dataclasses.replace(self._state, copied_epoch=epoch))
 
     def check(self, epoch: int, disk_id: str) -> None:
@@ -133,14 +145,17 @@
         :raises OSError: if the disk refuses them
         :raises ValueError: if a record is malformed
         """
-        for record in [records.decode(entry) for entry in entries]:
+        found = [records.decode(entry) for entry in entries]
+        for record in found:
             self._table.apply(record)
+        self._unsynced.update(found)
         await self._log.append(entries)
+        self._unsynced.difference_update(found)
 
     async def write_new(
         self, entries: collections.abc.Sequence[bytes]
     ) -> None:
-        """Store the records that are not here yet.
+        """Store the records that are not on disk yet.
 
         :raises OSError: if the disk refuses them
         :raises ValueError: if a record is malformed
@@ -148,7 +163,7 @@
         new = [
             entry
             for entry in entries
-            if self._table.is_new(records.decode(entry))
+            if not self._is_on_disk(records.decode(entry))
         ]
         if new:
             await self.write(new)
@@ -161,6 +176,11 @@
         dropped = self._table.expire()
         if dropped:
             _log.info('records expired', extra={'records': dropped})
+            self._unsynced = {
+                record
+                for record in self._unsynced
+                if not self._table.is_new(record)
+            }
         if self._log.total_bytes > _REWRITE_BYTES:
             entries = [
                 records.encode(record) for record in self._table.records()
@@ -168,6 +188,9 @@
             if sum(map(len, entries)) * 2 < self._log.total_bytes:
                 await self._log.rewrite(entries)
 
+    def _is_on_disk(self, record: records.Record) -> bool:
+        return record not in self._unsynced and not self._table.is_new(record)
+
     def _save(self, state: disk_state.DiskState) -> None:
         disk_state.save(self._folder, state)
         self._state = state
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
@@ -45,10 +45,16 @@
 
 @dataclasses.dataclass(slots=True)
 class _Batch:
-    """Entries that one sync makes durable."""
+    """Entries that one sync makes durable.
+
+    :param is_first: whether it begins a new segment
+    :param segment: where it was written
+    """
 
     data: bytearray = dataclasses.field(default_factory=bytearray)
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
+    is_first: bool = False
+    segment: pathlib.Path | None = None
     error: OSError | None = None
 
 
@@ -71,6 +77,7 @@
         self._batch = _Batch()
         self._wake = curio.Event()
         self._descriptor = -1
+        self._segment = folder
         self._segment_bytes = 0
         self._total_bytes = 0
 
@@ -91,13 +98,7 @@
 
         :raises OSError: if the disk refuses them
         """
-        batch = self._batch
-        for entry in entries:
-            batch.data += frame(entry)
-        await self._wake.set()
-        await batch.done.wait()
-        if batch.error is not None:
-            raise batch.error
+        await self._confirm(self._collect(entries))
 
     async def run(self) -> None:
         """Write batches for ever."""
@@ -106,7 +107,7 @@
             self._wake.clear()
             batch, self._batch = self._batch, _Batch()
             try:
-                await curio.run_in_thread(self._write, bytes(batch.data))
+                await curio.run_in_thread(self._write, batch)
             except OSError as error:
                 _log.error('disk refused', extra={'error': str(error)})
                 batch.error = error
@@ -119,34 +120,54 @@
 
         :raises OSError: if the disk refuses them
         """
-        old = self._segments()
-        self._close_segment()
-        await self.append(entries)
-        for path in old:
-            path.unlink()
-        self._total_bytes = self._segment_bytes
+        batch = self._collect(entries)
+        # A write under way ends in the segment in which it began.
+        batch.is_first = True
+        await self._confirm(batch)
+        for path in self._segments():
+            if batch.segment is not None and path < batch.segment:
+                self._total_bytes -= path.stat().st_size
+                path.unlink()
+
+    def _collect(self, entries: collections.abc.Iterable[bytes]) -> _Batch:
+        """Add entries to those that are written next."""
+        batch = self._batch
+        for entry in entries:
+            batch.data += frame(entry)
+        return batch
+
+    async def _confirm(self, batch: _Batch) -> None:
+        """Wait until a batch is on disk.
+
+        :raises OSError: if the disk refuses it
+        """
+        await self._wake.set()
+        await batch.done.wait()
+        if batch.error is not None:
+            raise batch.error
 
     def _segments(self) -> list[pathlib.Path]:
         return sorted(self._folder.glob(_SEGMENT_PATTERN))
 
-    def _write(self, data: bytes) -> None:
-        if self._segment_bytes > _SEGMENT_LIMIT_BYTES:
+    def _write(self, batch: _Batch) -> None:
+        if batch.is_first or self._segment_bytes > _SEGMENT_LIMIT_BYTES:
             self._close_segment()
         if self._descriptor < 0:
             self._open_segment()
-        rest = memoryview(data)
+        batch.segment = self._segment
+        rest = memoryview(batch.data)
         while rest:
             rest = rest[os.write(self._descriptor, rest) :]
         os.fdatasync(self._descriptor)
-        self._segment_bytes += len(data)
-        self._total_bytes += len(data)
+        self._segment_bytes += len(batch.data)
+        self._total_bytes += len(batch.data)
 
     def _open_segment(self) -> None:
         segments = self._segments()
         last = int(segments[-1].stem.split('-')[1]) if segments else 0
-        path = self._folder / f'records-{last + 1:08d}.log'
+        self._segment = self._folder / f'records-{last + 1:08d}.log'
         self._descriptor = os.open(
-            path, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND
+            self._segment, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND
         )
         self._segment_bytes = 0
 
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_copy.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_copy.py
@@ -1,5 +1,8 @@
 """Records survive what a loss of power leaves of the files."""
 
+import errno
+import os
+
 import curio
 import pytest
 
@@ -70,7 +73,7 @@
     with pytest.raises(errors.MagnoliawoodError) as caught:
         copy.check(3, copy.state.disk_id)
     assert caught.value.code is errors.ErrorCode.COPY_INCOMPLETE
-    copy.mark_complete(3)
+    curio.run(copy.mark_complete, 3)
     copy.check(3, copy.state.disk_id)
 
 
@@ -80,3 +83,54 @@
     with pytest.raises(errors.MagnoliawoodError) as caught:
         copy.check(2, copy.state.disk_id)
     assert caught.value.code is errors.ErrorCode.COPY_INCOMPLETE
+
+
+class _FullDisk:
+    """Refuses the writes of the system while it is full."""
+
+    def __init__(self, monkeypatch):
+        self.is_full = True
+        self._write = os.write
+        monkeypatch.setattr(os, 'write', self.write)
+
+    def write(self, descriptor, data):
+        if self.is_full:
+            raise OSError(errno.ENOSPC, 'disk full')
+        return self._write(descriptor, data)
+
+
+async def _write_refused(copy, *found):
+    with pytest.raises(OSError, match='disk full'):
+        await _write(copy, *found)
+
+
+async def _copy_from_elsewhere(copy, *found):
+    writer = await curio.spawn(copy.run, daemon=True)
+    await copy.write_new([records.encode(record) for record in found])
+    await copy.mark_complete(1)
+    await writer.cancel()
+
+
+def test_record_that_the_disk_refused_is_written_when_copied(
+    tmp_path, monkeypatch
+):
+    copy = _joined(tmp_path)
+    disk = _FullDisk(monkeypatch)
+    curio.run(_write_refused, copy, _turn('t1'))
+    disk.is_full = False
+    curio.run(_copy_from_elsewhere, copy, _turn('t1'))
+    again = copies.DiskCopy(tmp_path, clocks.ManualClock())
+    assert [t.turn_id for t in again.table.chain('t1')] == ['t1']
+
+
+def test_copy_is_not_complete_before_all_it_knows_is_on_disk(
+    tmp_path, monkeypatch
+):
+    """The sources need not have a record that only this copy was sent."""
+    copy = _joined(tmp_path)
+    disk = _FullDisk(monkeypatch)
+    curio.run(_write_refused, copy, _turn('t1'))
+    disk.is_full = False
+    curio.run(_copy_from_elsewhere, copy)
+    again = copies.DiskCopy(tmp_path, clocks.ManualClock())
+    assert [t.turn_id for t in again.table.chain('t1')] == ['t1']
