Add a randomized soak of the whole path

None existed for this path. Change: package soak. A seeded schedule of 25 kinds of faults (signals, links cut, silent, one way or slow through proxies on every link, disks emptied, torn logs, store down, slow, forgetful or losing answers, upstreams that die, refuse, cut, lose answers or leave, configurations), callers with kept connections, and a checker of what callers and upstreams saw. Upstream stand-ins write each run to a file, so that the count outlives them. A host may listen for peers at another address than the one that peers use (MAGNOLIAWOOD_PEER_BIND), which lets a proxy stand between peers. Shown: the checker's tests plant each kind of broken promise. Not covered: clocks; the system uses them only for the expiry of records.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -66,7 +66,7 @@
         )
         self._gossip = gossips.Gossip(
             settings.host,
-            settings.peer_listen,
+            settings.peer_address,
             settings.seeds,
             self._beliefs,
             self._board,
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
@@ -84,7 +84,7 @@
     def _group_keeper(self) -> group_keepers.GroupKeeper:
         settings = self._settings
         member = groups.Member(
-            self._copy.state.disk_id, settings.host, settings.peer_listen
+            self._copy.state.disk_id, settings.host, settings.peer_address
         )
         client = objects.StoreClient(settings.store)
         return group_keepers.GroupKeeper(
--- a/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_settings.py
@@ -34,6 +34,12 @@
     assert str(found.data_folder) == '/data/x'
 
 
+def test_address_that_peers_use_may_differ_from_where_it_listens():
+    found = settings.parse(FILE, peer_bind='127.0.0.1:9')
+    assert found.peer_address == '10.1.0.38:2'
+    assert found.peer_listen == '127.0.0.1:9'
+
+
 @pytest.mark.parametrize('missing', ['node_name', 'ip', 'platform'])
 def test_missing_field_is_an_error(missing):
     fields = {key: FILE[key] for key in FILE if key != missing}
--- a/packages/magnoliawood-testing/magnoliawood_testing/chaos/schedule.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/chaos/schedule.py
@@ -1,5 +1,6 @@
 """Seeded schedules of faults."""
 
+import collections.abc
 import dataclasses
 import enum
 import random
@@ -30,12 +31,14 @@
 
     at_seconds: float
     lasts_seconds: float
-    kind: FaultKind
+    kind: enum.StrEnum
     target: float
 
 
 def make_schedule(
-    seed: int, count: int, kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    seed: int,
+    count: int,
+    kinds: collections.abc.Sequence[enum.StrEnum] = tuple(FaultKind),
 ) -> list[Fault]:
     """Return ``count`` faults, some of them at the same time.
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -118,7 +118,7 @@
         self._sidecar_settings = sidecar_settings or {}
         self._engine_settings = engine_settings or {}
         self._centres = itertools.cycle(_DATA_CENTRES)
-        self.links = links_of.Links(links, self._process)
+        self.links = links_of.Links(self._process, links)
         self.upstreams: dict[str, Node] = {}
         self.sidecars: dict[str, Node] = {}
         self.entries: dict[str, Node] = {}
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -1,5 +1,6 @@
 """A deployment on the users' platform, as real processes on loopback."""
 
+import collections
 import dataclasses
 import datetime
 import http.client
@@ -17,11 +18,14 @@
 from magnoliawood.core import errors
 from magnoliawood_server.keeper import messages
 from magnoliawood_server.peer import pool as pools
+from magnoliawood_testing.cluster import link as links
 from magnoliawood_testing.cluster import process as processes
 from magnoliawood_testing.standins import metadata_store
 from magnoliawood_testing.standins import signed_upstream
 
 HOST = 'app.example'
+# Ids of the requests that ask whether turns are served start with this.
+PROBE = 'probe-'
 _LAUNCH = 'magnoliawood_server.platform.launch'
 _WAIT_SECONDS = 20.0
 _CALL_SECONDS = 10.0
@@ -37,42 +41,57 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """One run of a request at an upstream."""
+
+    request_id: str
+    body: str
+
+
 class HostedDeployment:
     """Store, upstreams, keepers and gateways.
 
     :param keepers: hosts with a disk
     :param losses: disks that may be lost at once
+    :param proxied: whether a fault-injecting proxy stands on each link
     """
 
     def __init__(
-        self, keepers: int = 3, gateways: int = 2, losses: int = 1
+        self,
+        keepers: int = 3,
+        gateways: int = 2,
+        losses: int = 1,
+        upstreams: int = 2,
+        proxied: bool = False,
     ) -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp())
-        self._losses = losses
+        self.losses = losses
         self._probes = itertools.count()
+        self.links = links.Links(self._make_process, every=proxied)
         self.store_address = processes.free_address()
-        self._store = self._standin('store', metadata_store, {})
+        self._store = self._make_process(
+            'store', metadata_store.__name__, {'listen': self.store_address}
+        )
         self.upstreams = {
-            name: processes.free_address() for name in ('i-1', 'i-2')
+            f'i-{number}': processes.free_address()
+            for number in range(1, upstreams + 1)
         }
-        self._upstream_processes = [
-            processes.Process(
-                name,
-                signed_upstream.__name__,
-                {'listen': address, 'incarnation': name},
-                self.folder,
-            )
+        self.upstream_processes = {
+            name: self._upstream(name, address)
             for name, address in self.upstreams.items()
-        ]
+        }
+        self._peer_binds = [processes.free_address() for _ in range(gateways)]
         self._peer_addresses = [
-            processes.free_address() for _ in range(gateways)
+            self.links.place(links.PEERS, f'gateway-{number}', address)
+            for number, address in enumerate(self._peer_binds)
         ]
         self.gateways = [self._gateway(number) for number in range(gateways)]
         self.keepers = [self._keeper(number) for number in range(keepers)]
 
     def __enter__(self) -> 'HostedDeployment':
         self._store.start()
-        for started in self._upstream_processes:
+        for started in (*self.upstream_processes.values(), *self._proxies()):
             started.start()
         self._wait(lambda: self.store('GET', '/objects/config').status)
         self._register()
@@ -85,12 +104,16 @@
         for started in (
             *self.gateways,
             *self.keepers,
-            *self._upstream_processes,
+            *self.upstream_processes.values(),
+            *self._proxies(),
             self._store,
         ):
             started.kill()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    def _proxies(self) -> list[processes.Process]:
+        return [link.process for link in self.links.all()]
+
     def store(self, method: str, target: str, body: object = None) -> Reply:
         """Call the store."""
         return _call(self.store_address, method, target, {}, body)
@@ -100,23 +123,48 @@
         method = 'GET' if body is None else 'POST'
         return _call(self.upstreams[name], method, target, {}, body)
 
+    def set_store_faults(self, **faults: object) -> None:
+        """Change the store's faults."""
+        self.store('POST', '/control/faults', faults)
+
+    def set_upstream_faults(self, name: str, **faults: object) -> None:
+        """Change an upstream's faults."""
+        self.upstream(name, '/control/faults', faults)
+
+    def save_logs(self) -> pathlib.Path:
+        """Copy all logs to a folder that outlives the deployment."""
+        folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
+        for path in self.folder.glob('*.*l*'):
+            shutil.copy(path, folder)
+        return folder
+
     def runs(self) -> dict[str, int]:
         """Return how often each request ran, on all upstreams together."""
-        total: dict[str, int] = {}
-        for name in self.upstreams:
-            found = json.loads(self.upstream(name, '/control/runs').body)
-            for request_id, count in found['runs'].items():
-                total[request_id] = total.get(request_id, 0) + count
-        return total
+        return collections.Counter(run.request_id for run in self.all_runs())
 
     def body_of(self, request_id: str) -> str:
         """Return the body with which a request ran."""
-        for name in self.upstreams:
-            found = json.loads(self.upstream(name, '/control/runs').body)
-            if request_id in found['bodies']:
-                return found['bodies'][request_id]
+        for run in self.all_runs():
+            if run.request_id == request_id:
+                return run.body
         raise AssertionError(f'{request_id} did not run')
 
+    def all_runs(self) -> list[Run]:
+        """Return every run of every upstream, also of those that ended."""
+        return [
+            Run(**json.loads(line))
+            for path in self.folder.glob('runs-*.jsonl')
+            for line in path.read_text(encoding='utf-8').splitlines()
+        ]
+
+    def address_for_callers(self, gateway: int) -> str:
+        """Return where callers reach a gateway."""
+        return self.links.address(
+            links.CALLERS,
+            f'gateway-{gateway}',
+            self._address(gateway, 'front'),
+        )
+
     def call(
         self,
         gateway: int,
@@ -130,7 +178,7 @@
             name.replace('_', '-'): text for name, text in headers.items()
         }
         return _call(
-            self._caller_address(gateway),
+            self.address_for_callers(gateway),
             'POST',
             path,
             {
@@ -154,7 +202,7 @@
             self._wait(lambda at=number: self._serves_turns(at))
 
     def _serves_turns(self, gateway: int) -> bool:
-        name = f'probe-{next(self._probes)}'
+        name = f'{PROBE}{next(self._probes)}'
         return self.call(gateway, '/turns/stream', name).status == 200
 
     def group(self) -> dict[str, typing.Any]:
@@ -170,7 +218,7 @@
 
         Only then may another disk be lost.
         """
-        self._wait(lambda: curio.run(self._are_copies_complete))
+        self._wait(self.are_copies_complete)
 
     async def _are_copies_complete(self) -> bool:
         pool = pools.PeerPool(clocks.SystemClock(), None)
@@ -191,14 +239,28 @@
         """Wait until a condition holds."""
         self._wait(condition)
 
+    def are_copies_complete(self) -> bool:
+        """Whether each member's copy is complete now."""
+        return curio.run(self._are_copies_complete)
+
     def empty_disk(self, keeper: int) -> None:
         """Remove the data of a keeper that does not run."""
         shutil.rmtree(self._data_folder(keeper))
 
+    def tear_log(self, keeper: int, data: bytes) -> None:
+        """Append bytes to the newest log of a keeper that does not run."""
+        segments = sorted(self._data_folder(keeper).glob('records-*.log'))
+        if segments:
+            with segments[-1].open('ab') as file:
+                file.write(data)
+
     def put_configuration(
         self, version: int, routes: list[dict[str, typing.Any]]
-    ) -> None:
-        """Write a configuration as an operator does."""
+    ) -> bool:
+        """Write a configuration as an operator does.
+
+        :returns: whether the store acknowledged it
+        """
         spec = {
             'version': version,
             'routes': routes,
@@ -209,45 +271,68 @@
         }
         body = {'metadata': {'name': 'main'}, 'spec': spec}
         if self.store('GET', '/objects/config/main').status == 200:
-            self.store('PUT', '/objects/config/main', body)
+            reply = self.store('PUT', '/objects/config/main', body)
         else:
-            self.store('POST', '/objects/config', body)
+            reply = self.store('POST', '/objects/config', body)
+        return reply.status == 200
 
     def _register(self) -> None:
         self.put_configuration(1, standard_routes())
-        for name, address in self.upstreams.items():
-            spec = {
-                'service': 'llm',
-                'address': address,
-                'zone': 'zone-1',
-                'slots': 8,
-                'state': 'ready',
-            }
-            body = {'metadata': {'name': name}, 'spec': spec}
-            self.store('POST', '/objects/servers', body)
-
-    def _standin(
-        self, name: str, module: typing.Any, arguments: dict[str, object]
+        for name in self.upstreams:
+            self.store('POST', '/objects/servers', self._entry(name, 'ready'))
+
+    def set_upstream_state(self, name: str, state: str) -> None:
+        """Change what an upstream says of itself in the store."""
+        target = f'/objects/servers/{name}'
+        self.store('PUT', target, self._entry(name, state))
+
+    def _entry(self, name: str, state: str) -> dict[str, typing.Any]:
+        spec = {
+            'service': 'llm',
+            'address': self.links.address(
+                links.GATEWAYS, name, self.upstreams[name]
+            ),
+            'zone': 'zone-1',
+            'slots': 8,
+            'state': state,
+        }
+        return {'metadata': {'name': name}, 'spec': spec}
+
+    def _make_process(
+        self, name: str, module: str, arguments: dict[str, object]
     ) -> processes.Process:
-        return processes.Process(
+        return processes.Process(name, module, arguments, self.folder)
+
+    def _upstream(self, name: str, address: str) -> processes.Process:
+        self.links.place(links.GATEWAYS, name, address)
+        return self._make_process(
             name,
-            module.__name__,
-            {'listen': self.store_address, **arguments},
-            self.folder,
+            signed_upstream.__name__,
+            {
+                'listen': address,
+                'incarnation': name,
+                'journal': self.folder / f'runs-{name}.jsonl',
+            },
         )
 
     def _gateway(self, number: int) -> processes.Process:
+        name = f'gateway-{number}'
+        callers = processes.free_address()
+        self.links.place(links.CALLERS, name, callers)
         listen = {
-            'front': processes.free_address(),
+            'front': callers,
             'ready': processes.free_address(),
             'control': self._peer_addresses[number],
         }
-        return self._process(f'gateway-{number}', 'gateway', listen, None)
+        bind = self._peer_binds[number]
+        return self._process(name, 'gateway', listen, bind, None)
 
     def _keeper(self, number: int) -> processes.Process:
-        return self._process(
-            f'keeper-{number}', 'keeper', {}, self._data_folder(number)
-        )
+        name = f'keeper-{number}'
+        bind = processes.free_address()
+        listen = {'control': self.links.place(links.PEERS, name, bind)}
+        folder = self._data_folder(number)
+        return self._process(name, 'keeper', listen, bind, folder)
 
     def _data_folder(self, number: int) -> pathlib.Path:
         return self.folder / f'data-{number}'
@@ -257,9 +342,11 @@
         name: str,
         role: str,
         listen: dict[str, str],
+        peer_bind: str,
         data_folder: pathlib.Path | None,
     ) -> processes.Process:
-        port = int(processes.free_address().rpartition(':')[2])
+        store = self.links.place(name, links.STORE, self.store_address)
+        port = int(listen['control'].rpartition(':')[2])
         settings = {
             'node_name': name,
             'ip': '127.0.0.1',
@@ -268,8 +355,8 @@
             'port_range': [port, port],
             'seeds': self._peer_addresses,
             'data_dir': data_folder and str(data_folder),
-            'fault_tolerance': {'machines': self._losses},
-            'platform': {'address': self.store_address},
+            'fault_tolerance': {'machines': self.losses},
+            'platform': {'address': store},
         }
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(settings), encoding='utf-8')
@@ -281,6 +368,7 @@
             role,
             {
                 'MAGNOLIAWOOD_CONFIG': str(path),
+                'MAGNOLIAWOOD_PEER_BIND': peer_bind,
                 'MAGNOLIAWOOD_METRICS_PORT': processes.free_address().split(
                     ':'
                 )[1],
@@ -292,9 +380,6 @@
         settings = json.loads(path.read_text(encoding='utf-8'))
         return settings['listen'][purpose]
 
-    def _caller_address(self, gateway: int) -> str:
-        return self._address(gateway, 'front')
-
     @staticmethod
     def _wait(condition: typing.Callable[[], object]) -> None:
         limit = time.monotonic() + _WAIT_SECONDS
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/link.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/link.py
@@ -9,6 +9,9 @@
 
 CALLERS = 'callers'
 ENTRIES = 'entries'
+GATEWAYS = 'gateways'
+PEERS = 'peers'
+STORE = 'store'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,31 +46,38 @@
 class Links:
     """The proxies of a deployment.
 
-    :param wanted: pairs of client and server with a proxy between them
     :param make: makes the process of a stand-in from its name, module and
         arguments
+    :param wanted: pairs of client and server with a proxy between them
+    :param every: whether each link gets a proxy
     """
 
     def __init__(
         self,
-        wanted: tuple[tuple[str, str], ...],
         make: collections.abc.Callable[..., processes.Process],
+        wanted: tuple[tuple[str, str], ...] = (),
+        every: bool = False,
     ) -> None:
-        self._wanted = {LinkName(*pair) for pair in wanted}
         self._make = make
+        self._wanted = {LinkName(*pair) for pair in wanted}
+        self._every = every
         self._links: dict[LinkName, Link] = {}
 
     def all(self) -> list[Link]:
         """Return the links that were placed."""
         return list(self._links.values())
 
+    def names(self) -> list[LinkName]:
+        """Return the names of the links that were placed."""
+        return list(self._links)
+
     def place(self, client: str, server: str, target: str) -> str:
         """Put a proxy on a wanted link.
 
         :returns: where the client connects
         """
         name = LinkName(client, server)
-        if name not in self._wanted:
+        if not self._every and name not in self._wanted:
             return target
         link = Link(
             self._make(
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/process.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/process.py
@@ -88,6 +88,11 @@
         """Whether the process was started and has not ended."""
         return self._popen is not None and self._popen.poll() is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, or the negative signal; nothing while it runs."""
+        return None if self._popen is None else self._popen.poll()
+
     @property
     def log_path(self) -> pathlib.Path:
         """File with everything the process printed."""
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/__main__.py
@@ -0,0 +1,45 @@
+"""Runs seeds of the soak and prints what they showed."""
+
+import argparse
+import random
+import sys
+
+from magnoliawood_testing.soak import experiment as experiments
+
+
+def main() -> None:
+    """Run the seeds; exit with 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, nargs='+', default=[])
+    parser.add_argument('--fresh', type=int, default=0, help='new seeds')
+    parser.add_argument('--faults', type=int, default=12)
+    parser.add_argument('--losses', type=int, default=1)
+    options = parser.parse_args()
+    drawn = random.SystemRandom()
+    fresh = [drawn.randrange(10**6) for _ in range(options.fresh)]
+    size = experiments.Size(
+        keepers=2 * options.losses + 2, losses=options.losses
+    )
+    broken = False
+    for seed in (*options.seeds, *fresh):
+        report = experiments.Experiment(seed, options.faults, size).run()
+        print_report(report)
+        broken |= bool(report.problems)
+    sys.exit(int(broken))
+
+
+def print_report(report: experiments.Report) -> None:
+    """Print one seed."""
+    kinds = ', '.join(
+        f'{fault.at_seconds:.1f}s {fault.kind}' for fault in report.faults
+    )
+    print(f'seed {report.seed}: {kinds}')
+    print(f'  {report.outcomes.total()} requests, {dict(report.outcomes)}')
+    for problem in report.problems:
+        print(f'  BROKEN {problem}')
+    if report.logs:
+        print(f'  logs in {report.logs}', flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
@@ -0,0 +1,150 @@
+"""One seeded run of callers, faults and checks."""
+
+import collections
+import dataclasses
+import pathlib
+import threading
+import time
+
+from magnoliawood_testing.chaos import schedule as schedules
+from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.soak import injector as injectors
+from magnoliawood_testing.soak import promises
+from magnoliawood_testing.soak import traffic
+
+BUDGET_TOKENS = 5 * promises.TURN_TOKENS
+# Time after the last fault within which everything works again.
+_RECOVERY_SECONDS = 20.0
+_RETRY_SECONDS = 0.1
+# Upstreams' counts are read this often while faults come and go.
+_CHECK_SECONDS = 1.0
+# Lines of turns that are continued after the faults, for each caller.
+_LINES_CONTINUED = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """Processes of a run, besides the store and the proxies."""
+
+    gateways: int = 3
+    keepers: int = 4
+    upstreams: int = 3
+    callers: int = 8
+    losses: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What one seed showed.
+
+    :param outcomes: how often each status was seen; ``None`` if cut
+    :param logs: folder with the logs, if a promise was broken
+    """
+
+    seed: int
+    faults: list[schedules.Fault]
+    outcomes: collections.Counter[int | None]
+    problems: list[str]
+    logs: pathlib.Path | None
+
+
+class Experiment:
+    """Callers, faults and checks on one deployment."""
+
+    def __init__(self, seed: int, fault_count: int, size: Size) -> None:
+        self._seed = seed
+        self._size = size
+        self._faults = schedules.make_schedule(
+            seed, fault_count, tuple(injectors.FaultKind)
+        )
+        self._checker = promises.PromiseChecker(BUDGET_TOKENS)
+        self._stop = threading.Event()
+
+    def run(self) -> Report:
+        """Run to the end and return what it showed."""
+        size = self._size
+        deployment = hosted.HostedDeployment(
+            size.keepers, size.gateways, size.losses, size.upstreams, True
+        )
+        with deployment:
+            self._run(deployment)
+            logs = None
+            if self._checker.problems:
+                logs = deployment.save_logs()
+        outcomes = collections.Counter(
+            outcome.status for outcome in self._checker.outcomes
+        )
+        return Report(
+            self._seed, self._faults, outcomes, self._checker.problems, logs
+        )
+
+    def _run(self, deployment: hosted.HostedDeployment) -> None:
+        callers = [
+            traffic.Caller(
+                number, self._seed, deployment, self._checker, BUDGET_TOKENS
+            )
+            for number in range(self._size.callers)
+        ]
+        threads = [
+            threading.Thread(target=caller.run, args=(self._stop,))
+            for caller in callers
+        ]
+        threads.append(
+            threading.Thread(target=self._check_often, args=(deployment,))
+        )
+        for thread in threads:
+            thread.start()
+        injector = injectors.Injector(deployment, self._checker)
+        injector.run(self._faults)
+        self._stop.set()
+        for thread in threads:
+            thread.join()
+        self._check_recovery(deployment, callers, injector)
+        self._checker.check_runs(deployment.all_runs())
+
+    def _check_often(self, deployment: hosted.HostedDeployment) -> None:
+        while not self._stop.wait(_CHECK_SECONDS):
+            known = len(self._checker.problems)
+            self._checker.check_runs(deployment.all_runs())
+            if len(self._checker.problems) > known:
+                return
+
+    def _check_recovery(
+        self,
+        deployment: hosted.HostedDeployment,
+        callers: list[traffic.Caller],
+        injector: injectors.Injector,
+    ) -> None:
+        try:
+            deployment.wait_until_ready()
+            deployment.wait_for_copies()
+        except AssertionError:
+            self._checker.note_problem('not ready after the faults')
+            return
+        for caller in callers:
+            for line in caller.lines[-_LINES_CONTINUED:]:
+                if not _retry(lambda c=caller, at=line: c.continue_line(at)):
+                    self._checker.note_problem(f'{line} is not continued')
+        for number in range(len(deployment.gateways)):
+            self._check_configuration(callers[0], number, injector)
+
+    def _check_configuration(
+        self,
+        caller: traffic.Caller,
+        gateway: int,
+        injector: injectors.Injector,
+    ) -> None:
+        if injector.version == 1:
+            return
+        path = injector.added_path()
+        if not _retry(lambda: caller.call(gateway, path).is_success):
+            self._checker.note_problem(f'gateway {gateway} has no {path}')
+
+
+def _retry(succeeds) -> bool:
+    limit = time.monotonic() + _RECOVERY_SECONDS
+    while not succeeds():
+        if time.monotonic() > limit:
+            return False
+        time.sleep(_RETRY_SECONDS)
+    return True
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
@@ -0,0 +1,265 @@
+"""Breaks and mends processes, links, the store and upstreams."""
+
+import enum
+import signal
+import threading
+import time
+
+from magnoliawood_server.runtime import stop as stops
+from magnoliawood_testing.chaos import schedule as schedules
+from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.cluster import process as processes
+from magnoliawood_testing.soak import promises
+
+_SLOW_STORE_SECONDS = 0.3
+_SLOW_LINK_SECONDS = 0.15
+# Half of a record's frame, as a loss of power within a write leaves it.
+_TORN_FRAME = b'\x00\x00\x01\x00torn'
+
+
+class FaultKind(enum.StrEnum):
+    """Kinds of faults."""
+
+    GATEWAY_KILLED = 'gateway_killed'
+    GATEWAY_PAUSED = 'gateway_paused'
+    GATEWAY_RESTARTED = 'gateway_restarted'
+    GATEWAY_RELOADED = 'gateway_reloaded'
+    KEEPER_KILLED = 'keeper_killed'
+    KEEPER_PAUSED = 'keeper_paused'
+    KEEPER_LOG_TORN = 'keeper_log_torn'
+    KEEPER_EMPTIED = 'keeper_emptied'
+    ALL_KILLED = 'all_killed'
+    STORE_DOWN = 'store_down'
+    STORE_SLOW = 'store_slow'
+    STORE_LOSES_ANSWERS = 'store_loses_answers'
+    STORE_FORGETS = 'store_forgets'
+    UPSTREAM_KILLED = 'upstream_killed'
+    UPSTREAM_PAUSED = 'upstream_paused'
+    UPSTREAM_REFUSES = 'upstream_refuses'
+    UPSTREAM_LOSES_ANSWERS = 'upstream_loses_answers'
+    UPSTREAM_CUTS = 'upstream_cuts'
+    UPSTREAM_LEAVES = 'upstream_leaves'
+    LINK_CUT = 'link_cut'
+    LINK_REFUSES = 'link_refuses'
+    LINK_SLOW = 'link_slow'
+    LINK_SILENT = 'link_silent'
+    LINK_ONE_WAY = 'link_one_way'
+    CONFIGURATION_CHANGED = 'configuration_changed'
+
+
+class Injector:
+    """Applies the faults of a schedule, each on a thread of its own.
+
+    :param checker: told of processes that ended by themselves
+    """
+
+    def __init__(
+        self,
+        deployment: hosted.HostedDeployment,
+        checker: promises.PromiseChecker,
+    ) -> None:
+        self._deployment = deployment
+        self._checker = checker
+        self._process_lock = threading.Lock()
+        self._disk_lock = threading.Lock()
+        self._configuration_lock = threading.Lock()
+        self.version = 1
+
+    def run(self, faults: list[schedules.Fault]) -> None:
+        """Apply all faults and return once all are undone."""
+        threads = [
+            threading.Thread(target=self._apply, args=(fault,))
+            for fault in faults
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def added_path(self) -> str:
+        """Return a path that only the newest configuration knows."""
+        return f'/added-{self.version}/page'
+
+    def _apply(self, fault: schedules.Fault) -> None:
+        time.sleep(fault.at_seconds)
+        area, _, _ = fault.kind.partition('_')
+        match area:
+            case 'gateway':
+                self._break_process(fault, self._deployment.gateways)
+            case 'keeper':
+                self._break_keeper(fault)
+            case 'all':
+                self._kill_all(fault)
+            case 'store':
+                self._break_store(fault)
+            case 'upstream':
+                self._break_upstream(fault)
+            case 'link':
+                self._break_link(fault)
+            case 'configuration':
+                self._change_configuration()
+
+    def _break_process(
+        self, fault: schedules.Fault, candidates: list[processes.Process]
+    ) -> None:
+        process = _pick(fault, candidates)
+        match fault.kind.partition('_')[2]:
+            case 'killed':
+                self._kill(process)
+                time.sleep(fault.lasts_seconds)
+                self._start(process)
+            case 'paused':
+                process.send_signal(signal.SIGSTOP)
+                time.sleep(fault.lasts_seconds)
+                process.send_signal(signal.SIGCONT)
+            case 'restarted':
+                self._restart(process)
+            case 'reloaded':
+                process.send_signal(signal.SIGHUP)
+
+    def _break_keeper(self, fault: schedules.Fault) -> None:
+        keepers = self._deployment.keepers
+        if fault.kind is FaultKind.KEEPER_EMPTIED:
+            self._empty_disk(fault)
+        elif fault.kind is FaultKind.KEEPER_LOG_TORN:
+            number = _pick(fault, range(len(keepers)))
+            with self._process_lock:
+                keepers[number].kill()
+                self._deployment.tear_log(number, _TORN_FRAME)
+                keepers[number].start()
+        else:
+            self._break_process(fault, keepers)
+
+    def _empty_disk(self, fault: schedules.Fault) -> None:
+        """Lose a disk, unless the copies don't bear it yet."""
+        with self._disk_lock:
+            if not self._deployment.are_copies_complete():
+                return
+            number = _pick(fault, range(len(self._deployment.keepers)))
+            keeper = self._deployment.keepers[number]
+            with self._process_lock:
+                keeper.kill()
+                self._deployment.empty_disk(number)
+                keeper.start()
+
+    def _kill_all(self, fault: schedules.Fault) -> None:
+        deployment = self._deployment
+        everything = (*deployment.keepers, *deployment.gateways)
+        for process in everything:
+            self._kill(process)
+        time.sleep(fault.lasts_seconds / 2)
+        for process in everything:
+            self._start(process)
+
+    def _break_store(self, fault: schedules.Fault) -> None:
+        kinds = FaultKind
+        deployment = self._deployment
+        match fault.kind:
+            case kinds.STORE_FORGETS:
+                deployment.store('POST', '/control/compact', {})
+            case kinds.STORE_LOSES_ANSWERS:
+                deployment.set_store_faults(lost_writes=2)
+            case kinds.STORE_DOWN:
+                deployment.set_store_faults(outage=True)
+                time.sleep(fault.lasts_seconds)
+                deployment.set_store_faults(outage=False)
+            case kinds.STORE_SLOW:
+                deployment.set_store_faults(delay_seconds=_SLOW_STORE_SECONDS)
+                time.sleep(fault.lasts_seconds)
+                deployment.set_store_faults(delay_seconds=0.0)
+
+    def _break_upstream(self, fault: schedules.Fault) -> None:
+        kinds = FaultKind
+        deployment = self._deployment
+        name = _pick(fault, list(deployment.upstreams))
+        process = deployment.upstream_processes[name]
+        match fault.kind:
+            case kinds.UPSTREAM_KILLED | kinds.UPSTREAM_PAUSED:
+                self._break_process(fault, [process])
+            case kinds.UPSTREAM_REFUSES:
+                deployment.set_upstream_faults(name, refusals=10)
+            case kinds.UPSTREAM_LOSES_ANSWERS:
+                deployment.set_upstream_faults(name, lost_answers=3)
+            case kinds.UPSTREAM_CUTS:
+                deployment.set_upstream_faults(name, cut_after=2)
+                time.sleep(fault.lasts_seconds)
+                deployment.set_upstream_faults(name, cut_after=-1)
+            case kinds.UPSTREAM_LEAVES:
+                deployment.set_upstream_state(name, 'draining')
+                time.sleep(fault.lasts_seconds)
+                deployment.set_upstream_state(name, 'ready')
+
+    def _break_link(self, fault: schedules.Fault) -> None:
+        kinds = FaultKind
+        links = self._deployment.links
+        name = _pick(fault, links.names())
+
+        def command(action: str, **fields: object) -> None:
+            links.command(name.client, name.server, action, **fields)
+
+        match fault.kind:
+            case kinds.LINK_CUT:
+                command('cut')
+            case kinds.LINK_REFUSES:
+                command('faults', refuse=True)
+                command('cut')
+                time.sleep(fault.lasts_seconds)
+                command('faults', refuse=False)
+            case kinds.LINK_SLOW:
+                command('faults', delay_seconds=_SLOW_LINK_SECONDS)
+                time.sleep(fault.lasts_seconds)
+                command('faults', delay_seconds=0.0)
+            case kinds.LINK_SILENT | kinds.LINK_ONE_WAY:
+                direction = _direction(fault)
+                command('faults', frozen=direction)
+                command('freeze', direction=direction)
+                time.sleep(fault.lasts_seconds)
+                command('faults', frozen='none')
+                command('freeze', direction='none')
+
+    def _change_configuration(self) -> None:
+        with self._configuration_lock:
+            version = self.version + 1
+            routes = hosted.standard_routes()
+            added = {
+                **routes[0],
+                'name': f'added-{version}',
+                'path_prefix': f'/added-{version}/',
+            }
+            if self._deployment.put_configuration(version, [*routes, added]):
+                self.version = version
+
+    def _kill(self, process: processes.Process) -> None:
+        with self._process_lock:
+            self._expect_running(process)
+            process.kill()
+
+    def _start(self, process: processes.Process) -> None:
+        with self._process_lock:
+            if not process.is_running:
+                process.start()
+
+    def _restart(self, process: processes.Process) -> None:
+        with self._process_lock:
+            self._expect_running(process)
+            process.send_signal(signal.SIGCONT)
+            code = process.stop()
+            if code not in list(stops.ExitCode):
+                self._checker.note_problem(f'{process.name} ended with {code}')
+            process.start()
+
+    def _expect_running(self, process: processes.Process) -> None:
+        # One that the injector killed already is waiting for its start.
+        code = process.exit_code
+        if code is not None and code != -signal.SIGKILL:
+            self._checker.note_problem(f'{process.name} ended with {code}')
+
+
+def _pick(fault, candidates):
+    return candidates[int(fault.target * len(candidates))]
+
+
+def _direction(fault: schedules.Fault) -> str:
+    if fault.kind is FaultKind.LINK_SILENT:
+        return 'both'
+    return 'to_server' if fault.lasts_seconds > 2 else 'to_client'
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/tests/test_promises.py
@@ -0,0 +1,112 @@
+"""The checker finds each kind of broken promise."""
+
+import pytest
+
+from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.soak import attempt as attempts
+from magnoliawood_testing.soak import promises
+
+EVENTS = b''.join(
+    f'id: {number}\ndata: word{number}\n\n'.encode() for number in range(1, 6)
+)
+SAID = ''.join(f'word{number}\n' for number in range(1, 6))
+
+
+def _success(request_id, body=b'done', is_complete=True):
+    headers = {'request-id': request_id, 'server-stamp': f'i-1.{request_id}'}
+    return attempts.Outcome(200, headers, body, is_complete)
+
+
+def _checker(*sent, budget=1000):
+    checker = promises.PromiseChecker(budget)
+    for attempt in sent:
+        checker.note_sent(attempt)
+    return checker
+
+
+def _turn(name, previous='', body='a|'):
+    kind = attempts.Kind.TURN
+    return attempts.Attempt(name, kind, body, 'p', previous)
+
+
+BOOKING = attempts.Attempt('b', attempts.Kind.BOOKING, 'x')
+PAGE = attempts.Attempt('s', attempts.Kind.PAGE, '')
+
+
+def test_kept_promises_give_no_problem():
+    second = _turn('t2', 't1', 'b|')
+    checker = _checker(BOOKING, _turn('t1'), second)
+    checker.note_outcome(BOOKING, _success('b'))
+    checker.note_outcome(_turn('t1'), _success('t1', EVENTS))
+    checker.note_outcome(second, _success('t2', EVENTS))
+    checker.check_runs(
+        [
+            hosted.Run('b', 'x'),
+            hosted.Run('t1', 'a|'),
+            hosted.Run('t2', f'a|{SAID}b|'),
+        ]
+    )
+    assert checker.problems == []
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'problem'),
+    [
+        (_success('other'), 'answer of other'),
+        (attempts.Outcome(200, {}, b'done', True), 'signed'),
+        (_success('s', b'don'), 'answered'),
+    ],
+)
+def test_mixed_answer_is_found(outcome, problem):
+    checker = _checker(PAGE)
+    checker.note_outcome(PAGE, outcome)
+    assert problem in ' '.join(checker.problems)
+
+
+def test_cut_stream_that_looks_complete_is_found():
+    stream = attempts.Attempt('s', attempts.Kind.STREAM, '')
+    checker = _checker(stream)
+    checker.note_outcome(stream, _success('s', EVENTS[:20]))
+    assert checker.problems
+
+
+@pytest.mark.parametrize(
+    'runs',
+    [
+        [hosted.Run('b', 'x')] * 2,
+        [hosted.Run('b', 'y')],
+        [hosted.Run('never', 'x')],
+    ],
+)
+def test_wrong_runs_are_found(runs):
+    checker = _checker(BOOKING)
+    checker.check_runs(runs)
+    assert checker.problems
+
+
+def test_request_that_ran_in_spite_of_its_refusal_is_found():
+    checker = _checker(BOOKING)
+    checker.note_outcome(BOOKING, attempts.Outcome(503))
+    checker.check_runs([hosted.Run('b', 'x')])
+    assert 'in spite of 503' in checker.problems[0]
+
+
+def test_lost_history_is_found():
+    second = _turn('t2', 't1', 'b|')
+    checker = _checker(_turn('t1'), second)
+    checker.note_outcome(_turn('t1'), _success('t1', EVENTS))
+    checker.check_runs([hosted.Run('t2', 'b|')])
+    assert checker.problems
+    checker.problems.clear()
+    checker.note_outcome(second, attempts.Outcome(404))
+    assert 'no turn t1' in checker.problems[0]
+
+
+def test_exceeded_budget_is_found():
+    checker = _checker(_turn('t1'), _turn('t2'), budget=80)
+    checker.note_outcome(_turn('t1'), _success('t1', EVENTS))
+    assert not checker.problems
+    # Events of a stream that was cut count as well.
+    checker.note_outcome(_turn('t2'), _success('t2', EVENTS, False))
+    checker.note_outcome(_turn('t3'), _success('t3', EVENTS, False))
+    assert 'tokens handed out' in checker.problems[0]
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/metadata_store.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/metadata_store.py
@@ -18,10 +18,12 @@
 
     :param outage: whether every call hangs up
     :param lost_writes: writes to do without an answer
+    :param delay_seconds: added to every call
     """
 
     outage: bool = False
     lost_writes: int = 0
+    delay_seconds: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +78,8 @@
             self._events.clear()
             self._oldest = self._revision
             return http_message.Response.from_json({})
+        if self.faults.delay_seconds:
+            await curio.sleep(self.faults.delay_seconds)
         if self.faults.outage:
             raise ConnectionResetError('outage')
         folder, kind, *rest = request.segments
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/proxy.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/proxy.py
@@ -22,11 +22,14 @@
     :param refuse: whether new connections are closed at once
     :param drop_replies: parts towards the client to drop, after which
         their connection is cut
+    :param frozen: direction in which new connections are silent from
+        their start
     """
 
     delay_seconds: float = 0.0
     refuse: bool = False
     drop_replies: int = 0
+    frozen: Direction = 'none'
 
 
 class _Link:
@@ -71,6 +74,7 @@
         server = await curio.open_connection(self._host, self._port)
         async with server:
             link = _Link(client, server)
+            link.frozen = self.faults.frozen
             self._links.add(link)
             try:
                 async with curio.TaskGroup(wait=any) as group:
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -5,8 +5,9 @@
 """
 
 import argparse
-import collections
 import collections.abc
+import json
+import pathlib
 
 import curio
 
@@ -35,26 +36,24 @@
 
 
 class SignedUpstream:
-    """Runs what is meant for its incarnation."""
+    """Runs what is meant for its incarnation.
 
-    def __init__(self, incarnation: str) -> None:
+    :param journal: file to which each run is appended, so that the count
+        outlives the process
+    """
+
+    def __init__(self, incarnation: str, journal: pathlib.Path) -> None:
         self._incarnation = incarnation
-        self._bodies: dict[str, str] = {}
-        self._runs: collections.Counter[str] = collections.Counter()
+        self._journal = journal
         self.faults = SignedUpstreamFaults()
 
     async def handle(
         self, request: http_message.Request
     ) -> http_message.Response:
         """Serve one request."""
-        match request.path:
-            case '/control/faults':
-                self.faults = control.updated(self.faults, request)
-                return http_message.Response.from_json({})
-            case '/control/runs':
-                return http_message.Response.from_json(
-                    {'runs': dict(self._runs), 'bodies': self._bodies}
-                )
+        if request.path == '/control/faults':
+            self.faults = control.updated(self.faults, request)
+            return http_message.Response.from_json({})
         echo = {'request-id': request.header('request-id')}
         if request.header('expect-instance') != self._incarnation:
             return http_message.Response(421, echo)
@@ -67,8 +66,7 @@
         self, request: http_message.Request, echo: dict[str, str]
     ) -> http_message.Response:
         request_id = echo['request-id']
-        self._runs[request_id] += 1
-        self._bodies[request_id] = request.body.decode('latin-1')
+        self._note_run(request)
         signed = {**echo, 'server-stamp': f'{self._incarnation}.{request_id}'}
         if self.faults.lost_answers:
             self.faults.lost_answers -= 1
@@ -84,6 +82,14 @@
             parts=self._events(first),
         )
 
+    def _note_run(self, request: http_message.Request) -> None:
+        entry = {
+            'request_id': request.header('request-id'),
+            'body': request.body.decode('latin-1'),
+        }
+        with self._journal.open('a', encoding='utf-8') as file:
+            file.write(json.dumps(entry) + '\n')
+
     def _is_poison(self, request: http_message.Request) -> bool:
         return request.body.decode('latin-1') == self.faults.poison
 
@@ -102,8 +108,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--listen', required=True)
     parser.add_argument('--incarnation', required=True)
+    parser.add_argument('--journal', type=pathlib.Path, required=True)
     options = parser.parse_args()
-    control.serve(options.listen, SignedUpstream(options.incarnation).handle)
+    upstream = SignedUpstream(options.incarnation, options.journal)
+    control.serve(options.listen, upstream.handle)
 
 
 if __name__ == '__main__':
