Let the soak's callers reuse connections, and send without delay

Cause: seen in a run without faults: 166 of 663 requests got no answer, all of them because the test client had not closed the response before (a fault of the client, not of the system); proxies held small packets back.

--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/traffic.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/traffic.py
@@ -188,6 +188,8 @@
             body += part
     except (OSError, http.client.HTTPException):
         is_complete = False
+    # Without this the connection takes no further request.
+    response.close()
     length = headers.get('content-length')
     if length is not None and len(body) != int(length):
         is_complete = False
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/proxy.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/proxy.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from magnoliawood_server.http import connection as connections
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.runtime import listener
 from magnoliawood_testing.standins import control
@@ -73,6 +74,8 @@
             return
         server = await curio.open_connection(self._host, self._port)
         async with server:
+            for sock in (client, server):
+                connections.set_options(sock._socket)
             link = _Link(client, server)
             link.frozen = self.faults.frozen
             self._links.add(link)
