Send a whole response in one write

Each call but the first on a kept connection took 48 ms, since the HTTP server sent head and body in two packets and waited for the acknowledgement of the first. Change: one write for a whole response, and no waiting for small packets. Shown: test_whole_response_is_one_write failed before (2 sends).

--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -65,10 +65,12 @@
                 )
             self._h11.receive_data(await self._receive())
 
-    async def send(self, event: h11.Event) -> None:
+    async def send(self, *events: h11.Event) -> None:
+        """Send events in one write: a peer may wait for each packet."""
         async with self.write_lock:
             self.writes += 1
-            data = memoryview(self._h11.send(event) or b'')
+            parts = [self._h11.send(event) or b'' for event in events]
+            data = memoryview(b''.join(parts))
             while data:
                 data = data[await self._send_some(data) :]
 
@@ -238,10 +240,10 @@
         'content-length': str(len(response.body)),
     }
     await connection.send(
-        h11.Response(status_code=response.status, headers=[*headers.items()])
+        h11.Response(status_code=response.status, headers=[*headers.items()]),
+        h11.Data(data=response.body),
+        h11.EndOfMessage(),
     )
-    await connection.send(h11.Data(data=response.body))
-    await connection.send(h11.EndOfMessage())
 
 
 async def _write_parts(
--- a/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
@@ -163,3 +163,35 @@
     assert start == b'5\r\n'
     assert rest.startswith(b'2\r\n:\n\r\n')
     assert rest.endswith(b'4\r\nlast\r\n0\r\n\r\n')
+
+
+class _CountingSocket:
+    """A socket that counts what it is asked to send."""
+
+    def __init__(self, sock):
+        self._sock = sock
+        self._socket = self
+        self.sends = 0
+
+    def send(self, data):
+        self.sends += 1
+        return self._sock._socket.send(data)
+
+    async def recv(self, size):
+        return await self._sock.recv(size)
+
+
+def test_whole_response_is_one_write():
+    """A second small packet waits for the first to be acknowledged."""
+
+    async def main():
+        client, peer = socket.socketpair()
+        counting = _CountingSocket(peer)
+        await client.sendall(REQUEST)
+        await client.shutdown(socket.SHUT_WR)
+        await server.serve_connection(counting, handler, server.Activity())
+        await peer.close()
+        await client.close()
+        return counting.sends
+
+    assert curio.run(main) == 1
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/listener.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/listener.py
@@ -9,6 +9,7 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
+from magnoliawood_server.http import connection as http_connections
 from magnoliawood_server.http import server as http_server
 from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import handshake as handshakes
@@ -81,6 +82,7 @@
     counted = activity or http_server.Activity()
 
     async def serve(sock: curio.io.Socket) -> None:
+        http_connections.set_options(sock._socket)
         await http_server.serve_connection(sock, handler, counted)
 
     return Listener(address, serve)
