Send fewer messages for each turn and each report

A profile is flat, so the number of messages counts: with five copies a turn asked 20 times, and each report named all peers. Change: reads of charges and chains and settlements ask no more copies than needed, others after 30 ms or an error; a kept turn is not settled twice; reports name peers only when they changed and come less often where there are many (19 peers: 190 ms). Charges and turns still go to all copies at once. Ruled out: heartbeats only on quiet connections (idle cost 0.046 before and after, reverted); one phase for charge and read (three attempts may each miss one another).

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -19,6 +19,10 @@
 from magnoliawood_server.peer import pool as pools
 
 REPORT_INTERVAL = datetime.timedelta(milliseconds=100)
+# Reports are made less often where there are many peers: this much later
+# for each, so that their number a second is bounded, up to the limit.
+INTERVAL_PER_PEER = datetime.timedelta(milliseconds=10)
+INTERVAL_LIMIT = datetime.timedelta(seconds=1)
 ASK_TIMEOUT = datetime.timedelta(milliseconds=700)
 # What peers say of the store counts for this long.
 STORE_REPORT_LIMIT = datetime.timedelta(milliseconds=500)
@@ -40,6 +44,21 @@
         self.is_silent = False
         self.has_answered = False
         self.notes_told = 0
+        self.peers_told = 0
+
+
+def report_interval(peers: int) -> datetime.timedelta:
+    """Return the time between two reports to one peer.
+
+    Examples
+    ========
+
+    >>> report_interval(4).total_seconds()
+    0.1
+    >>> report_interval(19).total_seconds()
+    0.19
+    """
+    return min(max(REPORT_INTERVAL, INTERVAL_PER_PEER * peers), INTERVAL_LIMIT)
 
 
 class Gossip:
@@ -72,6 +91,8 @@
         self._pool = pool
         self._clock = clock
         self._peers: dict[str, _Peer] = {}
+        # Changes with the set of peers.
+        self._peers_version = 1
         self._seeds = seeds
         self._store_reached: datetime.timedelta | None = None
         self.add_peers(seeds)
@@ -81,6 +102,7 @@
         for address in addresses:
             if address != self._address and address not in self._peers:
                 self._peers[address] = _Peer(self._clock.monotonic())
+                self._peers_version += 1
 
     def live_peers(self) -> list[str]:
         """Return the addresses of gateways that answered lately."""
@@ -107,6 +129,7 @@
             for address, peer in list(self._peers.items()):
                 if now - peer.last_answer > FORGET_AFTER:
                     del self._peers[address]
+                    self._peers_version += 1
                 elif not peer.is_busy and peer.next_report <= now:
                     peer.is_busy = True
                     await curio.spawn(self._report, address, peer, daemon=True)
@@ -155,15 +178,19 @@
             report.version < self._beliefs.version
             or report.revision < self._beliefs.directory.revision
         )
-        return messages.ReportTaken(list(self._peers), is_behind)
+        # Who tells its peers is new, or knows one that is.
+        known = list(self._peers) if report.peers else []
+        return messages.ReportTaken(known, is_behind)
 
     async def _report(self, address: str, peer: _Peer) -> None:
         try:
             news = self._selector.notes_after(peer.notes_told)
-            reply = await self._pool.ask(
-                address, self._make_report(news.notes), ASK_TIMEOUT
-            )
+            version = self._peers_version
+            has_new_peers = version != peer.peers_told
+            report = self._make_report(news.notes, has_new_peers)
+            reply = await self._pool.ask(address, report, ASK_TIMEOUT)
             peer.notes_told = news.count
+            peer.peers_told = version
         except errors.MagnoliawoodError as error:
             self._note_silent(address, peer, str(error))
         else:
@@ -177,7 +204,7 @@
         now = self._clock.monotonic()
         peer.last_answer = now
         peer.has_answered = True
-        peer.next_report = now + REPORT_INTERVAL
+        peer.next_report = now + report_interval(len(self._peers))
         if peer.is_silent:
             peer.is_silent = False
             _log.info('peer regained', extra={'peer': address})
@@ -217,12 +244,12 @@
         self._records.note_group(reply.group)
 
     def _make_report(
-        self, prompts: list[selection.PromptNote]
+        self, prompts: list[selection.PromptNote], has_new_peers: bool
     ) -> messages.GatewayReport:
         return messages.GatewayReport(
             self._host,
             self._address,
-            list(self._peers),
+            list(self._peers) if has_new_peers else [],
             self._board.own(),
             self._beliefs.version,
             self._beliefs.directory.revision,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
@@ -14,7 +14,8 @@
     """What a gateway tells the others several times a second.
 
     :param address: its address for peers
-    :param peers: addresses of the gateways that it knows
+    :param peers: addresses of the gateways that it knows; empty unless they
+        have changed since its last report
     :param requests: its requests under way by upstream
     :param version: version of its configuration
     :param revision: revision that its upstreams are as of
@@ -38,6 +39,7 @@
 class ReportTaken:
     """Answers a report.
 
+    :param peers: known gateways, if the report named any
     :param is_behind: whether the receiver knows newer things
     """
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quorum_calls.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quorum_calls.py
@@ -1,4 +1,4 @@
-"""Sends one question to several peers and takes the first good answers."""
+"""Sends one question to several peers until enough have answered."""
 
 import collections.abc
 import dataclasses
@@ -47,13 +47,27 @@
         ...
 
 
-async def ask_all(
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answers:
+    """What came of several questions.
+
+    :param found: the answers so far, errors included
+    :param slow: peers that had not answered when further ones were asked
+    """
+
+    found: list[Answer]
+    slow: list[str]
+
+
+async def ask_until(
     asker: Asker,
     questions: collections.abc.Sequence[Question],
     timeout: datetime.timedelta,
     is_enough: collections.abc.Callable[[list[Answer]], bool],
-) -> list[Answer]:
-    """Ask all at once and return when enough have answered.
+    first: int | None = None,
+    patience: datetime.timedelta = datetime.timedelta(),
+) -> Answers:
+    """Ask peers and return when enough have answered.
 
     Explanation
     ===========
@@ -61,15 +75,46 @@
     The other questions go on, so that a slow copy still gets its record;
     breaking off a write would cost its connection.
 
-    :returns: the answers so far, errors included
+    :param first: how many to ask at once; one more for each error, and the
+        others when the patience ends; all if ``None``
     """
     arrived: curio.Queue = curio.Queue()
-    for question in questions:
-        await curio.spawn(_ask, asker, question, timeout, arrived, daemon=True)
-    answers: list[Answer] = []
-    while len(answers) < len(questions) and not is_enough(answers):
-        answers.append(await arrived.get())
-    return answers
+    waiting = list(questions)
+    pending: set[str] = set()
+    found: list[Answer] = []
+    slow: list[str] = []
+
+    async def ask_next(count: int) -> None:
+        for question in waiting[:count]:
+            pending.add(question.peer)
+            await curio.spawn(
+                _ask, asker, question, timeout, arrived, daemon=True
+            )
+        del waiting[:count]
+
+    await ask_next(len(waiting) if first is None else first)
+    while len(found) < len(questions) and not is_enough(found):
+        answer = await _next_answer(arrived, patience if waiting else None)
+        if answer is None:
+            slow = sorted(pending)
+            await ask_next(len(waiting))
+            continue
+        found.append(answer)
+        pending.discard(answer.peer)
+        if answer.error is not None:
+            await ask_next(1)
+    return Answers(found, slow)
+
+
+async def _next_answer(
+    arrived: curio.Queue, patience: datetime.timedelta | None
+) -> Answer | None:
+    """Return the next answer, or nothing if the patience ends before."""
+    if patience is None:
+        return await arrived.get()
+    async with curio.ignore_after(patience.total_seconds()):
+        return await arrived.get()
+    return None
 
 
 async def _ask(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -11,6 +11,7 @@
 from magnoliawood.core import errors
 from magnoliawood.limits import circuit
 from magnoliawood.replication import group as groups
+from magnoliawood.replication import preference
 from magnoliawood.replication import quorum
 from magnoliawood.turns import records
 from magnoliawood_server.gateway import quorum_calls
@@ -20,6 +21,8 @@
 
 ASK_TIMEOUT = datetime.timedelta(milliseconds=900)
 RETRY_AFTER = datetime.timedelta(milliseconds=300)
+# Without an answer for this long, the other copies are asked as well.
+PATIENCE = datetime.timedelta(milliseconds=30)
 # The group is read again at most so often.
 REFRESH_INTERVAL = datetime.timedelta(milliseconds=400)
 # Failed quorums are logged at most so often, with their number.
@@ -54,6 +57,7 @@
         self._refresh_lock = curio.Lock()
         self._refreshed: datetime.timedelta | None = None
         self._circuit = circuit.Circuit(clock)
+        self._preference = preference.CopyPreference(clock)
         self._warned: datetime.timedelta | None = None
         self._unlogged = 0
 
@@ -96,6 +100,27 @@
 
         await self._ask(question, lambda group: group.write_quorum)
 
+    async def settle(self, charge: records.ChargeRecord) -> None:
+        """Store what an attempt has spent, on no more disks than needed.
+
+        Explanation
+        ===========
+
+        Without its settlement an attempt stays charged with its most, so
+        nothing is lost with it.
+
+        :raises MagnoliawoodError: with ``store_unavailable`` if too few
+            disks confirmed it
+        """
+        entries = [records.encode(charge)]
+
+        def question(member: groups.Member, epoch: int) -> typing.Any:
+            return messages.WriteRecords(epoch, member.disk_id, entries)
+
+        await self._ask(
+            question, lambda group: group.write_quorum, are_all_asked=False
+        )
+
     async def read_charges(self, program_id: str) -> list[messages.Charges]:
         """Return the charges of a program as a read quorum knows them.
 
@@ -106,7 +131,9 @@
         def question(member: groups.Member, epoch: int) -> typing.Any:
             return messages.ReadCharges(epoch, member.disk_id, program_id)
 
-        return await self._ask(question, lambda group: group.read_quorum)
+        return await self._ask(
+            question, lambda group: group.read_quorum, are_all_asked=False
+        )
 
     async def read_chain(self, chain: quorum.Chain) -> quorum.Chain:
         """Return a chain completed from the copies.
@@ -166,7 +193,7 @@
             self.note_group(stored.group)
 
     async def _refresh_from_keepers(self, known: groups.Group) -> None:
-        answers = await quorum_calls.ask_all(
+        answers = await quorum_calls.ask_until(
             self._pool,
             [
                 quorum_calls.Question(
@@ -182,7 +209,7 @@
                 for answer in answers
             ),
         )
-        for answer in answers:
+        for answer in answers.found:
             if answer.reply is not None:
                 self.note_group(answer.reply.group)
 
@@ -194,6 +221,7 @@
             question,
             lambda group: group.read_quorum,
             is_final=lambda reply: bool(reply.records),
+            are_all_asked=False,
         )
         longest = max(replies, key=lambda reply: len(reply.records))
         decoded = map(records.decode, longest.records)
@@ -208,10 +236,13 @@
         question: Questions,
         quorum_of: collections.abc.Callable[[groups.Group], int],
         is_final: collections.abc.Callable[[typing.Any], bool] | None = None,
+        are_all_asked: bool = True,
     ) -> list[typing.Any]:
         """Return the replies of a quorum.
 
         :param is_final: whether one reply is enough by itself
+        :param are_all_asked: whether all copies are asked at once, and not
+            just a quorum of them first
         """
         if not self._circuit.may_try():
             raise _unavailable()
@@ -221,7 +252,7 @@
             group = self._group
             if group is not None:
                 replies = await self._ask_group(
-                    group, question, quorum_of(group), is_final
+                    group, question, quorum_of(group), is_final, are_all_asked
                 )
                 if replies is not None:
                     self._note_reachable(True)
@@ -250,6 +281,7 @@
         question: Questions,
         needed: int,
         is_final: collections.abc.Callable[[typing.Any], bool] | None,
+        are_all_asked: bool,
     ) -> list[typing.Any] | None:
         def replies_of(
             answers: list[quorum_calls.Answer],
@@ -265,7 +297,7 @@
                 return True
             return len(replies) >= needed
 
-        answers = await quorum_calls.ask_all(
+        answers = await quorum_calls.ask_until(
             self._pool,
             [
                 quorum_calls.Question(
@@ -273,17 +305,21 @@
                     member.address,
                     question(member, group.epoch),
                 )
-                for member in group.members
+                for member in self._preference.order(group.members)
             ],
             ASK_TIMEOUT,
             is_enough,
+            None if are_all_asked else needed,
+            PATIENCE,
         )
-        replies = replies_of(answers)
+        for disk_id in answers.slow:
+            self._preference.note_slow(disk_id)
+        replies = replies_of(answers.found)
         if len(replies) >= needed or (
             is_final is not None and any(map(is_final, replies))
         ):
             return replies
-        self._warn(group, needed, answers)
+        self._warn(group, needed, answers.found)
         return None
 
     def _warn(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -34,6 +34,7 @@
     :param charge: the most that it may spend, if the program has a budget
     :param history: what goes in front of its input
     :param keep_for: how long it is to be kept; zero if it is not
+    :param is_settled: whether what it has spent is stored
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     charge: records.ChargeRecord | None
     history: bytes
     keep_for: datetime.timedelta
+    is_settled: bool = False
 
 
 class _TurnCache:
@@ -135,6 +137,7 @@
             (now + turn.keep_for).timestamp(),
         )
         await self._client.write([*found, record])
+        turn.is_settled = True
         self._cache.add(record)
 
     async def settle(self, turn: Turn, tokens: int) -> None:
@@ -146,7 +149,7 @@
         Without its settlement the turn stays charged with its most, so
         nothing depends on when this is done.
         """
-        if turn.charge is not None:
+        if turn.charge is not None and not turn.is_settled:
             await curio.spawn(
                 self._settle, self._settled(turn.charge, tokens), daemon=True
             )
@@ -154,7 +157,7 @@
     async def _settle(self, charge: records.ChargeRecord) -> None:
         for _ in range(SETTLE_TRIES):
             try:
-                await self._client.write([charge])
+                await self._client.settle(charge)
                 return
             except errors.MagnoliawoodError as error:
                 _log.warning(
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/process.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/process.py
@@ -9,7 +9,8 @@
 import sys
 
 STOP_TIMEOUT_SECONDS = 20.0
-
+# What a process of the system logs once it takes signals.
+_STARTED = b'"message": "started"'
 
 # Below the range from which the system takes ports for outgoing
 # connections, which could otherwise occupy a port before its listener.
@@ -77,6 +78,7 @@
         ]
         self._environment = environment or {}
         self._popen: subprocess.Popen | None = None
+        self._starts = 0
 
     @property
     def pid(self) -> int:
@@ -98,8 +100,21 @@
         """File with everything the process printed."""
         return self._folder / f'{self.name}.log'
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether it has logged its latest start.
+
+        Explanation
+        ===========
+
+        Until then a signal may meet the interpreter before the program has
+        set what to do with it.
+        """
+        return self.log_path.read_bytes().count(_STARTED) >= self._starts
+
     def start(self) -> None:
         """Start the process."""
+        self._starts += 1
         environment = {
             **os.environ,
             'PYTHONUNBUFFERED': '1',
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
@@ -245,8 +245,9 @@
             if not process.is_running:
                 return
             process.send_signal(signal.SIGCONT)
+            had_begun = process.has_begun
             code = process.stop()
-            if code not in list(stops.ExitCode):
+            if had_begun and code not in list(stops.ExitCode):
                 self._checker.note_problem(f'{process.name} ended with {code}')
             process.start()
 
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/replication/preference.py
@@ -0,0 +1,51 @@
+"""Which copies to ask first."""
+
+import collections.abc
+import datetime
+import itertools
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.replication import group as groups
+
+# How long a copy that kept a question waiting is asked last.
+SUSPICION_PERIOD = datetime.timedelta(seconds=1)
+
+
+class CopyPreference:
+    """Spreads questions evenly, over copies that answered in time first.
+
+    Examples
+    ========
+
+    >>> preference = CopyPreference(clocks.ManualClock())
+    >>> members = [groups.Member(name, name, '') for name in 'abc']
+    >>> [member.disk_id for member in preference.order(members)]
+    ['a', 'b', 'c']
+    >>> preference.note_slow('b')
+    >>> [member.disk_id for member in preference.order(members)]
+    ['c', 'a', 'b']
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._starts = itertools.count()
+        self._suspected_until: dict[str, datetime.timedelta] = {}
+
+    def note_slow(self, disk_id: str) -> None:
+        """Ask a copy last for a while."""
+        now = self._clock.monotonic()
+        self._suspected_until[disk_id] = now + SUSPICION_PERIOD
+
+    def order(
+        self, members: collections.abc.Sequence[groups.Member]
+    ) -> list[groups.Member]:
+        """Return the members in the order in which to ask them."""
+        if not members:
+            return []
+        start = next(self._starts) % len(members)
+        rotated = [*members[start:], *members[:start]]
+        return sorted(rotated, key=self._is_suspected)
+
+    def _is_suspected(self, member: groups.Member) -> bool:
+        now = self._clock.monotonic()
+        return self._suspected_until.get(member.disk_id, now) > now
