--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
@@ -1,6 +1,7 @@
 """One seeded run of callers, faults and checks."""
 
 import collections
+import collections.abc
 import dataclasses
 import pathlib
 import threading
@@ -141,7 +142,8 @@
             self._checker.note_problem(f'gateway {gateway} has no {path}')
 
 
-def _retry(succeeds) -> bool:
+def _retry(succeeds: collections.abc.Callable[[], bool]) -> bool:
+    """Return whether something succeeds within the time to recover."""
     limit = time.monotonic() + _RECOVERY_SECONDS
     while not succeeds():
         if time.monotonic() > limit:
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
@@ -1,9 +1,11 @@
 """Breaks and mends processes, links, the store and upstreams."""
 
+import collections.abc
 import enum
 import signal
 import threading
 import time
+import typing
 
 from magnoliawood_server.runtime import stop as stops
 from magnoliawood_testing.chaos import schedule as schedules
@@ -13,9 +15,14 @@
 
 _SLOW_STORE_SECONDS = 0.3
 _SLOW_LINK_SECONDS = 0.15
+# One-way silence is towards the server if it lasts longer, and towards the
+# client otherwise, so that a seed decides.
+_LONG_FAULT_SECONDS = 2.0
 # Half of a record's frame, as a loss of power within a write leaves it.
 _TORN_FRAME = b'\x00\x00\x01\x00torn'
 
+_Candidate = typing.TypeVar('_Candidate')
+
 
 class FaultKind(enum.StrEnum):
     """Kinds of faults."""
@@ -258,11 +265,15 @@
             self._checker.note_problem(f'{process.name} ended with {code}')
 
 
-def _pick(fault, candidates):
+def _pick(
+    fault: schedules.Fault,
+    candidates: collections.abc.Sequence[_Candidate],
+) -> _Candidate:
     return candidates[int(fault.target * len(candidates))]
 
 
 def _direction(fault: schedules.Fault) -> str:
     if fault.kind is FaultKind.LINK_SILENT:
         return 'both'
-    return 'to_server' if fault.lasts_seconds > 2 else 'to_client'
+    is_long = fault.lasts_seconds > _LONG_FAULT_SECONDS
+    return 'to_server' if is_long else 'to_client'
