Split a request under way from its handler, log when it was admitted

Change: gateway/job.py; 'served' has admitted_ms, the time from the request's arrival to its first send. Engines queue only at the peak of a burst; the waiting is at the entry hosts.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -1,8 +1,6 @@
 """Serves one request of a caller from its arrival to its end."""
 
-import dataclasses
 import datetime
-import hashlib
 import logging
 import random
 
@@ -12,12 +10,12 @@
 from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import selection
 from magnoliawood.limits import crash_list
-from magnoliawood.routes import configuration as configurations
 from magnoliawood.routes import table as tables
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import beliefs as beliefs_module
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import exchange as exchanges
+from magnoliawood_server.gateway import job as jobs
 from magnoliawood_server.gateway import turn_guard
 from magnoliawood_server.gateway import upstream_pool
 from magnoliawood_server.platform import requests
@@ -35,45 +33,10 @@
 # Waiting time of a caller that does not say how long it waits.
 DEFAULT_TIME = datetime.timedelta(seconds=30)
 _GATEWAY_TIMEOUT = 504
-_BAD_GATEWAY = 502
 
 _log = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(slots=True)
-class _Job:
-    """A request under way.
-
-    :param deadline: monotonic time at which it is given up
-    :param attempts: upstreams that may have run it
-    :param not_run: upstreams that did not
-    """
-
-    request: callers.CallerRequest
-    terms: requests.CallerTerms
-    responder: callers.Responder
-    route: configurations.Route
-    service: str
-    deadline: datetime.timedelta
-    fingerprint: str
-    turn: turn_guard.Turn | None = None
-    delivery: exchanges.Delivery = dataclasses.field(
-        default_factory=exchanges.Delivery
-    )
-    attempts: int = 0
-    not_run: int = 0
-    tried: set[str] = dataclasses.field(default_factory=set)
-    last_reason: str = ''
-
-    @property
-    def is_turn(self) -> bool:
-        """Whether it is a turn of a program."""
-        is_stream = self.route.kind is configurations.RequestKind.STREAMING
-        return is_stream and (
-            self.terms.budget_tokens is not None or self.route.keeps_history
-        )
-
-
 class RequestHandler:
     """Decides on each request and carries it out.
 
@@ -122,7 +85,7 @@
         request: callers.CallerRequest,
         terms: requests.CallerTerms,
         responder: callers.Responder,
-    ) -> _Job:
+    ) -> jobs.Job:
         table = self._beliefs.table
         if table is None or not self._beliefs.is_ready:
             raise errors.MagnoliawoodError(
@@ -140,14 +103,14 @@
                 errors.ErrorCode.NOT_FOUND, 'no route'
             )
         time_left = min(terms.time_left or DEFAULT_TIME, route.timeout)
-        fingerprint = _fingerprint(request, terms)
+        fingerprint = jobs.fingerprint_of(request, terms)
         self._check_crashes(fingerprint)
-        return _Job(
+        return jobs.Job(
             request,
             terms,
             responder,
             route,
-            tables.pick_service(route, _point(terms)),
+            tables.pick_service(route, jobs.point_of(terms)),
             request.arrived + time_left,
             fingerprint,
         )
@@ -161,18 +124,19 @@
                 retry_after=record.expires_at - self._clock.now(),
             )
 
-    async def _serve(self, job: _Job) -> None:
+    async def _serve(self, job: jobs.Job) -> None:
         body = job.request.body
         if job.is_turn:
             job.turn = await self._guard.admit(job.terms, job.route)
             body = job.turn.history + body
         try:
+            job.admitted = self._clock.monotonic()
             await self._try_upstreams(job, body)
         finally:
             if job.turn is not None:
                 await self._guard.settle(job.turn, self._spent(job))
 
-    async def _try_upstreams(self, job: _Job, body: bytes) -> None:
+    async def _try_upstreams(self, job: jobs.Job, body: bytes) -> None:
         """Try one upstream after another.
 
         :raises MagnoliawoodError: if the request is given up
@@ -202,7 +166,7 @@
 
     async def _attempt(
         self,
-        job: _Job,
+        job: jobs.Job,
         exchange: exchanges.Exchange,
         upstream: directories.Upstream,
         time_left: datetime.timedelta,
@@ -218,20 +182,20 @@
             self._selector.note_sent(upstream.id, job.terms.parts)
         return result
 
-    def _choose(self, job: _Job) -> directories.Upstream | None:
+    def _choose(self, job: jobs.Job) -> directories.Upstream | None:
         usable = self._beliefs.directory.usable(job.service)
         untried = [
             upstream for upstream in usable if upstream.id not in job.tried
         ]
         return self._selector.choose(untried, self._work(job))
 
-    def _work(self, job: _Job) -> selection.Work:
+    def _work(self, job: jobs.Job) -> selection.Work:
         key = job.terms.affinity or job.terms.line_id or job.terms.request_id
         return selection.Work(job.terms.parts, job.terms.output_tokens, key)
 
     def _note_failure(
         self,
-        job: _Job,
+        job: jobs.Job,
         upstream: directories.Upstream,
         result: exchanges.Result,
     ) -> None:
@@ -272,11 +236,11 @@
         if not may_go_on:
             raise self._given_up(job)
 
-    def _is_quarantined(self, job: _Job) -> bool:
+    def _is_quarantined(self, job: jobs.Job) -> bool:
         record = self._crashes.find(job.fingerprint)
         return record is not None and record.is_quarantined
 
-    async def _before_end(self, job: _Job) -> None:
+    async def _before_end(self, job: jobs.Job) -> None:
         """Store a turn that must last before its stream ends."""
         if job.turn is None or not job.turn.keep_for:
             return
@@ -297,7 +261,7 @@
             )
             raise callers.ResponseAborted('the turn is not kept') from error
 
-    def _spent(self, job: _Job) -> int:
+    def _spent(self, job: jobs.Job) -> int:
         table = self._beliefs.table
         service = table.service(job.service) if table else None
         per_event = 1
@@ -306,7 +270,7 @@
         return job.delivery.events * per_event
 
     def _given_up(
-        self, job: _Job, is_timeout: bool = False
+        self, job: jobs.Job, is_timeout: bool = False
     ) -> errors.MagnoliawoodError:
         if not job.attempts:
             return errors.MagnoliawoodError(
@@ -353,7 +317,7 @@
 
     def _log_served(
         self,
-        job: _Job,
+        job: jobs.Job,
         upstream: directories.Upstream,
         result: exchanges.Result,
     ) -> None:
@@ -370,6 +334,9 @@
                 'upstream': upstream.id,
                 'requests_there': self._board.requests(upstream.id),
                 'attempts': job.attempts + job.not_run + 1,
+                'admitted_ms': _milliseconds(
+                    job.admitted, job.request.arrived
+                ),
                 'events': job.delivery.events,
                 'elapsed_ms': elapsed // datetime.timedelta(milliseconds=1),
                 'outcome': result.reason,
@@ -377,25 +344,10 @@
         )
 
 
-def _fingerprint(
-    request: callers.CallerRequest, terms: requests.CallerTerms
-) -> str:
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (
-        request.method,
-        request.target,
-        terms.program_id,
-        terms.line_id,
-        terms.previous_turn_id,
-        terms.affinity,
-    ):
-        digest.update(part.encode('latin-1') + b'\0')
-    digest.update(request.body)
-    return digest.hexdigest()
-
-
-def _point(terms: requests.CallerTerms) -> float:
-    """Return a point that is the same for all requests of one line."""
-    name = terms.line_id or terms.affinity or terms.request_id
-    digest = hashlib.blake2b(name.encode('latin-1'), digest_size=4).digest()
-    return int.from_bytes(digest) / 2**32
+def _milliseconds(
+    end: datetime.timedelta | None, start: datetime.timedelta
+) -> int | None:
+    """Return whole milliseconds between two moments, if both were met."""
+    if end is None:
+        return None
+    return (end - start) // datetime.timedelta(milliseconds=1)
