--- a/packages/magnoliawood-cli/magnoliawood_cli/main.py
+++ b/packages/magnoliawood-cli/magnoliawood_cli/main.py
@@ -15,6 +15,7 @@
 from magnoliawood_cli import explanation
 from magnoliawood_cli import fleet_commands
 from magnoliawood_cli import output as outputs
+from magnoliawood_cli import platform_commands
 from magnoliawood_cli import program_commands
 from magnoliawood_cli import session as sessions
 
@@ -29,6 +30,7 @@
 _cli.add_typer(fleet_commands.hosts, name='host')
 _cli.add_typer(fleet_commands.data_centres, name='data-centre')
 _cli.add_typer(fleet_commands.upstreams, name='upstream')
+_cli.add_typer(platform_commands.app, name='platform')
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/magnoliawood-cli/magnoliawood_cli/platform_commands.py
@@ -0,0 +1,69 @@
+"""``magnoliactl platform``: copies, hosts to be emptied, what is in force."""
+
+import collections.abc
+import dataclasses
+import typing
+
+import curio
+import typer
+
+from magnoliawood_cli import platform_view
+from magnoliawood_cli import session as sessions
+
+app = typer.Typer(
+    help="State on the users' platform, from its store.",
+    no_args_is_help=True,
+)
+
+StoreOption = typing.Annotated[
+    str,
+    typer.Option(envvar='MAGNOLIACTL_STORE', help='HOST:PORT of the store'),
+]
+
+
+@app.command('copies')
+def list_copies(context: typer.Context, store: StoreOption) -> None:
+    """List the disks with copies of the records, and how far each is."""
+    lines = curio.run(platform_view.PlatformView(store).copies)
+    _write(context, lines, 'host', 'disk', 'since', 'copied', 'state')
+
+
+@app.command('evacuations')
+def list_evacuations(context: typer.Context, store: StoreOption) -> None:
+    """List the hosts that are to be emptied."""
+    lines = curio.run(platform_view.PlatformView(store).evacuations)
+    _write(context, lines, 'host', 'is_empty')
+
+
+@app.command('in-force')
+def show_in_force(
+    context: typer.Context,
+    store: StoreOption,
+    gateways: typing.Annotated[
+        list[str], typer.Argument(help='peer addresses of gateways')
+    ],
+) -> None:
+    """Compare what gateways have in force with the store's configuration."""
+    lines = curio.run(_in_force, platform_view.PlatformView(store), gateways)
+    _write(
+        context,
+        lines,
+        *('address', 'configuration', 'upstreams_revision', 'epoch'),
+    )
+
+
+async def _in_force(
+    view: platform_view.PlatformView, gateways: list[str]
+) -> list[platform_view.GatewayLine]:
+    stored = platform_view.GatewayLine('store', await view.configuration())
+    return [stored, *[await view.gateway(address) for address in gateways]]
+
+
+def _write(
+    context: typer.Context,
+    lines: collections.abc.Sequence[typing.Any],
+    *columns: str,
+) -> None:
+    session: sessions.Session = context.obj
+    items = [dataclasses.asdict(line) for line in lines]
+    session.write({'items': items}, *columns)
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -82,7 +82,7 @@
             for name, address in self.upstreams.items()
         }
         self._peer_binds = [processes.free_address() for _ in range(gateways)]
-        self._peer_addresses = [
+        self.peer_addresses = [
             self.links.place(links.PEERS, f'gateway-{number}', address)
             for number, address in enumerate(self._peer_binds)
         ]
@@ -322,7 +322,7 @@
         listen = {
             'front': callers,
             'ready': processes.free_address(),
-            'control': self._peer_addresses[number],
+            'control': self.peer_addresses[number],
         }
         bind = self._peer_binds[number]
         return self._process(name, 'gateway', listen, bind, None)
@@ -353,7 +353,7 @@
             'zone': 'zone-1',
             'listen': listen,
             'port_range': [port, port],
-            'seeds': self._peer_addresses,
+            'seeds': self.peer_addresses,
             'data_dir': data_folder and str(data_folder),
             'fault_tolerance': {'machines': self.losses},
             'platform': {'address': store},
