Tell forgotten idle connections from upstreams that crash

Cause: upstreams of the grown deployments may drop idle connections without notice. Ruled out: never reusing connections for what may run once; each new one costs the upstream and is priced. The soak has the fault.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -444,6 +444,8 @@
         gauge('entries_silent', self._membership.silent)
         reachable = sum(s.is_reachable for s in self._sidecars.all())
         gauge('sidecars_reachable', reachable)
+        usable = sum(s.is_usable for s in self._sidecars.all())
+        gauge('sidecars_usable', usable)
         gauge('sidecars_leaving', self._sidecars.leaving)
         gauge('map_version', self._keeper.map.version)
         gauge(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -22,7 +22,8 @@
     """How an attempt ended.
 
     ``REFUSED`` and ``UNREACHABLE`` mean that it did not run, ``FAILED``
-    that it may have run.
+    that it may have run. ``FORGOTTEN`` may have run as well, but the upstream
+    is well: it had dropped the idle connection.
     """
 
     DELIVERED = 'delivered'
@@ -30,6 +31,12 @@
     UNREACHABLE = 'unreachable'
     MISDIRECTED = 'misdirected'
     FAILED = 'failed'
+    FORGOTTEN = 'forgotten'
+
+    @property
+    def is_upstreams_fault(self) -> bool:
+        """Whether the upstream should be avoided for a while."""
+        return self not in (Ending.REFUSED, Ending.FORGOTTEN)
 
     @property
     def has_not_run(self) -> bool:
@@ -70,11 +77,13 @@
     """Ending of an attempt, with the reason in words.
 
     :param is_lost: whether the upstream broke the connection
+    :param is_unanswered: whether that was before any answer
     """
 
     ending: Ending
     reason: str = ''
     is_lost: bool = False
+    is_unanswered: bool = False
 
 
 BeforeEnd = collections.abc.Callable[[], collections.abc.Awaitable[None]]
@@ -117,13 +126,27 @@
         try:
             result = await self._run(connection, upstream, time_left)
             if result.ending is Ending.FAILED:
-                return result
+                return await self._explain(result, upstream, connection)
             await self._pool.give_back(upstream, connection)
             return result
         finally:
             if not connection.can_be_reused:
                 await connection.close()
 
+    async def _explain(
+        self,
+        result: Result,
+        upstream: directory.Upstream,
+        connection: connections.ClientConnection,
+    ) -> Result:
+        """Tell a forgotten connection from an upstream that failed."""
+        may_be_forgotten = result.is_lost and result.is_unanswered
+        if may_be_forgotten and await self._pool.was_forgotten(
+            upstream, connection
+        ):
+            return Result(Ending.FORGOTTEN, result.reason)
+        return result
+
     async def _run(
         self,
         connection: connections.ClientConnection,
@@ -142,6 +165,9 @@
                 self._body,
             )
             head = await connection.read_head()
+        except OSError as error:
+            return _failed(error, is_unanswered=True)
+        try:
             answer = requests.decode_answer(head.status_code, head.headers)
             if answer.is_stream and answer.status in _SUCCESS:
                 if not answer.is_signed:
@@ -212,11 +238,11 @@
             )
 
 
-def _failed(error: OSError) -> Result:
+def _failed(error: OSError, is_unanswered: bool = False) -> Result:
     """Return the result of an attempt whose connection failed."""
     reason = str(error) or type(error).__name__
     is_lost = not isinstance(error, connections.MalformedReply)
-    return Result(Ending.FAILED, reason, is_lost)
+    return Result(Ending.FAILED, reason, is_lost, is_unanswered)
 
 
 async def within(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -218,7 +218,7 @@
         )
         if result.ending is exchanges.Ending.MISDIRECTED:
             self._beliefs.directory.drop(upstream.id)
-        if result.ending is not exchanges.Ending.REFUSED:
+        if result.ending.is_upstreams_fault:
             self._board.note_failure(upstream.id)
         if result.is_lost:
             self._crashes.note(
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -163,6 +163,7 @@
                 node.process.start()
         wait_until(lambda: self._admin_works(), 'administration API')
         wait_until(self.is_ready, 'ready entries')
+        wait_until(self._are_upstreams_usable, 'upstreams that take work')
 
     def stop(self) -> None:
         """Kill everything."""
@@ -448,6 +449,20 @@
         status, _ = self.admin('PUT', 'classes/chat', body, if_none_match='*')
         return status in (200, 412)
 
+    def _are_upstreams_usable(self) -> bool:
+        """Whether each entry would send work to each upstream.
+
+        Explanation
+        ===========
+
+        Entries list models as soon as they know the sidecars, which may be
+        before an engine answers.
+        """
+        return all(
+            self.metric(node, 'sidecars_usable') == len(self.sidecars)
+            for node in self.entries.values()
+        )
+
     def _is_entry_ready(self, node: Node) -> bool:
         if not answers(node.http, '/readyz'):
             return False
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
@@ -46,6 +46,7 @@
     UPSTREAM_LOSES_ANSWERS = 'upstream_loses_answers'
     UPSTREAM_CUTS = 'upstream_cuts'
     UPSTREAM_LEAVES = 'upstream_leaves'
+    UPSTREAM_FORGETS = 'upstream_forgets'
     LINK_CUT = 'link_cut'
     LINK_REFUSES = 'link_refuses'
     LINK_SLOW = 'link_slow'
@@ -191,6 +192,10 @@
                 deployment.set_upstream_faults(name, cut_after=2)
                 time.sleep(fault.lasts_seconds)
                 deployment.set_upstream_faults(name, cut_after=-1)
+            case kinds.UPSTREAM_FORGETS:
+                deployment.set_upstream_faults(name, forget_idle_seconds=0.1)
+                time.sleep(fault.lasts_seconds)
+                deployment.set_upstream_faults(name, forget_idle_seconds=0)
             case kinds.UPSTREAM_LEAVES:
                 deployment.set_upstream_state(name, 'draining')
                 time.sleep(fault.lasts_seconds)
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -8,6 +8,7 @@
 import collections.abc
 import json
 import pathlib
+import time
 
 import curio
 
@@ -26,6 +27,8 @@
     :param cut_after: events after which each stream is cut; none if
         negative
     :param poison: body of requests whose answer is always lost
+    :param forget_idle_seconds: connections that rested for longer are
+        dropped when the next request comes, which does not run; never if 0
     """
 
     event_seconds: float = 0.005
@@ -33,6 +36,7 @@
     lost_answers: int = 0
     cut_after: int = -1
     poison: str = ''
+    forget_idle_seconds: float = 0.0
 
 
 class SignedUpstream:
@@ -45,6 +49,8 @@
     def __init__(self, incarnation: str, journal: pathlib.Path) -> None:
         self._incarnation = incarnation
         self._journal = journal
+        # Each connection is served by a task of its own.
+        self._last_requests: dict[int, float] = {}
         self.faults = SignedUpstreamFaults()
 
     async def handle(
@@ -54,6 +60,7 @@
         if request.path == '/control/faults':
             self.faults = control.updated(self.faults, request)
             return http_message.Response.from_json({})
+        await self._drop_if_rested()
         echo = {'request-id': request.header('request-id')}
         if request.header('expect-instance') != self._incarnation:
             return http_message.Response(421, echo)
@@ -62,6 +69,15 @@
             return http_message.Response(503, {**echo, 'not-executed': '1'})
         return self._run(request, echo)
 
+    async def _drop_if_rested(self) -> None:
+        connection = (await curio.current_task()).id
+        now = time.monotonic()
+        last = self._last_requests.get(connection, now)
+        self._last_requests[connection] = now
+        limit = self.faults.forget_idle_seconds
+        if limit and now - last > limit:
+            raise ConnectionResetError('the connection rested too long')
+
     def _run(
         self, request: http_message.Request, echo: dict[str, str]
     ) -> http_message.Response:
