Scan one log without those after it, expire turns in one walk

The scan of a log through the one client of the store read every page up to the end of the kind; it stops at the first page whose last name lies beyond the prefix. The expiry of turns walked the whole chain of each live turn anew; it stops at a turn that is noted already. Which of two charges of an attempt holds was decided twice, in the ledger and in the table; the ledger's rule serves both. Behaviour is as before.

--- a/packages/magnoliawood-server/magnoliawood_server/platform/objects.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/objects.py
@@ -116,26 +116,33 @@
         self._lock = curio.Lock()
 
     async def list(
-        self, kind: str, may_be_old: bool = False, after: str = ''
+        self, kind: str, may_be_old: bool = False, prefix: str = ''
     ) -> Listing:
         """Return all objects of a kind.
 
         :param may_be_old: whether what was so some seconds ago will do,
             which costs a tenth
-        :param after: only objects whose names come after this one
+        :param prefix: only objects whose names are longer than this and
+            start with it; names come in their order
         :raises StoreUnavailable: if the store does not answer
         """
         found: list[StoredObject] = []
         query = dict(_MAY_BE_OLD) if may_be_old else {}
-        if after:
-            query['after'] = after
+        if prefix:
+            query['after'] = prefix
         while True:
             _, reply = await self._call('GET', _target(kind, '', query))
             page = [_decode(item) for item in reply.get('items', [])]
-            found += filter(None, page)
-            if not reply.get('more') or not reply['items']:
+            found += [
+                stored
+                for stored in page
+                if stored is not None and stored.name.startswith(prefix)
+            ]
+            items = reply.get('items', [])
+            is_last = not reply.get('more') or not items
+            if is_last or not _name_of(items[-1]).startswith(prefix):
                 return Listing(tuple(found), int(reply['current_rev']))
-            query['after'] = _name_of(reply['items'][-1])
+            query['after'] = _name_of(items[-1])
 
     async def get(
         self, kind: str, name: str, may_be_old: bool = False
--- a/packages/magnoliawood-server/magnoliawood_server/platform/product_store.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/product_store.py
@@ -77,11 +77,10 @@
         """Return the objects whose names start with ``prefix``."""
         place = place_of(prefix)
         with self._client() as client:
-            listing = await client.list(place.kind, after=place.name)
+            listing = await client.list(place.kind, prefix=place.name)
         found = [
             _decode(_name_of(prefix, stored), stored)
             for stored in listing.objects
-            if stored.name.startswith(place.name)
         ]
         return store.Listing(listing.revision, found)
 
@@ -135,7 +134,7 @@
             try:
                 changes = await client.watch(place.kind, after, wait)
             except objects.HistoryGone:
-                listing = await client.list(place.kind, after=place.name)
+                listing = await client.list(place.kind, prefix=place.name)
                 return max(after, listing.revision)
         found = [
             change.stored.revision
--- a/packages/magnoliawood/magnoliawood/turns/ledger.py
+++ b/packages/magnoliawood/magnoliawood/turns/ledger.py
@@ -2,6 +2,21 @@
 
 import collections.abc
 import dataclasses
+import typing
+
+
+class Charged(typing.Protocol):
+    """What tells which of two charges of one attempt holds."""
+
+    @property
+    def tokens(self) -> int:
+        """The most it may generate, or what it did generate."""
+        ...
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the attempt has ended."""
+        ...
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,11 +70,22 @@
         """Take over charges of another copy."""
         for charge in charges:
             known = self._charges.get(charge.attempt_id)
-            if known is None or _supersedes(charge, known):
+            if known is None or supersedes(charge, known):
                 self._charges[charge.attempt_id] = charge
 
 
-def _supersedes(charge: Charge, known: Charge) -> bool:
+def supersedes(charge: Charged, known: Charged) -> bool:
+    """Whether a charge replaces a known one of the same attempt.
+
+    Examples
+    ========
+
+    >>> settled = Charge('a', 16, True)
+    >>> supersedes(settled, Charge('a', 80, False))
+    True
+    >>> supersedes(Charge('a', 80, False), settled)
+    False
+    """
     if charge.is_settled != known.is_settled:
         return charge.is_settled
     return charge.tokens > known.tokens
--- a/packages/magnoliawood/magnoliawood/turns/table.py
+++ b/packages/magnoliawood/magnoliawood/turns/table.py
@@ -41,11 +41,7 @@
         if isinstance(record, records.TurnRecord):
             return record.turn_id not in self._turns
         known = self._ledgers.get(record.program_id, {}).get(record.attempt_id)
-        if known is None:
-            return True
-        if record.is_settled != known.is_settled:
-            return record.is_settled
-        return record.tokens > known.tokens
+        return known is None or ledgers.supersedes(record, known)
 
     def chain(self, turn_id: str) -> list[records.TurnRecord]:
         """Return a turn and those before it, as far as they are here.
@@ -84,12 +80,10 @@
         :returns: how many records were dropped
         """
         now = self._clock.now().timestamp()
-        needed = {
-            turn.turn_id
-            for head in self._turns.values()
-            if head.expires_at > now
-            for turn in self.chain(head.turn_id)
-        }
+        needed: set[str] = set()
+        for head in self._turns.values():
+            if head.expires_at > now:
+                self._note_chain(head.turn_id, needed)
         old_turns = self._turns.keys() - needed
         for turn_id in old_turns:
             del self._turns[turn_id]
@@ -102,3 +96,9 @@
             len(self._ledgers.pop(program_id)) for program_id in old_programs
         )
         return len(old_turns) + dropped
+
+    def _note_chain(self, turn_id: str, noted: set[str]) -> None:
+        """Add a turn and those before it, up to one that is noted."""
+        while turn_id in self._turns and turn_id not in noted:
+            noted.add(turn_id)
+            turn_id = self._turns[turn_id].previous_id
--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/turns/tests/test_table.py
@@ -0,0 +1,31 @@
+"""What a copy keeps and drops."""
+
+import datetime
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.turns import records
+from magnoliawood.turns import table as tables
+
+
+def _turn(name, previous, expires_at):
+    return records.TurnRecord(name, previous, b'in', b'out', expires_at)
+
+
+def test_turn_is_kept_as_long_as_one_that_follows_it():
+    clock = clocks.ManualClock()
+    now = clock.now().timestamp()
+    table = tables.RecordTable(clock)
+    # Two turns follow the first one; one of them is needed longer.
+    for record in (
+        _turn('t1', '', now + 1),
+        _turn('t2', 't1', now + 1),
+        _turn('t3', 't1', now + 9),
+        _turn('t4', 't3', now + 9),
+    ):
+        table.apply(record)
+    clock.advance(datetime.timedelta(seconds=5))
+    assert table.expire() == 1
+    assert [t.turn_id for t in table.chain('t4')] == ['t4', 't3', 't1']
+    assert table.chain('t2') == []
+    clock.advance(datetime.timedelta(seconds=5))
+    assert table.expire() == 3
