--- a/packages/magnoliawood-cli/magnoliawood_cli/platform_view.py
+++ b/packages/magnoliawood-cli/magnoliawood_cli/platform_view.py
@@ -94,9 +94,9 @@
         return CopyState.REPLACED
     if member is None:
         return CopyState.STANDING_BY
-    if status.copied_epoch < member.since:
-        return CopyState.COPYING
-    return CopyState.COMPLETE
+    if status.completes(member):
+        return CopyState.COMPLETE
+    return CopyState.COPYING
 
 
 class PlatformView:
--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -46,6 +46,7 @@
 from magnoliawood_server.peer import pool as pools
 from magnoliawood_server.platform import product_store
 from magnoliawood_server.runtime import listener
+from magnoliawood_server.runtime import metrics_page
 from magnoliawood_server.runtime import settings as settings_models
 from magnoliawood_server.runtime import stop
 
@@ -453,8 +454,4 @@
             len(self._configuration.current.malformed),
         )
         gauge('configuration_version', self._configuration.current.version)
-        return http_message.Response(
-            200,
-            {'content-type': 'text/plain; version=0.0.4'},
-            self._metrics.exposition().encode(),
-        )
+        return metrics_page.metrics_response(self._metrics)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -12,6 +12,7 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.routes import configuration as configurations
 from magnoliawood_server.http import connection as connections
+from magnoliawood_server.http import server_side
 
 _READ_SIZE_BYTES = 64 * 1024
 # More than this is not read ahead while a request is served.
@@ -201,12 +202,7 @@
             await self._handle(request)
         finally:
             self._activity.requests -= 1
-        if self._h11.our_state is not h11.DONE:
-            return False
-        if self._h11.their_state is not h11.DONE:
-            return False
-        self._h11.start_next_cycle()
-        return True
+        return server_side.start_next_cycle(self._h11)
 
     async def _handle(self, request: CallerRequest) -> None:
         """Run the handler until it ends or the caller is gone.
@@ -266,15 +262,9 @@
         )
 
     async def _next_event(self) -> connections.Event:
-        while True:
-            event = self._h11.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            if self._h11.they_are_waiting_for_100_continue:
-                await self.send_events(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-            self._h11.receive_data(await self._receive())
+        return await server_side.next_event(
+            self._h11, self._receive, self.send_events
+        )
 
     async def _receive(self) -> bytes:
         limits = self._limits()
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -33,6 +33,7 @@
 # Waiting time of a caller that does not say how long it waits.
 DEFAULT_TIME = datetime.timedelta(seconds=30)
 _GATEWAY_TIMEOUT = 504
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 _log = logging.getLogger(__name__)
 
@@ -304,7 +305,7 @@
                 'reason': error.detail,
                 'verdict': str(error.verdict),
                 'configuration': self._beliefs.version,
-                'elapsed_ms': elapsed // datetime.timedelta(milliseconds=1),
+                'elapsed_ms': elapsed // _MILLISECOND,
             },
         )
         if responder.is_started:
@@ -338,7 +339,7 @@
                     job.admitted, job.request.arrived
                 ),
                 'events': job.delivery.events,
-                'elapsed_ms': elapsed // datetime.timedelta(milliseconds=1),
+                'elapsed_ms': elapsed // _MILLISECOND,
                 'outcome': result.reason,
             },
         )
@@ -350,4 +351,4 @@
     """Return whole milliseconds between two moments, if both were met."""
     if end is None:
         return None
-    return (end - start) // datetime.timedelta(milliseconds=1)
+    return (end - start) // _MILLISECOND
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -93,12 +93,7 @@
         :raises MagnoliawoodError: with ``store_unavailable`` if too few
             disks confirmed them; they may be stored all the same
         """
-        entries = [records.encode(record) for record in found]
-
-        def question(member: groups.Member, epoch: int) -> typing.Any:
-            return messages.WriteRecords(epoch, member.disk_id, entries)
-
-        await self._ask(question, lambda group: group.write_quorum)
+        await self._write(found, are_all_asked=True)
 
     async def settle(self, charge: records.ChargeRecord) -> None:
         """Store what an attempt has spent, on no more disks than needed.
@@ -112,14 +107,7 @@
         :raises MagnoliawoodError: with ``store_unavailable`` if too few
             disks confirmed it
         """
-        entries = [records.encode(charge)]
-
-        def question(member: groups.Member, epoch: int) -> typing.Any:
-            return messages.WriteRecords(epoch, member.disk_id, entries)
-
-        await self._ask(
-            question, lambda group: group.write_quorum, are_all_asked=False
-        )
+        await self._write([charge], are_all_asked=False)
 
     async def read_charges(self, program_id: str) -> list[messages.Charges]:
         """Return the charges of a program as a read quorum knows them.
@@ -213,6 +201,22 @@
             if answer.reply is not None:
                 self.note_group(answer.reply.group)
 
+    async def _write(
+        self,
+        found: collections.abc.Iterable[records.Record],
+        are_all_asked: bool,
+    ) -> None:
+        entries = [records.encode(record) for record in found]
+
+        def question(member: groups.Member, epoch: int) -> typing.Any:
+            return messages.WriteRecords(epoch, member.disk_id, entries)
+
+        await self._ask(
+            question,
+            lambda group: group.write_quorum,
+            are_all_asked=are_all_asked,
+        )
+
     async def _read_turns(self, turn_id: str) -> list[records.TurnRecord]:
         def question(member: groups.Member, epoch: int) -> typing.Any:
             return messages.ReadChain(epoch, member.disk_id, turn_id)
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -12,6 +12,7 @@
 from magnoliawood.core import errors
 from magnoliawood_server.http import connection as connections
 from magnoliawood_server.http import message as messages
+from magnoliawood_server.http import server_side
 
 IDLE_LIMIT = datetime.timedelta(seconds=75)
 PAUSE_INTERVAL = datetime.timedelta(seconds=1)
@@ -55,15 +56,9 @@
         )
 
     async def next_event(self) -> connections.Event:
-        while True:
-            event = self._h11.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            if self._h11.they_are_waiting_for_100_continue:
-                await self.send(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-            self._h11.receive_data(await self._receive())
+        return await server_side.next_event(
+            self._h11, self._receive, self.send
+        )
 
     async def send(self, *events: h11.Event) -> None:
         """Send events in one write: a peer may wait for each packet."""
@@ -97,12 +92,7 @@
         return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
     def start_next_cycle(self) -> bool:
-        if self._h11.our_state is not h11.DONE:
-            return False
-        if self._h11.their_state is not h11.DONE:
-            return False
-        self._h11.start_next_cycle()
-        return True
+        return server_side.start_next_cycle(self._h11)
 
 
 async def serve_connection(
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/group_keeper.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/group_keeper.py
@@ -164,7 +164,7 @@
         """
         statuses = await self._ask_all(group)
         complete = sum(
-            _is_complete(member, status)
+            status is not None and status.completes(member)
             for member, status in zip(group.members, statuses, strict=True)
         )
         if complete < changed.sources_needed:
@@ -300,21 +300,11 @@
     async def _is_complete_elsewhere(self, group: groups.Group) -> bool:
         statuses = await self._ask_all(group)
         return all(
-            _is_complete(member, status)
+            status is not None and status.completes(member)
             for member, status in zip(group.members, statuses, strict=True)
         )
 
 
-def _is_complete(
-    member: groups.Member, status: messages.CopyStatus | None
-) -> bool:
-    return (
-        status is not None
-        and status.disk_id == member.disk_id
-        and status.copied_epoch >= member.since
-    )
-
-
 def _is_newer(
     found: group_stores.StoredGroup | None,
     known: group_stores.StoredGroup | None,
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/metrics_page.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/metrics_page.py
@@ -9,6 +9,15 @@
 _TEXT_TYPE = 'text/plain; version=0.0.4'
 
 
+def metrics_response(registry: registries.Registry) -> messages.Response:
+    """Return the page with all metrics of a process."""
+    return messages.Response(
+        200,
+        {'content-type': _TEXT_TYPE},
+        registry.exposition().encode(),
+    )
+
+
 class MetricsPage:
     """Handler of the metrics address."""
 
@@ -24,11 +33,7 @@
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.NOT_FOUND, f'no page {request.path}'
             )
-        return messages.Response(
-            200,
-            {'content-type': _TEXT_TYPE},
-            self._registry.exposition().encode(),
-        )
+        return metrics_response(self._registry)
 
 
 def metrics_listener(
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/reload.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/reload.py
@@ -1,13 +1,11 @@
 """Reads the settings file again when a signal asks for it."""
 
 import collections.abc
-import contextlib
 import logging
 import signal
-import socket
 import typing
 
-import curio
+from magnoliawood_server.runtime import signals
 
 Settings = typing.TypeVar('Settings')
 
@@ -30,15 +28,12 @@
     ) -> None:
         self._load = load
         self._apply = apply
-        reader, self._writer = socket.socketpair()
-        self._writer.setblocking(False)
-        self._reader = curio.io.Socket(reader)
-        signal.signal(signal.SIGHUP, self._note)
+        self._signals = signals.SignalWaiter(signal.SIGHUP)
 
     async def run(self) -> None:
         """Reload for ever."""
         while True:
-            await self._reader.recv(1)
+            await self._signals.wait()
             try:
                 settings = self._load()
             except (OSError, ValueError) as error:
@@ -46,8 +41,3 @@
                 continue
             self._apply(settings)
             _log.info('settings read again')
-
-    def _note(self, number: int, frame: object) -> None:
-        # A handler may run between any two instructions.
-        with contextlib.suppress(BlockingIOError):
-            self._writer.send(b'\0')
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/stop.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/stop.py
@@ -1,15 +1,15 @@
 """Planned stops: signals and the order of a drain."""
 
 import collections.abc
-import contextlib
 import datetime
 import enum
 import logging
 import signal
-import socket
 
 import curio
 
+from magnoliawood_server.runtime import signals
+
 SIGNALS = (signal.SIGTERM, signal.SIGINT)
 POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 
@@ -23,34 +23,15 @@
     CUT = 1
 
 
-class StopSignals:
-    """Signals that ask for a stop, as events of the loop.
-
-    Explanation
-    ===========
-
-    A handler may run between any two instructions, so it only writes a byte
-    to a socket that a task reads. Make it on the main thread.
-    """
+class StopSignals(signals.SignalWaiter):
+    """Signals that ask for a stop. Make it on the main thread."""
 
     def __init__(self) -> None:
-        reader, self._writer = socket.socketpair()
-        self._writer.setblocking(False)
-        self._reader = curio.io.Socket(reader)
-        for number in SIGNALS:
-            signal.signal(number, self._note)
-
-    async def wait(self) -> None:
-        """Wait for the next signal."""
-        await self._reader.recv(1)
-
-    def _note(self, number: int, frame: object) -> None:
-        with contextlib.suppress(BlockingIOError):
-            self._writer.send(b'\0')
+        super().__init__(*SIGNALS)
 
 
 async def drain(
-    signals: StopSignals,
+    stop_signals: StopSignals,
     steps: collections.abc.Callable[[], collections.abc.Awaitable[None]],
     limit: datetime.timedelta,
 ) -> ExitCode:
@@ -61,11 +42,11 @@
         them as well
     :returns: whether something was cut
     """
-    await signals.wait()
+    await stop_signals.wait()
     _log.info('stopping', extra={'limit_seconds': limit.total_seconds()})
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(_end_as, ExitCode.DRAINED, steps)
-        await group.spawn(_end_as, ExitCode.CUT, signals.wait)
+        await group.spawn(_end_as, ExitCode.CUT, stop_signals.wait)
         await group.spawn(
             _end_as, ExitCode.CUT, curio.sleep, limit.total_seconds()
         )
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -19,6 +19,7 @@
 from magnoliawood_server.peer import messages
 from magnoliawood_server.runtime import answer as answers
 from magnoliawood_server.runtime import listener
+from magnoliawood_server.runtime import metrics_page
 from magnoliawood_server.runtime import settings as settings_models
 from magnoliawood_server.runtime import stop
 from magnoliawood_server.sidecar import cache_releaser
@@ -295,11 +296,7 @@
             self._metrics.set_gauge(
                 'witness_records', len(self._runner.witness)
             )
-            return http_message.Response(
-                200,
-                {'content-type': 'text/plain; version=0.0.4'},
-                self._metrics.exposition().encode(),
-            )
+            return metrics_page.metrics_response(self._metrics)
         raise errors.MagnoliawoodError(
             errors.ErrorCode.NOT_FOUND, f'no page {request.path}'
         )
--- a/packages/magnoliawood-testing/magnoliawood_testing/chaos/injector.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/chaos/injector.py
@@ -38,8 +38,7 @@
             self._busy.discard(node.name)
 
     def _target(self, fault: schedules.Fault) -> deployments.Node:
-        nodes = self._candidates(fault.kind)
-        return nodes[int(fault.target * len(nodes))]
+        return fault.pick(self._candidates(fault.kind))
 
     def _candidates(self, kind: schedules.FaultKind) -> list[deployments.Node]:
         deployment = self._deployment
--- a/packages/magnoliawood-testing/magnoliawood_testing/chaos/schedule.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/chaos/schedule.py
@@ -4,6 +4,9 @@
 import dataclasses
 import enum
 import random
+import typing
+
+Candidate = typing.TypeVar('Candidate')
 
 
 class FaultKind(enum.StrEnum):
@@ -34,6 +37,12 @@
     kind: enum.StrEnum
     target: float
 
+    def pick(
+        self, candidates: collections.abc.Sequence[Candidate]
+    ) -> Candidate:
+        """Return the target among the possible ones."""
+        return candidates[int(self.target * len(candidates))]
+
 
 def make_schedule(
     seed: int,
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/deployment.py
@@ -70,7 +70,7 @@
 
 
 def wait_until(
-    condition: collections.abc.Callable[[], bool],
+    condition: collections.abc.Callable[[], object],
     what: str,
     timeout_seconds: float = READY_TIMEOUT_SECONDS,
 ) -> None:
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -10,7 +10,6 @@
 import pathlib
 import shutil
 import tempfile
-import time
 import typing
 
 import curio
@@ -19,6 +18,8 @@
 from magnoliawood.core import errors
 from magnoliawood_server.keeper import messages
 from magnoliawood_server.peer import pool as pools
+from magnoliawood_server.platform import decoding
+from magnoliawood_testing.cluster import deployment as deployments
 from magnoliawood_testing.cluster import link as links
 from magnoliawood_testing.cluster import process as processes
 from magnoliawood_testing.standins import metadata_store
@@ -96,7 +97,7 @@
         self._store.start()
         for started in (*self.upstream_processes.values(), *self._proxies()):
             started.start()
-        self._wait(lambda: self.store('GET', '/objects/config').status)
+        self.wait_for(lambda: self.store('GET', '/objects/config').status)
         self._register()
         for started in (*self.keepers, *self.gateways):
             started.start()
@@ -201,8 +202,8 @@
     def wait_until_ready(self) -> None:
         """Wait until all gateways take requests and turns are kept."""
         for number in range(len(self.gateways)):
-            self._wait(lambda at=number: self.is_ready(at))
-            self._wait(lambda at=number: self._serves_turns(at))
+            self.wait_for(lambda at=number: self.is_ready(at))
+            self.wait_for(lambda at=number: self._serves_turns(at))
 
     def _serves_turns(self, gateway: int) -> bool:
         name = f'{PROBE}{next(self._probes)}'
@@ -221,7 +222,7 @@
 
         Only then may another disk be lost.
         """
-        self._wait(self.are_copies_complete)
+        self.wait_for(self.are_copies_complete)
 
     async def _are_copies_complete(self) -> bool:
         pool = pools.PeerPool(clocks.SystemClock(), None)
@@ -232,15 +233,18 @@
                 )
             except errors.MagnoliawoodError:
                 return False
-            if status.disk_id != member['disk_id']:
-                return False
-            if status.copied_epoch < member['since']:
+            if not status.completes(decoding.decode_member(member)):
                 return False
         return True
 
     def wait_for(self, condition: typing.Callable[[], object]) -> None:
-        """Wait until a condition holds."""
-        self._wait(condition)
+        """Wait until a condition holds.
+
+        :raises TimeoutError: if it does not in time
+        """
+        deployments.wait_until(
+            condition, 'a condition of the deployment', _WAIT_SECONDS
+        )
 
     def are_copies_complete(self) -> bool:
         """Whether each member's copy is complete now."""
@@ -384,14 +388,6 @@
         settings = json.loads(path.read_text(encoding='utf-8'))
         return settings['listen'][purpose]
 
-    @staticmethod
-    def _wait(condition: typing.Callable[[], object]) -> None:
-        limit = time.monotonic() + _WAIT_SECONDS
-        while not condition():
-            if time.monotonic() > limit:
-                raise AssertionError('the condition does not come true')
-            time.sleep(0.05)
-
 
 def unsynced_path() -> str:
     """Return a search path for modules with which syncs are skipped."""
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
@@ -5,9 +5,9 @@
 import dataclasses
 import pathlib
 import threading
-import time
 
 from magnoliawood_testing.chaos import schedule as schedules
+from magnoliawood_testing.cluster import deployment as deployments
 from magnoliawood_testing.cluster import hosted
 from magnoliawood_testing.soak import injector as injectors
 from magnoliawood_testing.soak import promises
@@ -16,7 +16,6 @@
 BUDGET_TOKENS = 5 * promises.TURN_TOKENS
 # Time after the last fault within which everything works again.
 _RECOVERY_SECONDS = 20.0
-_RETRY_SECONDS = 0.1
 # Upstreams' counts are read this often while faults come and go.
 _CHECK_SECONDS = 1.0
 # Lines of turns that are continued after the faults, for each caller.
@@ -119,7 +118,7 @@
         try:
             deployment.wait_until_ready()
             deployment.wait_for_copies()
-        except AssertionError:
+        except TimeoutError:
             self._checker.note_problem('not ready after the faults')
             return
         for caller in callers:
@@ -144,9 +143,8 @@
 
 def _retry(succeeds: collections.abc.Callable[[], bool]) -> bool:
     """Return whether something succeeds within the time to recover."""
-    limit = time.monotonic() + _RECOVERY_SECONDS
-    while not succeeds():
-        if time.monotonic() > limit:
-            return False
-        time.sleep(_RETRY_SECONDS)
+    try:
+        deployments.wait_until(succeeds, 'recovery', _RECOVERY_SECONDS)
+    except TimeoutError:
+        return False
     return True
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
@@ -1,11 +1,9 @@
 """Breaks and mends processes, links, the store and upstreams."""
 
-import collections.abc
 import enum
 import signal
 import threading
 import time
-import typing
 
 from magnoliawood_server.runtime import stop as stops
 from magnoliawood_testing.chaos import schedule as schedules
@@ -21,8 +19,6 @@
 # Half of a record's frame, as a loss of power within a write leaves it.
 _TORN_FRAME = b'\x00\x00\x01\x00torn'
 
-_Candidate = typing.TypeVar('_Candidate')
-
 
 class FaultKind(enum.StrEnum):
     """Kinds of faults."""
@@ -110,7 +106,7 @@
     def _break_process(
         self, fault: schedules.Fault, candidates: list[processes.Process]
     ) -> None:
-        process = _pick(fault, candidates)
+        process = fault.pick(candidates)
         match fault.kind.partition('_')[2]:
             case 'killed':
                 self._kill(process)
@@ -130,7 +126,7 @@
         if fault.kind is FaultKind.KEEPER_EMPTIED:
             self._empty_disk(fault)
         elif fault.kind is FaultKind.KEEPER_LOG_TORN:
-            number = _pick(fault, range(len(keepers)))
+            number = fault.pick(range(len(keepers)))
             with self._process_lock:
                 keepers[number].kill()
                 self._deployment.tear_log(number, _TORN_FRAME)
@@ -143,7 +139,7 @@
         with self._disk_lock:
             if not self._deployment.are_copies_complete():
                 return
-            number = _pick(fault, range(len(self._deployment.keepers)))
+            number = fault.pick(range(len(self._deployment.keepers)))
             keeper = self._deployment.keepers[number]
             with self._process_lock:
                 keeper.kill()
@@ -179,7 +175,7 @@
     def _break_upstream(self, fault: schedules.Fault) -> None:
         kinds = FaultKind
         deployment = self._deployment
-        name = _pick(fault, list(deployment.upstreams))
+        name = fault.pick(list(deployment.upstreams))
         process = deployment.upstream_processes[name]
         match fault.kind:
             case kinds.UPSTREAM_KILLED | kinds.UPSTREAM_PAUSED:
@@ -204,7 +200,7 @@
     def _break_link(self, fault: schedules.Fault) -> None:
         kinds = FaultKind
         links = self._deployment.links
-        name = _pick(fault, links.names())
+        name = fault.pick(links.names())
 
         def command(action: str, **fields: object) -> None:
             links.command(name.client, name.server, action, **fields)
@@ -270,13 +266,6 @@
             self._checker.note_problem(f'{process.name} ended with {code}')
 
 
-def _pick(
-    fault: schedules.Fault,
-    candidates: collections.abc.Sequence[_Candidate],
-) -> _Candidate:
-    return candidates[int(fault.target * len(candidates))]
-
-
 def _direction(fault: schedules.Fault) -> str:
     if fault.kind is FaultKind.LINK_SILENT:
         return 'both'
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/promises.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/promises.py
@@ -132,6 +132,6 @@
     if kind in (attempts.Kind.PAGE, attempts.Kind.BOOKING):
         return b'done'
     return b''.join(
-        f'id: {number}\ndata: word{number}\n\n'.encode()
+        signed_upstream.event_bytes(number)
         for number in range(1, signed_upstream.EVENTS + 1)
     )
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -18,6 +18,11 @@
 EVENTS = 5
 
 
+def event_bytes(number: int) -> bytes:
+    """Return one event of a stream as it is sent."""
+    return f'id: {number}\ndata: word{number}\n\n'.encode()
+
+
 class SignedUpstreamFaults(control.Faults):
     """Timing and faults.
 
@@ -116,7 +121,7 @@
             if number - first == self.faults.cut_after:
                 raise ConnectionResetError('stream cut')
             await curio.sleep(self.faults.event_seconds)
-            yield f'id: {number}\ndata: word{number}\n\n'.encode()
+            yield event_bytes(number)
 
 
 def main() -> None:
--- a/packages/magnoliawood/magnoliawood/fleet/selection.py
+++ b/packages/magnoliawood/magnoliawood/fleet/selection.py
@@ -8,8 +8,11 @@
 
 from magnoliawood.fleet import directory as directories
 from magnoliawood.fleet import load as loads
-from magnoliawood.fleet import pace
 
+# Prompt tokens that an engine reads in a millisecond.
+_READ_TOKENS_PER_MS = 147.0
+# How much a running request slows each token of the others, in ms.
+_SLOWDOWN_MS_PER_TOKEN = 0.0377
 # A request slows the others as much as they slow it.
 _BOTH_WAYS = 2.0
 # Usual time of a request in a slot, in ms, for those that have to queue.
@@ -172,12 +175,9 @@
         running = min(requests, upstream.slots)
         # While an engine reads a prompt, all that run on it wait.
         missing = memory.missing_tokens(work.parts)
-        cost += pace.reading_ms(missing) * (1 + running)
+        cost += missing / _READ_TOKENS_PER_MS * (1 + running)
         return cost + (
-            running
-            * work.output_tokens
-            * pace.STEP_MS_PER_REQUEST
-            * _BOTH_WAYS
+            running * work.output_tokens * _SLOWDOWN_MS_PER_TOKEN * _BOTH_WAYS
         )
 
 
