--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
@@ -0,0 +1,127 @@
+import datetime
+import types
+
+import curio
+import pytest
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.fleet import load as loads
+from magnoliawood.fleet import selection
+from magnoliawood.limits import crash_list
+from magnoliawood_server.gateway import cluster_view as cluster_views
+from magnoliawood_server.gateway import gossip as gossips
+from magnoliawood_server.gateway import messages
+from magnoliawood_server.peer import connection as connections
+
+QUARANTINED = 'quarantined-request'
+CRASHES = (
+    crash_list.Crash('engine-1', 'a'),
+    crash_list.Crash('engine-2', 'b'),
+)
+# More records than fit in one report.
+MANY = 3 * crash_list.REPORT_LIMIT
+
+
+class Network:
+    """Connects gateways without sockets."""
+
+    def __init__(self):
+        self.gateways = {}
+        self.reports = 0
+
+    async def request(self, address, message, timeout):
+        if address not in self.gateways:
+            raise connections.PeerLost(address)
+        replies = []
+
+        async def send(reply):
+            replies.append(reply)
+
+        stream = types.SimpleNamespace(send=send)
+        await self.gateways[address].gossip.serve(stream, message)
+        self.reports += isinstance(message, messages.GatewayReport)
+        return replies[0]
+
+    async def run_until(self, condition, reports=10):
+        """Deliver reports until a condition holds or enough were sent."""
+        limit = self.reports + reports
+        async with curio.TaskGroup() as tasks:
+            for gateway in list(self.gateways.values()):
+                await tasks.spawn(gateway.gossip.run)
+            while self.reports < limit and not condition():
+                await curio.sleep(0)
+            await tasks.cancel_remaining()
+
+
+class Gateway:
+    """State of one gateway, without callers and upstreams."""
+
+    def __init__(self, network, address, peers):
+        clock = clocks.SystemClock()
+        load_tracker = loads.LoadTracker(clock)
+        self.crashes = crash_list.CrashList(clock)
+        self.selector = selection.Selector(load_tracker, 'dc-1')
+        self.gossip = gossips.Gossip(
+            address,
+            address,
+            peers,
+            cluster_views.ClusterView(clock),
+            load_tracker,
+            self.selector,
+            self.crashes,
+            types.SimpleNamespace(group=None),
+            network,
+            clock,
+        )
+        network.gateways[address] = self
+
+    def has_quarantine(self):
+        record = self.crashes.find(QUARANTINED)
+        return record is not None and record.is_quarantined
+
+
+@pytest.fixture(autouse=True)
+def short_intervals(monkeypatch):
+    interval = datetime.timedelta(milliseconds=1)
+    monkeypatch.setattr(gossips, 'REPORT_INTERVAL', interval)
+    monkeypatch.setattr(gossips, 'REPORT_INTERVAL_PER_PEER', interval)
+    monkeypatch.setattr(gossips, 'UNRESPONSIVE_PEER_BACKOFF', interval)
+
+
+@pytest.fixture
+def network():
+    return Network()
+
+
+# Guards against never telling peers of a quarantined request because many
+# other requests were running when upstreams crashed.
+def test_quarantined_request_is_reported_among_many_suspected_ones(network):
+    one = Gateway(network, 'one', ('two',))
+    two = Gateway(network, 'two', ())
+    one.crashes.record_crashes(QUARANTINED, CRASHES)
+    for number in range(MANY):
+        one.crashes.record_crashes(f'suspected-{number}', CRASHES[:1])
+    curio.run(network.run_until(two.has_quarantine))
+    assert two.has_quarantine()
+
+
+# Guards against taking a peer that started again for one that still knows
+# what it was told before.
+def test_restarted_peer_is_told_of_quarantined_requests_again(network):
+    one = Gateway(network, 'one', ('two',))
+    two = Gateway(network, 'two', ())
+    one.crashes.record_crashes(QUARANTINED, CRASHES)
+    curio.run(network.run_until(two.has_quarantine))
+    for number in range(MANY):
+        one.crashes.record_crashes(f'suspected-{number}', CRASHES[:1])
+    curio.run(network.run_until(lambda: len(two.crashes) > MANY))
+    restarted = Gateway(network, 'two', ())
+    curio.run(network.run_until(restarted.has_quarantine))
+    assert restarted.has_quarantine()
+
+
+def test_unknown_message_is_rejected(network):
+    one = Gateway(network, 'one', ())
+    with pytest.raises(errors.MagnoliawoodError):
+        curio.run(one.gossip.serve(None, object()))
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -140,6 +140,18 @@
         """Change the faults that an upstream injects."""
         self.upstream(name, '/control/faults', faults)
 
+    def restart_crashed_upstreams(self) -> None:
+        """Start crashed upstreams again with their address and id."""
+        for name, process in self.upstream_processes.items():
+            if process.is_running:
+                continue
+            process.start()
+            self.wait_for(
+                lambda at=name: (
+                    self.upstream(at, '/control/faults', {}).status == 200
+                )
+            )
+
     def save_logs(self) -> pathlib.Path:
         """Copy logs and run journals to a folder that is not removed."""
         folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
@@ -0,0 +1,75 @@
+"""Requests that crash each upstream that runs them, with real processes."""
+
+import itertools
+
+import pytest
+
+from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.standins import signed_upstream
+
+CRASH_BODY = signed_upstream.SignedUpstreamFaults().crash_body
+# Number of upstreams that one request may crash before it is rejected.
+MAX_CRASHES = 2
+# Number of times that a caller sends the request.
+SENDS = 6
+_numbers = itertools.count(1)
+
+
+def _send(deployment, gateway, path='/once/page', **headers):
+    """Send the crashing request and restart the upstream that it crashed."""
+    request_id = f'crash-{next(_numbers)}'
+    response = deployment.call(
+        gateway, path, request_id, CRASH_BODY.encode(), **headers
+    )
+    deployment.restart_crashed_upstreams()
+    return response.status
+
+
+def _crashes(deployment):
+    return sum(run.body == CRASH_BODY for run in deployment.all_runs())
+
+
+def _is_rejected_by_all(deployment):
+    return all(
+        _send(deployment, gateway) == 503
+        for gateway in range(len(deployment.gateways))
+    )
+
+
+# Guards against counting all crashes of one upstream once because it starts
+# again under the id that it had.
+def test_each_crash_of_an_upstream_that_keeps_its_id_counts():
+    with hosted.HostedDeployment(gateways=1, upstreams=1) as deployment:
+        for _ in range(SENDS):
+            _send(deployment, 0)
+        assert _crashes(deployment) <= MAX_CRASHES
+
+
+# Guards against running a quarantined request again after all gateways, which
+# keep crash records in memory, were restarted.
+def test_quarantine_survives_a_restart_of_all_gateways():
+    with hosted.HostedDeployment(upstreams=3) as deployment:
+        deployment.wait_for(lambda: _is_rejected_by_all(deployment))
+        crashes = _crashes(deployment)
+        for gateway in deployment.gateways:
+            gateway.kill()
+        for gateway in deployment.gateways:
+            gateway.start()
+        deployment.wait_until_ready()
+        assert _is_rejected_by_all(deployment)
+        assert _crashes(deployment) == crashes
+
+
+# Guards against taking a request for another one because its program, session,
+# affinity key or query differs, though path and body are the same.
+@pytest.mark.parametrize(
+    'header', ['Program_Id', 'Session_Id', 'Affinity_Key', 'query']
+)
+def test_crashing_request_is_recognised_by_path_and_body(header):
+    with hosted.HostedDeployment(gateways=1, upstreams=3) as deployment:
+        for number in range(SENDS):
+            if header == 'query':
+                _send(deployment, 0, f'/once/page?try={number}')
+            else:
+                _send(deployment, 0, **{header: f'value-{number}'})
+        assert _crashes(deployment) <= MAX_CRASHES
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -9,6 +9,7 @@
 import argparse
 import collections.abc
 import json
+import os
 import pathlib
 import time
 
@@ -19,6 +20,7 @@
 
 # Number of events in each stream.
 EVENTS = 5
+CRASH_EXIT_CODE = 70
 
 
 def event_bytes(number: int) -> bytes:
@@ -35,6 +37,7 @@
     :param cut_after: number of events after which each stream is cut; none
         if negative
     :param poison: body of requests whose response is always lost
+    :param crash_body: body of requests that end the process when they run
     :param forget_idle_seconds: idle time after which a connection is dropped
         at its next request, which does not run; never if 0
     """
@@ -44,6 +47,7 @@
     lost_answers: int = 0
     cut_after: int = -1
     poison: str = ''
+    crash_body: str = 'crash-the-upstream'
     forget_idle_seconds: float = 0.0
 
 
@@ -95,6 +99,8 @@
     ) -> http_message.Response:
         request_id = request_id_header['request-id']
         self._record_run(request)
+        if request.body.decode('latin-1') == self.faults.crash_body:
+            os._exit(CRASH_EXIT_CODE)
         signed = {
             **request_id_header,
             'server-stamp': f'{self._incarnation}.{request_id}',
--- a/packages/magnoliawood/magnoliawood/limits/crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_list.py
@@ -17,6 +17,8 @@
 QUARANTINE_PERIOD = datetime.timedelta(hours=1)
 # Maximum number of records in a list.
 LIST_LIMIT = 1000
+# Maximum number of records in one report to another process.
+REPORT_LIMIT = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -145,7 +147,7 @@
         )
         return self._store(merged)
 
-    def recent(self, limit: int = 20) -> list[CrashRecord]:
+    def recent(self, limit: int = REPORT_LIMIT) -> list[CrashRecord]:
         """Return the most recently updated records, newest first."""
         newest = itertools.islice(reversed(self._records.values()), limit)
         return list(newest)
--- a/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
@@ -63,6 +63,16 @@
     assert not crashes.crashes('a')
 
 
+# Guards against forgetting a quarantined request because many others were
+# running when upstreams crashed.
+def test_suspected_requests_do_not_evict_quarantined_ones(crashes):
+    crashes.record_crashes('f', [ONE, TWO])
+    for name in 'abcd':
+        crashes.record_crashes(name, [ONE])
+    assert crashes.find('f').is_quarantined
+    assert len(crashes) == 3
+
+
 def test_merged_records_keep_all_crashes(crashes, clock):
     crashes.record_crashes('f', [ONE])
     other = crash_list.CrashList(clock).record_crashes('f', [TWO])
