Log which request an upstream was lost under, and how often

Each lost attempt now names the request's fingerprint, the crash and how many are known; a failed attempt names the idle time of its connection; a gateway logs what it learns from a peer, and a refusal names the fingerprint.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -82,12 +82,15 @@
         a malformed response
     :param is_before_response: whether it failed before the head of the
         response was received
+    :param idle_time: time for which the connection had been idle; ``None``
+        if it was new
     """
 
     ending: Ending
     reason: str = ''
     is_connection_lost: bool = False
     is_before_response: bool = False
+    idle_time: datetime.timedelta | None = None
 
 
 BeforeEnd = collections.abc.Callable[[], collections.abc.Awaitable[None]]
@@ -127,8 +130,10 @@
             connection = await self._pool.acquire(upstream)
         except http_client.ConnectFailed as error:
             return Result(Ending.UNREACHABLE, str(error))
+        idle_time = self._pool.idle_time(connection)
         try:
             result = await self._run(connection, upstream, time_left)
+            result = dataclasses.replace(result, idle_time=idle_time)
             if result.ending is Ending.FAILED:
                 return await self._classify_failure(
                     result, upstream, connection
@@ -152,7 +157,7 @@
         if may_be_idle_close and await self._pool.was_closed_while_idle(
             upstream, connection
         ):
-            return Result(Ending.FORGOTTEN, result.reason)
+            return dataclasses.replace(result, ending=Ending.FORGOTTEN)
         return result
 
     async def _run(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -175,7 +175,7 @@
         if report.does_reach_store:
             self._store_reached_at = self._clock.monotonic()
         for record in report.crashes:
-            self._crashes.merge(record)
+            self._merge_crashes(record, report.host)
         for sent_prompt in report.prompts:
             self._selector.record_from_peer(sent_prompt)
         self.add_peers([report.address])
@@ -188,6 +188,22 @@
         known_peers = list(self._peers) if report.peers else []
         return messages.ReportTaken(known_peers, is_behind)
 
+    def _merge_crashes(
+        self, record: crash_list.CrashRecord, source: str
+    ) -> None:
+        previous = self._crashes.find(record.fingerprint)
+        merged = self._crashes.merge(record)
+        was_quarantined = previous is not None and previous.is_quarantined
+        if merged.is_quarantined and not was_quarantined:
+            _log.warning(
+                'request quarantined by a peer',
+                extra={
+                    'fingerprint': merged.fingerprint,
+                    'crashes': len(merged.crashes),
+                    'source': source,
+                },
+            )
+
     async def _report(self, address: str, peer: _Peer) -> None:
         try:
             new_prompts = self._selector.sent_prompts_after(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -125,7 +125,8 @@
         if record is not None and record.is_quarantined:
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.SUSPECTED,
-                f'{len(record.crashes)} upstreams crashed during this request',
+                f'{len(record.crashes)} upstreams crashed during this request '
+                f'({fingerprint})',
                 retry_after=record.expires_at - self._clock.now(),
             )
 
@@ -225,6 +226,8 @@
                 'ending': str(result.ending),
                 'reason': result.reason,
                 'events': job.delivery.events,
+                'fingerprint': job.fingerprint,
+                'idle_ms': _milliseconds(result.idle_time),
             },
         )
         if result.ending is exchanges.Ending.MISDIRECTED:
@@ -232,10 +235,7 @@
         if result.ending.is_upstream_failure:
             self._load_tracker.record_failure(upstream.id)
         if result.is_connection_lost:
-            self._crashes.record_crashes(
-                job.fingerprint,
-                [crash_list.Crash(upstream.address, upstream.id)],
-            )
+            self._record_crash(job, upstream)
         if result.ending.has_not_run:
             job.attempts_not_run += 1
             may_retry = job.attempts_not_run < MAX_ATTEMPTS_NOT_RUN
@@ -247,6 +247,23 @@
         if not may_retry:
             raise self._abort_error(job)
 
+    def _record_crash(
+        self, job: jobs.Job, upstream: directories.Upstream
+    ) -> None:
+        crash = crash_list.Crash(upstream.address, upstream.id)
+        record = self._crashes.record_crashes(job.fingerprint, [crash])
+        self._registry.count('crashes_total')
+        _log.warning(
+            'upstream lost during the request',
+            extra={
+                'request_id': job.metadata.request_id,
+                'fingerprint': job.fingerprint,
+                'crash': f'{crash.upstream} {crash.run}',
+                'crashes': len(record.crashes),
+                'is_quarantined': record.is_quarantined,
+            },
+        )
+
     def _is_quarantined(self, job: jobs.Job) -> bool:
         record = self._crashes.find(job.fingerprint)
         return record is not None and record.is_quarantined
@@ -350,7 +367,7 @@
                 'requests_there': self._load_tracker.requests(upstream.id),
                 'attempts': job.attempts + job.attempts_not_run + 1,
                 'admitted_ms': _milliseconds(
-                    job.admitted, job.request.arrived
+                    job.admitted and job.admitted - job.request.arrived
                 ),
                 'events': job.delivery.events,
                 'elapsed_ms': elapsed // _MILLISECOND,
@@ -359,10 +376,6 @@
         )
 
 
-def _milliseconds(
-    end: datetime.timedelta | None, start: datetime.timedelta
-) -> int | None:
-    """Return the milliseconds from start to end, if the end is known."""
-    if end is None:
-        return None
-    return (end - start) // _MILLISECOND
+def _milliseconds(period: datetime.timedelta | None) -> int | None:
+    """Return a period in milliseconds, if it is known."""
+    return None if period is None else period // _MILLISECOND
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_pool.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_pool.py
@@ -70,6 +70,13 @@
             await connection.close()
         return await self._open(upstream)
 
+    def idle_time(
+        self, connection: connections.ClientConnection
+    ) -> datetime.timedelta | None:
+        """Return how long a connection was idle; ``None`` if it is new."""
+        reuse = self._reused.get(connection)
+        return None if reuse is None else reuse.idle_time
+
     async def was_closed_while_idle(
         self,
         upstream: directory.Upstream,
