Count each crash of an upstream that starts again with its id

Cause: a crash was identified by the upstream's address and id. An upstream may start again with its id, and the hash of a request picks the same upstream, so its second and all later crashes were taken for the first one and the request never reached two. Evidence: the log has 'upstream lost during the request' with the same fingerprint and the same crash four times, 'crashes' 1 each time. Fix: a crash is identified by a token. Connections that were opened before a crash was seen belong to it, the loss of a later one is another crash. This needs no field of the upstream, so it also holds while the entry in the store is old. Decisions on such requests move to quarantine.py.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -14,6 +14,7 @@
 from magnoliawood_server.gateway import cluster_view as cluster_views
 from magnoliawood_server.gateway import gossip as gossips
 from magnoliawood_server.gateway import handler as handlers
+from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.gateway import readiness
 from magnoliawood_server.gateway import record_client as record_clients
 from magnoliawood_server.gateway import relay as relays
@@ -61,6 +62,9 @@
         self._upstreams = upstream_pool.UpstreamPool(clock)
         self._peers = pools.PeerPool(clock, None)
         self._crashes = crash_list.CrashList(clock)
+        self._quarantine = quarantines.Quarantine(
+            self._crashes, clock, self._registry
+        )
         self._records = record_clients.RecordClient(
             group_stores.GroupStore(objects.StoreClient(settings.store)),
             relays.RelayingRequester(
@@ -86,7 +90,7 @@
             self._selector,
             self._upstreams,
             turn_guard.TurnGuard(self._records, clock),
-            self._crashes,
+            self._quarantine,
             clock,
             self._registry,
         )
@@ -197,3 +201,4 @@
             }
             await self._upstreams.close_except(upstream_ids)
             self._selector.retain_only(upstream_ids)
+            self._quarantine.retain_only(upstream_ids)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -82,15 +82,14 @@
         a malformed response
     :param is_before_response: whether it failed before the head of the
         response was received
-    :param idle_time: time for which the connection had been idle; ``None``
-        if it was new
+    :param connection_use: use of the connection; ``None`` if there was none
     """
 
     ending: Ending
     reason: str = ''
     is_connection_lost: bool = False
     is_before_response: bool = False
-    idle_time: datetime.timedelta | None = None
+    connection_use: upstream_pool.ConnectionUse | None = None
 
 
 BeforeEnd = collections.abc.Callable[[], collections.abc.Awaitable[None]]
@@ -130,10 +129,10 @@
             connection = await self._pool.acquire(upstream)
         except http_client.ConnectFailed as error:
             return Result(Ending.UNREACHABLE, str(error))
-        idle_time = self._pool.idle_time(connection)
+        connection_use = self._pool.use_of(connection)
         try:
             result = await self._run(connection, upstream, time_left)
-            result = dataclasses.replace(result, idle_time=idle_time)
+            result = dataclasses.replace(result, connection_use=connection_use)
             if result.ending is Ending.FAILED:
                 return await self._classify_failure(
                     result, upstream, connection
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -9,13 +9,13 @@
 from magnoliawood.fleet import directory as directories
 from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import selection
-from magnoliawood.limits import crash_list
 from magnoliawood.routes import table as tables
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import cluster_view as cluster_views
 from magnoliawood_server.gateway import exchange as exchanges
 from magnoliawood_server.gateway import job as jobs
+from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.gateway import turn_guard
 from magnoliawood_server.gateway import upstream_pool
 from magnoliawood_server.platform import requests
@@ -42,7 +42,7 @@
 class RequestHandler:
     """Routes each request and runs it on an upstream.
 
-    :param crashes: requests during which upstreams crashed
+    :param quarantine: requests that crash upstreams
     """
 
     def __init__(
@@ -52,7 +52,7 @@
         selector: selection.Selector,
         pool: upstream_pool.UpstreamPool,
         guard: turn_guard.TurnGuard,
-        crashes: crash_list.CrashList,
+        quarantine: quarantines.Quarantine,
         clock: clocks.Clock,
         registry: registries.Registry,
     ) -> None:
@@ -61,7 +61,7 @@
         self._selector = selector
         self._pool = pool
         self._guard = guard
-        self._crashes = crashes
+        self._quarantine = quarantine
         self._clock = clock
         self._registry = registry
 
@@ -109,7 +109,7 @@
             metadata.time_left or DEFAULT_REQUEST_TIMEOUT, route.timeout
         )
         fingerprint = jobs.fingerprint_of(request, metadata)
-        self._check_crashes(fingerprint)
+        self._quarantine.check(fingerprint)
         return jobs.Job(
             request,
             metadata,
@@ -120,16 +120,6 @@
             fingerprint,
         )
 
-    def _check_crashes(self, fingerprint: str) -> None:
-        record = self._crashes.find(fingerprint)
-        if record is not None and record.is_quarantined:
-            raise errors.MagnoliawoodError(
-                errors.ErrorCode.SUSPECTED,
-                f'{len(record.crashes)} upstreams crashed during this request '
-                f'({fingerprint})',
-                retry_after=record.expires_at - self._clock.now(),
-            )
-
     async def _serve(self, job: jobs.Job) -> None:
         body = job.request.body
         if job.is_turn:
@@ -218,24 +208,18 @@
         job.tried.add(upstream.id)
         job.last_reason = result.reason
         self._registry.count('attempts_total', ending=str(result.ending))
-        _log.warning(
-            'attempt failed',
-            extra={
-                'request_id': job.metadata.request_id,
-                'upstream': upstream.id,
-                'ending': str(result.ending),
-                'reason': result.reason,
-                'events': job.delivery.events,
-                'fingerprint': job.fingerprint,
-                'idle_ms': _milliseconds(result.idle_time),
-            },
-        )
+        self._log_failure(job, upstream, result)
         if result.ending is exchanges.Ending.MISDIRECTED:
             self._cluster_view.directory.drop(upstream.id)
         if result.ending.is_upstream_failure:
             self._load_tracker.record_failure(upstream.id)
-        if result.is_connection_lost:
-            self._record_crash(job, upstream)
+        if result.is_connection_lost and result.connection_use is not None:
+            self._quarantine.record_loss(
+                job.metadata.request_id,
+                job.fingerprint,
+                upstream,
+                result.connection_use,
+            )
         if result.ending.has_not_run:
             job.attempts_not_run += 1
             may_retry = job.attempts_not_run < MAX_ATTEMPTS_NOT_RUN
@@ -243,31 +227,10 @@
             job.attempts += 1
             may_retry = job.attempts < job.route.max_attempts
             may_retry &= job.route.is_idempotent
-            may_retry &= not self._is_quarantined(job)
+            may_retry &= not self._quarantine.is_quarantined(job.fingerprint)
         if not may_retry:
             raise self._abort_error(job)
 
-    def _record_crash(
-        self, job: jobs.Job, upstream: directories.Upstream
-    ) -> None:
-        crash = crash_list.Crash(upstream.address, upstream.id)
-        record = self._crashes.record_crashes(job.fingerprint, [crash])
-        self._registry.count('crashes_total')
-        _log.warning(
-            'upstream lost during the request',
-            extra={
-                'request_id': job.metadata.request_id,
-                'fingerprint': job.fingerprint,
-                'crash': f'{crash.upstream} {crash.run}',
-                'crashes': len(record.crashes),
-                'is_quarantined': record.is_quarantined,
-            },
-        )
-
-    def _is_quarantined(self, job: jobs.Job) -> bool:
-        record = self._crashes.find(job.fingerprint)
-        return record is not None and record.is_quarantined
-
     async def _before_end(self, job: jobs.Job) -> None:
         """Store a turn that has a retention period before its stream ends."""
         if job.turn is None or not job.turn.retention_period:
@@ -347,6 +310,26 @@
         )
         await responder.send_complete(status, headers, b'')
 
+    def _log_failure(
+        self,
+        job: jobs.Job,
+        upstream: directories.Upstream,
+        result: exchanges.Result,
+    ) -> None:
+        use = result.connection_use
+        _log.warning(
+            'attempt failed',
+            extra={
+                'request_id': job.metadata.request_id,
+                'upstream': upstream.id,
+                'ending': str(result.ending),
+                'reason': result.reason,
+                'events': job.delivery.events,
+                'fingerprint': job.fingerprint,
+                'idle_ms': _milliseconds(use.idle_time if use else None),
+            },
+        )
+
     def _log_served(
         self,
         job: jobs.Job,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_pool.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_pool.py
@@ -33,11 +33,17 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Reuse:
-    """Time at which an idle connection was reused and its idle time."""
+class ConnectionUse:
+    """Use of a connection for one request; the times are monotonic.
 
+    :param opened_at: time at which the connection was opened
+    :param acquired_at: time at which it was acquired for the request
+    :param idle_time: time for which it had been idle; ``None`` if it was new
+    """
+
+    opened_at: datetime.timedelta
     acquired_at: datetime.timedelta
-    idle_time: datetime.timedelta
+    idle_time: datetime.timedelta | None = None
 
 
 class UpstreamPool:
@@ -47,8 +53,8 @@
         self._clock = clock
         self._limits = idle_limit.IdleLimits(clock)
         self._idle: dict[str, list[_IdleConnection]] = {}
-        self._reused: weakref.WeakKeyDictionary[
-            connections.ClientConnection, _Reuse
+        self._uses: weakref.WeakKeyDictionary[
+            connections.ClientConnection, ConnectionUse
         ] = weakref.WeakKeyDictionary()
 
     async def acquire(
@@ -64,18 +70,16 @@
             connection = candidate.connection
             is_fresh = self._is_fresh(candidate, upstream.service)
             if is_fresh and connection.is_open_and_idle():
-                now = self._clock.monotonic()
-                self._reused[connection] = _Reuse(now, now - candidate.since)
+                self._record_reuse(candidate)
                 return connection
             await connection.close()
         return await self._open(upstream)
 
-    def idle_time(
+    def use_of(
         self, connection: connections.ClientConnection
-    ) -> datetime.timedelta | None:
-        """Return how long a connection was idle; ``None`` if it is new."""
-        reuse = self._reused.get(connection)
-        return None if reuse is None else reuse.idle_time
+    ) -> ConnectionUse:
+        """Return the latest use of a connection."""
+        return self._uses[connection]
 
     async def was_closed_while_idle(
         self,
@@ -93,34 +97,43 @@
 
         :returns: whether the upstream had closed the idle connection
         """
-        reuse = self._reused.get(connection)
-        if reuse is None:
+        use = self._uses[connection]
+        if use.idle_time is None:
             return False
-        if self._clock.monotonic() - reuse.acquired_at > _RESET_TIMEOUT:
+        if self._clock.monotonic() - use.acquired_at > _RESET_TIMEOUT:
             return False
         try:
             opened = await self._open(upstream)
         except http_client.ConnectFailed:
             return False
-        self._limits.record_lost_connection(upstream.service, reuse.idle_time)
+        self._limits.record_lost_connection(upstream.service, use.idle_time)
         _log.info(
             'idle connection was closed by the upstream',
             extra={
                 'upstream': upstream.id,
-                'rested_ms': reuse.idle_time
+                'rested_ms': use.idle_time
                 // datetime.timedelta(milliseconds=1),
             },
         )
         self._add_idle(upstream, opened)
         return True
 
-    @staticmethod
     async def _open(
-        upstream: directory.Upstream,
+        self, upstream: directory.Upstream
     ) -> connections.ClientConnection:
-        return await connections.ClientConnection.open(
+        connection = await connections.ClientConnection.open(
             upstream.address, CONNECT_TIMEOUT, names.REQUEST_ID
         )
+        now = self._clock.monotonic()
+        self._uses[connection] = ConnectionUse(now, now)
+        return connection
+
+    def _record_reuse(self, idle: _IdleConnection) -> None:
+        now = self._clock.monotonic()
+        opened_at = self._uses[idle.connection].opened_at
+        self._uses[idle.connection] = ConnectionUse(
+            opened_at, now, now - idle.since
+        )
 
     async def release_connection(
         self,
@@ -131,7 +144,6 @@
 
         Otherwise, or if the pool is full, the connection is closed.
         """
-        self._reused.pop(connection, None)
         idle = self._idle.get(upstream.id, [])
         if not connection.can_be_reused or len(idle) >= MAX_IDLE_CONNECTIONS:
             await connection.close()
--- a/packages/magnoliawood/magnoliawood/limits/crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_list.py
@@ -26,7 +26,8 @@
     """One crash of one upstream.
 
     :param upstream: name of the host
-    :param run: identifier of the process that crashed
+    :param run: identifier of the process that crashed or, if it may keep its
+        identifier when it starts again, of the crash
     """
 
     upstream: str
