Count a loss on a reused connection as a possible crash

Cause: a loss within 100 ms on a reused idle connection was taken for an idle connection that the upstream had closed if the upstream accepts a new one, that is, if it is back at once. It was not recorded. Fix: such a loss is an uncertain crash. A request with any crash runs on new connections only, so a second loss can't be explained that way. Uncertain crashes alone never quarantine: an upstream that closes idle connections may meet a request once at each gateway. One that completes is cleared.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -119,14 +119,18 @@
         self._before_end = before_end
 
     async def run(
-        self, upstream: directory.Upstream, time_left: datetime.timedelta
+        self,
+        upstream: directory.Upstream,
+        time_left: datetime.timedelta,
+        may_reuse: bool = True,
     ) -> Result:
         """Run one attempt.
 
+        :param may_reuse: whether an idle connection may be used
         :raises OSError: if the caller disconnected
         """
         try:
-            connection = await self._pool.acquire(upstream)
+            connection = await self._pool.acquire(upstream, may_reuse)
         except http_client.ConnectFailed as error:
             return Result(Ending.UNREACHABLE, str(error))
         connection_use = self._pool.use_of(connection)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -156,6 +156,7 @@
                 job.attempts += 1
                 raise self._abort_error(job, is_timeout=True)
             if result.ending is exchanges.Ending.DELIVERED:
+                self._quarantine.record_success(job.fingerprint)
                 self._log_served(job, upstream, result)
                 return
             self._handle_failure(job, upstream, result)
@@ -169,8 +170,11 @@
     ) -> exchanges.Result | None:
         self._load_tracker.begin(upstream.id)
         try:
+            # On a new connection a loss can't be an idle close, so a second
+            # loss of the same request is certain.
+            may_reuse = not self._quarantine.is_suspected(job.fingerprint)
             result = await exchanges.run_with_timeout(
-                time_left, exchange.run(upstream, time_left)
+                time_left, exchange.run(upstream, time_left, may_reuse)
             )
         finally:
             self._load_tracker.end(upstream.id)
@@ -219,6 +223,7 @@
                 job.fingerprint,
                 upstream,
                 result.connection_use,
+                result.ending is not exchanges.Ending.FORGOTTEN,
             )
         if result.ending.has_not_run:
             job.attempts_not_run += 1
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
@@ -50,19 +50,33 @@
         record = self._crashes.find(fingerprint)
         return record is not None and record.is_quarantined
 
+    def is_suspected(self, fingerprint: str) -> bool:
+        """Whether an upstream may have crashed during the request."""
+        return self._crashes.find(fingerprint) is not None
+
+    def record_success(self, fingerprint: str) -> None:
+        """Clear a request that an upstream has completed."""
+        self._crashes.clear(fingerprint)
+
     def record_loss(
         self,
         request_id: str,
         fingerprint: str,
         upstream: directories.Upstream,
         connection_use: upstream_pool.ConnectionUse,
+        is_certain: bool,
     ) -> None:
-        """Record that a connection was lost while the request was running."""
+        """Record that a connection was lost while the request was running.
+
+        :param is_certain: whether the upstream had certainly not closed the
+            connection before the request was sent
+        """
         crash = crash_list.Crash(
             upstream.address,
             self._crash_tracker.crash_of(
                 upstream.id, connection_use.opened_at
             ),
+            is_certain,
         )
         record = self._crashes.record_crashes(fingerprint, [crash])
         self._registry.count('crashes_total')
@@ -72,6 +86,7 @@
                 'request_id': request_id,
                 'fingerprint': fingerprint,
                 'crash': f'{crash.upstream} {crash.run}',
+                'is_certain': is_certain,
                 'crashes': len(record.crashes),
                 'is_quarantined': record.is_quarantined,
             },
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_pool.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_pool.py
@@ -58,13 +58,14 @@
         ] = weakref.WeakKeyDictionary()
 
     async def acquire(
-        self, upstream: directory.Upstream
+        self, upstream: directory.Upstream, may_reuse: bool = True
     ) -> connections.ClientConnection:
         """Return an idle connection, or a new one.
 
+        :param may_reuse: whether an idle connection may be returned
         :raises ConnectFailed: if no connection could be opened
         """
-        idle = self._idle.get(upstream.id, [])
+        idle = self._idle.get(upstream.id, []) if may_reuse else []
         while idle:
             candidate = idle.pop()
             connection = candidate.connection
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
@@ -318,26 +318,49 @@
         assert response.status == 200
 
 
-def test_request_that_crashed_two_upstreams_is_rejected_by_all(shared):
-    for upstream in shared.upstreams:
-        shared.upstream(upstream, '/control/faults', {'poison': 'bad'})
+def _poison(deployment):
+    for upstream in deployment.upstreams:
+        deployment.set_upstream_faults(upstream, poison='bad')
+
+
+def _send_until_all_reject(deployment):
+    """Send the poison to each gateway in turn; return the statuses."""
+    gateways = range(len(deployment.gateways))
     statuses = []
 
-    def is_rejected():
-        for gateway in range(2):
-            response = shared.call(gateway, '/once/page', _new_id(), b'bad')
-            statuses.append(response.status)
-        return statuses[-2:] == [503, 503]
+    def is_rejected_by_all():
+        latest = [
+            deployment.call(gateway, '/once/page', _new_id(), b'bad').status
+            for gateway in gateways
+        ]
+        statuses.extend(latest)
+        return set(latest) == {503}
+
+    deployment.wait_for(is_rejected_by_all)
+    return statuses
 
-    shared.wait_for(is_rejected)
+
+def test_request_that_crashed_two_upstreams_is_rejected_by_all(shared):
+    _poison(shared)
+    statuses = _send_until_all_reject(shared)
     for upstream in shared.upstreams:
-        shared.upstream(upstream, '/control/faults', {'poison': ''})
+        shared.set_upstream_faults(upstream, poison='')
     # Each 502 stands for one crash of an upstream. Reports of crashes reach
     # the other gateway with a delay.
     assert statuses.count(502) <= 4
     assert shared.call(0, '/once/page', _new_id(), b'good').status == 200
 
 
+# Guards against taking each crash on a reused connection for an idle
+# connection that the upstream had closed.
+@pytest.mark.parametrize('gateways', [2, 4])
+def test_crashes_on_reused_connections_count(gateways):
+    with hosted.HostedDeployment(gateways=gateways) as deployment:
+        _poison(deployment)
+        statuses = _send_until_all_reject(deployment)
+    assert statuses.count(502) <= 2 * gateways
+
+
 def test_reused_request_id_is_charged_again(shared):
     """Guards against runs without a charge after a rejected attempt.
 
--- a/packages/magnoliawood/magnoliawood/limits/crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_list.py
@@ -28,10 +28,13 @@
     :param upstream: name of the host
     :param run: identifier of the process that crashed or, if it may keep its
         identifier when it starts again, of the crash
+    :param is_certain: whether nothing else explains the loss of the request;
+        an upstream may also have closed a connection while it was idle
     """
 
     upstream: str
     run: str
+    is_certain: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +53,7 @@
     @property
     def is_quarantined(self) -> bool:
         """Whether the request is rejected because of its crashes."""
-        return len(self.crashes) >= QUARANTINE_CRASHES
+        return _are_enough(self.crashes)
 
     def to_text(self) -> str:
         """Return the record in the format of the store."""
@@ -68,6 +71,11 @@
 _RECORD = pydantic.TypeAdapter(CrashRecord)
 
 
+def _are_enough(crashes: collections.abc.Collection[Crash]) -> bool:
+    is_any_certain = any(crash.is_certain for crash in crashes)
+    return is_any_certain and len(crashes) >= QUARANTINE_CRASHES
+
+
 class CrashList:
     """Suspected and quarantined requests by fingerprint.
 
@@ -76,7 +84,8 @@
 
     A request that was running during one crash is suspected: it may run
     again, but not at the same time as another suspected request on the same
-    upstream. A request that was running during two crashes is quarantined.
+    upstream. A request that was running during two crashes, of which one is
+    certain, is quarantined.
     A suspected request that later completes is cleared. The number of
     records is limited and each record expires; the record that was updated
     least recently is evicted first.
@@ -124,7 +133,7 @@
         updated = previous | frozenset(crashes)
         if updated == previous and updated:
             return self._records[fingerprint]
-        is_quarantined = len(updated) >= QUARANTINE_CRASHES
+        is_quarantined = _are_enough(updated)
         period = QUARANTINE_PERIOD if is_quarantined else SUSPICION_PERIOD
         return self._store(
             CrashRecord(
--- a/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
@@ -32,6 +32,15 @@
     assert caught.value.retry_after == left
 
 
+def test_two_uncertain_crashes_do_not_quarantine(crashes):
+    uncertain = [
+        crash_list.Crash('engine-1', 'a', False),
+        crash_list.Crash('engine-2', 'b', False),
+    ]
+    assert not crashes.record_crashes('f', uncertain).is_quarantined
+    assert crashes.record_crashes('f', [ONE]).is_quarantined
+
+
 def test_one_crash_reported_twice_counts_once(crashes):
     crashes.record_crashes('f', [ONE])
     assert not crashes.record_crashes('f', [ONE]).is_quarantined
