Recognise a crashing request by its path and body

Cause: its digest contained the query, program, session and affinity key besides path and body. Fix: crashes are recorded by content (method, path, previous turn, body) and by content and caller. Content that was completed before counts only together with its caller, so upstreams that crash for other reasons don't withhold a page from everybody.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/quarantine_registry.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/quarantine_registry.py
@@ -1,6 +1,5 @@
 """Crash records of requests, synchronized with the store and sidecars."""
 
-import collections
 import datetime
 import logging
 
@@ -11,6 +10,7 @@
 from magnoliawood.core import errors
 from magnoliawood.limits import affinity as affinities
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import succeeded
 from magnoliawood.platform import store
 from magnoliawood.programs import call as calls
 from magnoliawood.telemetry import registry as registries
@@ -21,8 +21,6 @@
 PREFIX = 'quarantine/'
 WATCH_WAIT = datetime.timedelta(seconds=2)
 RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
-# Number of requests that are remembered as succeeded, by fingerprint.
-SUCCEEDED_LIMIT = 10_000
 
 _log = logging.getLogger(__name__)
 
@@ -55,9 +53,7 @@
         self._clock = clock
         self._metrics = metrics
         self._crashes = crash_list.CrashList(clock)
-        self._succeeded: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
+        self._succeeded = succeeded.SucceededRequests()
         self._stored: dict[str, int] = {}
         self._unstored: set[str] = set()
         self._changed = curio.Event()
@@ -141,7 +137,7 @@
         """Record crashes and return whether any of them is new."""
         previous = self._crashes.find(fingerprint)
         record = self._crashes.record_crashes(fingerprint, crashes)
-        self._succeeded.pop(fingerprint, None)
+        self._succeeded.discard(fingerprint)
         if record == previous:
             return False
         self._unstored.add(fingerprint)
@@ -188,10 +184,7 @@
         ]
 
     async def _record_success(self, fingerprint: str) -> None:
-        self._succeeded[fingerprint] = None
-        self._succeeded.move_to_end(fingerprint)
-        while len(self._succeeded) > SUCCEEDED_LIMIT:
-            self._succeeded.popitem(last=False)
+        self._succeeded.add(fingerprint)
         crashes = self._crashes.crashes(fingerprint)
         if not crashes:
             return
@@ -270,7 +263,7 @@
             present[record.fingerprint] = item.version
             if self._stored.get(record.fingerprint) != item.version:
                 self._crashes.merge(record)
-                self._succeeded.pop(record.fingerprint, None)
+                self._succeeded.discard(record.fingerprint)
         await self._clear_removed(set(self._stored) - set(present))
         self._stored = present
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -14,6 +14,7 @@
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import cluster_view as cluster_views
 from magnoliawood_server.gateway import exchange as exchanges
+from magnoliawood_server.gateway import fingerprint as request_fingerprints
 from magnoliawood_server.gateway import job as jobs
 from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.gateway import turn_guard
@@ -108,8 +109,8 @@
         time_left = min(
             metadata.time_left or DEFAULT_REQUEST_TIMEOUT, route.timeout
         )
-        fingerprint = jobs.fingerprint_of(request, metadata)
-        self._quarantine.check(fingerprint)
+        fingerprints = request_fingerprints.fingerprints_of(request, metadata)
+        self._quarantine.check(fingerprints)
         return jobs.Job(
             request,
             metadata,
@@ -117,7 +118,7 @@
             route,
             tables.pick_service(route, jobs.hash_point(metadata)),
             request.arrived + time_left,
-            fingerprint,
+            fingerprints,
         )
 
     async def _serve(self, job: jobs.Job) -> None:
@@ -156,7 +157,7 @@
                 job.attempts += 1
                 raise self._abort_error(job, is_timeout=True)
             if result.ending is exchanges.Ending.DELIVERED:
-                self._quarantine.record_success(job.fingerprint)
+                self._quarantine.record_success(job.fingerprints)
                 self._log_served(job, upstream, result)
                 return
             self._handle_failure(job, upstream, result)
@@ -172,7 +173,7 @@
         try:
             # On a new connection a loss can't be an idle close, so a second
             # loss of the same request is certain.
-            may_reuse = not self._quarantine.is_suspected(job.fingerprint)
+            may_reuse = not self._quarantine.is_suspected(job.fingerprints)
             result = await exchanges.run_with_timeout(
                 time_left, exchange.run(upstream, time_left, may_reuse)
             )
@@ -220,7 +221,7 @@
         if result.is_connection_lost and result.connection_use is not None:
             self._quarantine.record_loss(
                 job.metadata.request_id,
-                job.fingerprint,
+                job.fingerprints,
                 upstream,
                 result.connection_use,
                 result.ending is not exchanges.Ending.FORGOTTEN,
@@ -232,7 +233,7 @@
             job.attempts += 1
             may_retry = job.attempts < job.route.max_attempts
             may_retry &= job.route.is_idempotent
-            may_retry &= not self._quarantine.is_quarantined(job.fingerprint)
+            may_retry &= not self._quarantine.is_quarantined(job.fingerprints)
         if not may_retry:
             raise self._abort_error(job)
 
@@ -330,7 +331,7 @@
                 'ending': str(result.ending),
                 'reason': result.reason,
                 'events': job.delivery.events,
-                'fingerprint': job.fingerprint,
+                'fingerprint': job.fingerprints.caller,
                 'idle_ms': _milliseconds(use.idle_time if use else None),
             },
         )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
@@ -7,6 +7,7 @@
 from magnoliawood.routes import configuration as configurations
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import exchange as exchanges
+from magnoliawood_server.gateway import fingerprint as request_fingerprints
 from magnoliawood_server.gateway import turn_guard
 from magnoliawood_server.platform import requests
 
@@ -28,7 +29,7 @@
     route: configurations.Route
     service: str
     deadline: datetime.timedelta
-    fingerprint: str
+    fingerprints: request_fingerprints.Fingerprints
     turn: turn_guard.Turn | None = None
     admitted: datetime.timedelta | None = None
     delivery: exchanges.Delivery = dataclasses.field(
@@ -48,24 +49,6 @@
         )
 
 
-def fingerprint_of(
-    request: callers.CallerRequest, metadata: requests.RequestMetadata
-) -> str:
-    """Return a digest that is equal for all attempts of one request."""
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (
-        request.method,
-        request.target,
-        metadata.program_id,
-        metadata.session_id,
-        metadata.previous_turn_id,
-        metadata.affinity,
-    ):
-        digest.update(part.encode('latin-1') + b'\0')
-    digest.update(request.body)
-    return digest.hexdigest()
-
-
 def hash_point(metadata: requests.RequestMetadata) -> float:
     """Hash the session to a point in [0, 1).
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
@@ -8,7 +8,9 @@
 from magnoliawood.fleet import crash_tracker
 from magnoliawood.fleet import directory as directories
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import succeeded
 from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.gateway import fingerprint as request_fingerprints
 from magnoliawood_server.gateway import upstream_pool
 
 _log = logging.getLogger(__name__)
@@ -17,6 +19,15 @@
 class Quarantine:
     """Requests that were running when upstreams crashed.
 
+    Explanation
+    ===========
+
+    A request that comes again may carry another query, program, session or
+    affinity key, so crashes are recorded by its content. Content that was
+    completed before, such as a page that many callers read, is recognised
+    only together with its caller: upstreams that crash for other reasons
+    must not withhold it from everybody.
+
     :param crashes: crash records of this gateway and its peers
     """
 
@@ -30,38 +41,47 @@
         self._clock = clock
         self._registry = registry
         self._crash_tracker = crash_tracker.CrashTracker(clock)
+        self._succeeded = succeeded.SucceededRequests()
 
-    def check(self, fingerprint: str) -> None:
+    def check(self, fingerprints: request_fingerprints.Fingerprints) -> None:
         """Reject a quarantined request.
 
         :raises MagnoliawoodError: with ``suspected``
         """
-        record = self._crashes.find(fingerprint)
-        if record is not None and record.is_quarantined:
-            raise errors.MagnoliawoodError(
-                errors.ErrorCode.SUSPECTED,
-                f'{len(record.crashes)} upstreams crashed during this request '
-                f'({fingerprint})',
-                retry_after=record.expires_at - self._clock.now(),
-            )
+        for record in self._records(fingerprints):
+            if record.is_quarantined:
+                raise errors.MagnoliawoodError(
+                    errors.ErrorCode.SUSPECTED,
+                    f'{len(record.crashes)} upstreams crashed during this '
+                    f'request ({record.fingerprint})',
+                    retry_after=record.expires_at - self._clock.now(),
+                )
 
-    def is_quarantined(self, fingerprint: str) -> bool:
+    def is_quarantined(
+        self, fingerprints: request_fingerprints.Fingerprints
+    ) -> bool:
         """Whether a request must not run again."""
-        record = self._crashes.find(fingerprint)
-        return record is not None and record.is_quarantined
+        records = self._records(fingerprints)
+        return any(record.is_quarantined for record in records)
 
-    def is_suspected(self, fingerprint: str) -> bool:
+    def is_suspected(
+        self, fingerprints: request_fingerprints.Fingerprints
+    ) -> bool:
         """Whether an upstream may have crashed during the request."""
-        return self._crashes.find(fingerprint) is not None
+        return bool(self._records(fingerprints))
 
-    def record_success(self, fingerprint: str) -> None:
+    def record_success(
+        self, fingerprints: request_fingerprints.Fingerprints
+    ) -> None:
         """Clear a request that an upstream has completed."""
-        self._crashes.clear(fingerprint)
+        self._succeeded.add(fingerprints.content)
+        self._crashes.clear(fingerprints.content)
+        self._crashes.clear(fingerprints.caller)
 
     def record_loss(
         self,
         request_id: str,
-        fingerprint: str,
+        fingerprints: request_fingerprints.Fingerprints,
         upstream: directories.Upstream,
         connection_use: upstream_pool.ConnectionUse,
         is_certain: bool,
@@ -78,22 +98,37 @@
             ),
             is_certain,
         )
-        record = self._crashes.record_crashes(fingerprint, [crash])
         self._registry.count('crashes_total')
-        _log.warning(
-            'upstream lost during the request',
-            extra={
-                'request_id': request_id,
-                'fingerprint': fingerprint,
-                'crash': f'{crash.upstream} {crash.run}',
-                'is_certain': is_certain,
-                'crashes': len(record.crashes),
-                'is_quarantined': record.is_quarantined,
-            },
-        )
+        for fingerprint in self._keys(fingerprints):
+            record = self._crashes.record_crashes(fingerprint, [crash])
+            _log.warning(
+                'upstream lost during the request',
+                extra={
+                    'request_id': request_id,
+                    'fingerprint': fingerprint,
+                    'crash': f'{crash.upstream} {crash.run}',
+                    'is_certain': is_certain,
+                    'crashes': len(record.crashes),
+                    'is_quarantined': record.is_quarantined,
+                },
+            )
 
     def retain_only(
         self, upstream_ids: collections.abc.Container[str]
     ) -> None:
         """Forget upstreams that are not listed."""
         self._crash_tracker.retain_only(upstream_ids)
+
+    def _keys(
+        self, fingerprints: request_fingerprints.Fingerprints
+    ) -> list[str]:
+        """Return the digests by which a request is recognised."""
+        if fingerprints.content in self._succeeded:
+            return [fingerprints.caller]
+        return [fingerprints.caller, fingerprints.content]
+
+    def _records(
+        self, fingerprints: request_fingerprints.Fingerprints
+    ) -> list[crash_list.CrashRecord]:
+        found = map(self._crashes.find, self._keys(fingerprints))
+        return [record for record in found if record is not None]
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_quarantine.py
@@ -0,0 +1,87 @@
+import datetime
+
+import pytest
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.fleet import directory as directories
+from magnoliawood.limits import crash_list
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.gateway import fingerprint as request_fingerprints
+from magnoliawood_server.gateway import quarantine as quarantines
+from magnoliawood_server.gateway import upstream_pool
+
+UPSTREAM = directories.Upstream('i-1', 'llm', '127.0.0.1:80', 'dc-1', 8)
+ONE = request_fingerprints.Fingerprints('page', 'page of one caller')
+OTHER = request_fingerprints.Fingerprints('page', 'page of another caller')
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def quarantine(clock):
+    return quarantines.Quarantine(
+        crash_list.CrashList(clock), clock, registries.Registry()
+    )
+
+
+def _lose(quarantine, clock, fingerprints, is_certain=True):
+    """Record a loss on a connection that was opened just before."""
+    clock.advance(datetime.timedelta(seconds=1))
+    now = clock.monotonic()
+    quarantine.record_loss(
+        'request-1',
+        fingerprints,
+        UPSTREAM,
+        upstream_pool.ConnectionUse(now, now),
+        is_certain,
+    )
+    clock.advance(datetime.timedelta(seconds=1))
+
+
+def test_content_that_crashed_twice_is_rejected_for_every_caller(
+    quarantine, clock
+):
+    _lose(quarantine, clock, ONE)
+    quarantine.check(OTHER)
+    _lose(quarantine, clock, OTHER)
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        quarantine.check(ONE)
+    assert caught.value.code is errors.ErrorCode.SUSPECTED
+
+
+# Guards against withholding a page from all callers because upstreams crashed
+# while some of them read it.
+def test_completed_content_is_rejected_for_its_crashing_caller_only(
+    quarantine, clock
+):
+    quarantine.record_success(OTHER)
+    _lose(quarantine, clock, ONE)
+    _lose(quarantine, clock, ONE)
+    quarantine.check(OTHER)
+    assert quarantine.is_quarantined(ONE)
+
+
+def test_uncertain_losses_only_make_a_request_suspected(quarantine, clock):
+    _lose(quarantine, clock, ONE, is_certain=False)
+    _lose(quarantine, clock, ONE, is_certain=False)
+    assert quarantine.is_suspected(ONE)
+    assert not quarantine.is_quarantined(ONE)
+
+
+def test_completed_request_is_no_longer_suspected(quarantine, clock):
+    _lose(quarantine, clock, ONE)
+    quarantine.record_success(ONE)
+    assert not quarantine.is_suspected(ONE)
+
+
+def test_losses_in_the_same_crash_count_once(quarantine, clock):
+    opened_at = clock.monotonic()
+    clock.advance(datetime.timedelta(seconds=1))
+    use = upstream_pool.ConnectionUse(opened_at, clock.monotonic())
+    for _ in range(3):
+        quarantine.record_loss('request-1', ONE, UPSTREAM, use, True)
+    assert not quarantine.is_quarantined(ONE)
