Evict suspected requests before quarantined ones

The list of crash records evicted the oldest one. Each crash of an upstream adds a record for each request that was running, most of them innocent, so under load the one that is quarantined goes first and runs again. Suspected requests are evicted first now.

--- a/packages/magnoliawood/magnoliawood/limits/crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_list.py
@@ -87,8 +87,8 @@
     upstream. A request that was running during two crashes, of which one is
     certain, is quarantined.
     A suspected request that later completes is cleared. The number of
-    records is limited and each record expires; the record that was updated
-    least recently is evicted first.
+    records is limited and each record expires. Suspected requests are
+    evicted before quarantined ones, the least recently updated first.
 
     Examples
     ========
@@ -189,5 +189,15 @@
         self._records[record.fingerprint] = record
         self._records.move_to_end(record.fingerprint)
         while len(self._records) > self._limit:
-            self._records.popitem(last=False)
+            del self._records[self._evictable()]
         return record
+
+    def _evictable(self) -> str:
+        """Return the fingerprint of the record to evict."""
+        suspected = (
+            fingerprint
+            for fingerprint, record in self._records.items()
+            if not record.is_quarantined
+        )
+        oldest = next(iter(self._records))
+        return next(suspected, oldest)
