Report every changed crash record to peers, once

A report carried the 20 records that changed last, ten times a second. A crash under load makes a record for each request that was running, and a gateway that learns records from peers puts them before its own: the record that matters may never be among the 20, so a peer runs the request again. Each peer has a cursor now, as for sent prompts: a report has the records that changed since the last one, oldest first, at most 100. Unchanged records are no longer sent at all.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -44,6 +44,7 @@
         self.is_unresponsive = False
         self.has_responded = False
         self.sent_prompts_reported = 0
+        self.crashes_version_sent = 0
         self.peers_version_sent = 0
 
 
@@ -209,11 +210,17 @@
             new_prompts = self._selector.sent_prompts_after(
                 peer.sent_prompts_reported
             )
+            new_crashes = self._crashes.changed_after(
+                peer.crashes_version_sent
+            )
             version = self._peers_version
             has_new_peers = version != peer.peers_version_sent
-            report = self._make_report(new_prompts.sent_prompts, has_new_peers)
+            report = self._make_report(
+                new_prompts.sent_prompts, new_crashes.records, has_new_peers
+            )
             reply = await self._pool.request(address, report, REQUEST_TIMEOUT)
             peer.sent_prompts_reported = new_prompts.count
+            peer.crashes_version_sent = new_crashes.version
             peer.peers_version_sent = version
         except errors.MagnoliawoodError as error:
             self._mark_unresponsive(address, peer, str(error))
@@ -270,7 +277,10 @@
         self._records.update_group(reply.group)
 
     def _make_report(
-        self, prompts: list[selection.SentPrompt], has_new_peers: bool
+        self,
+        prompts: list[selection.SentPrompt],
+        crashes: list[crash_list.CrashRecord],
+        has_new_peers: bool,
     ) -> messages.GatewayReport:
         return messages.GatewayReport(
             self._host,
@@ -280,6 +290,6 @@
             self._cluster_view.version,
             self._cluster_view.directory.revision,
             self._cluster_view.outage.is_reachable,
-            self._crashes.recent(),
+            crashes,
             prompts,
         )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
@@ -23,7 +23,8 @@
         correspond
     :param does_reach_store: whether the platform's store responded to the
         sender's last request
-    :param crashes: recent records of requests during which upstreams crashed
+    :param crashes: records of requests during which upstreams crashed that
+        changed since the last report
     :param prompts: prompts sent to upstreams since the last report
     """
 
--- a/packages/magnoliawood/magnoliawood/limits/crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_list.py
@@ -18,7 +18,7 @@
 # Maximum number of records in a list.
 LIST_LIMIT = 1000
 # Maximum number of records in one report to another process.
-REPORT_LIMIT = 20
+REPORT_LIMIT = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -68,6 +68,14 @@
         return _RECORD.validate_json(text)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangedRecords:
+    """Records that changed after a version, and the version reached."""
+
+    records: list[CrashRecord]
+    version: int
+
+
 _RECORD = pydantic.TypeAdapter(CrashRecord)
 
 
@@ -108,6 +116,9 @@
         self._records: collections.OrderedDict[str, CrashRecord] = (
             collections.OrderedDict()
         )
+        # Incremented with each change; the records are in this order.
+        self._version = 0
+        self._versions: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -121,7 +132,7 @@
         """Return the record of a request, unless it has expired."""
         record = self._records.get(fingerprint)
         if record is not None and record.expires_at <= self._clock.now():
-            del self._records[fingerprint]
+            self._remove(fingerprint)
             return None
         return record
 
@@ -157,14 +168,29 @@
         )
         return self._store(merged)
 
-    def recent(self, limit: int = REPORT_LIMIT) -> list[CrashRecord]:
-        """Return the most recently updated records, newest first."""
-        newest = itertools.islice(reversed(self._records.values()), limit)
-        return list(newest)
+    def changed_after(
+        self, version: int, limit: int = REPORT_LIMIT
+    ) -> ChangedRecords:
+        """Return the records that changed after a version, oldest first.
+
+        :param limit: maximum number of records
+        """
+        newest_first = itertools.takewhile(
+            lambda fingerprint: self._versions[fingerprint] > version,
+            reversed(self._records),
+        )
+        changed = list(newest_first)[::-1][:limit]
+        if not changed:
+            return ChangedRecords([], self._version)
+        return ChangedRecords(
+            [self._records[fingerprint] for fingerprint in changed],
+            self._versions[changed[-1]],
+        )
 
     def clear(self, fingerprint: str) -> None:
         """Delete the record of a request, if there is one."""
-        self._records.pop(fingerprint, None)
+        if fingerprint in self._records:
+            self._remove(fingerprint)
 
     def check(self, fingerprint: str) -> None:
         """Reject a quarantined request.
@@ -186,12 +212,18 @@
         )
 
     def _store(self, record: CrashRecord) -> CrashRecord:
+        self._version += 1
+        self._versions[record.fingerprint] = self._version
         self._records[record.fingerprint] = record
         self._records.move_to_end(record.fingerprint)
         while len(self._records) > self._limit:
-            del self._records[self._evictable()]
+            self._remove(self._evictable())
         return record
 
+    def _remove(self, fingerprint: str) -> None:
+        del self._records[fingerprint]
+        del self._versions[fingerprint]
+
     def _evictable(self) -> str:
         """Return the fingerprint of the record to evict."""
         suspected = (
--- a/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
@@ -93,3 +93,16 @@
     crashes.record_crashes('f', [ONE])
     crashes.clear('f')
     assert not crashes.record_crashes('f', [TWO]).is_quarantined
+
+
+def test_changed_records_are_returned_once_and_in_parts(crashes):
+    for name in 'abc':
+        crashes.record_crashes(name, [ONE])
+    first = crashes.changed_after(0, limit=2)
+    second = crashes.changed_after(first.version, limit=2)
+    assert [record.fingerprint for record in first.records] == ['a', 'b']
+    assert [record.fingerprint for record in second.records] == ['c']
+    assert not crashes.changed_after(second.version).records
+    crashes.record_crashes('a', [TWO])
+    third = crashes.changed_after(second.version)
+    assert [record.fingerprint for record in third.records] == ['a']
