Tell a peer that started again what it was told before

A gateway remembers how far it has told each peer of sent prompts, peers and crash records. A peer that starts again has lost all of it but kept its address, so it was never told: it runs quarantined requests again and sends prompts where nothing is cached. The reply to a report names the start of the process; if it differs from the last one, everything is sent again. A reply of an older build has no name and changes nothing.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -2,6 +2,7 @@
 
 import datetime
 import logging
+import secrets
 import typing
 
 import curio
@@ -43,6 +44,11 @@
         self.is_report_pending = False
         self.is_unresponsive = False
         self.has_responded = False
+        self.start_id = ''
+        self.forget_sent()
+
+    def forget_sent(self) -> None:
+        """Send the peer everything again with the next report."""
         self.sent_prompts_reported = 0
         self.crashes_version_sent = 0
         self.peers_version_sent = 0
@@ -87,6 +93,7 @@
     ) -> None:
         self._host = host
         self._address = address
+        self._start_id = secrets.token_hex(8)
         self._cluster_view = cluster_view
         self._load_tracker = load_tracker
         self._selector = selector
@@ -187,7 +194,7 @@
         # A report lists peers only if the sender is new or its set of peers
         # has changed; only then does the response list peers too.
         known_peers = list(self._peers) if report.peers else []
-        return messages.ReportTaken(known_peers, is_behind)
+        return messages.ReportTaken(known_peers, is_behind, self._start_id)
 
     def _merge_crashes(
         self, record: crash_list.CrashRecord, source: str
@@ -236,6 +243,9 @@
         peer.last_response = now
         peer.has_responded = True
         peer.next_report = now + report_interval(len(self._peers))
+        if peer.start_id not in ('', reply.start_id):
+            peer.forget_sent()
+        peer.start_id = reply.start_id
         if peer.is_unresponsive:
             peer.is_unresponsive = False
             _log.info('peer regained', extra={'peer': address})
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
@@ -46,10 +46,12 @@
     :param peers: gateways known to the receiver, if the report listed any
     :param is_behind: whether the receiver has a newer configuration or newer
         upstreams than the sender of the report
+    :param start_id: identifies the start of the receiver's process
     """
 
     peers: list[str]
     is_behind: bool
+    start_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
