Keep quarantined requests in the platform's store

Crash records lived in the memory of the gateways only. After all of them had lost power or were killed at the same moment nobody knew a request any more that crashes its upstreams, and it ran again. A request whose quarantine begins at a gateway, by a crash or by a merge of records, is written to the store (one call for a digest, none for what a peer has quarantined); each gateway lists them once at its start. Expired ones are removed then. A quarantine that begins with a merge now lasts its whole hour instead of ten minutes.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -15,6 +15,7 @@
 from magnoliawood_server.gateway import gossip as gossips
 from magnoliawood_server.gateway import handler as handlers
 from magnoliawood_server.gateway import quarantine as quarantines
+from magnoliawood_server.gateway import quarantine_sync as quarantine_syncs
 from magnoliawood_server.gateway import readiness
 from magnoliawood_server.gateway import record_client as record_clients
 from magnoliawood_server.gateway import relay as relays
@@ -24,6 +25,7 @@
 from magnoliawood_server.peer import pool as pools
 from magnoliawood_server.platform import group_store as group_stores
 from magnoliawood_server.platform import objects
+from magnoliawood_server.platform import quarantine_store
 from magnoliawood_server.platform import settings as settings_files
 from magnoliawood_server.runtime import listener as listeners
 from magnoliawood_server.runtime import metrics_page
@@ -65,6 +67,14 @@
         self._quarantine = quarantines.Quarantine(
             self._crashes, clock, self._registry
         )
+        self._quarantine_sync = quarantine_syncs.QuarantineSync(
+            quarantine_store.QuarantineStore(
+                objects.StoreClient(settings.store)
+            ),
+            self._crashes,
+            clock,
+            self._registry,
+        )
         self._records = record_clients.RecordClient(
             group_stores.GroupStore(objects.StoreClient(settings.store)),
             relays.RelayingRequester(
@@ -133,6 +143,7 @@
             await curio.spawn(self._records.refresh, daemon=True)
             await tasks.spawn(self._records.probe_forever)
             await tasks.spawn(self._gossip.run)
+            await tasks.spawn(self._quarantine_sync.run)
             await tasks.spawn(
                 metrics_page.metrics_listener(
                     self._settings.metrics_listen, self._registry
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine_sync.py
@@ -0,0 +1,94 @@
+"""Keeps quarantined requests in the store over restarts of gateways."""
+
+import datetime
+import logging
+
+import curio
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.limits import crash_list
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.platform import objects
+from magnoliawood_server.platform import quarantine_store
+
+# Time between two checks for requests that were quarantined.
+CHECK_INTERVAL = datetime.timedelta(milliseconds=200)
+RETRY_DELAY = datetime.timedelta(milliseconds=500)
+
+_log = logging.getLogger(__name__)
+
+
+class QuarantineSync:
+    """Loads quarantined requests at the start and stores new ones.
+
+    Explanation
+    ===========
+
+    Gateways tell each other of crashes, but that is lost if all of them
+    restart at the same time. Each gateway stores the requests whose
+    quarantine began with a crash that it recorded or merged; what a peer has
+    quarantined is stored by the peer.
+    """
+
+    def __init__(
+        self,
+        store: quarantine_store.QuarantineStore,
+        crashes: crash_list.CrashList,
+        clock: clocks.Clock,
+        registry: registries.Registry,
+    ) -> None:
+        self._store = store
+        self._crashes = crashes
+        self._clock = clock
+        self._registry = registry
+        self._unstored: dict[str, crash_list.CrashRecord] = {}
+
+    async def run(self) -> None:
+        """Load all records, then store new ones until cancelled."""
+        await self._load()
+        while True:
+            self._collect()
+            if not await self._try_store():
+                await curio.sleep(RETRY_DELAY.total_seconds())
+            await curio.sleep(CHECK_INTERVAL.total_seconds())
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                records = await self._store.load(self._clock.now())
+            except objects.StoreUnavailable as error:
+                _log.info(
+                    'quarantined requests not loaded',
+                    extra={'error': str(error)},
+                )
+                await curio.sleep(RETRY_DELAY.total_seconds())
+                continue
+            for record in records:
+                self._crashes.merge(record)
+            _log.info(
+                'quarantined requests loaded', extra={'requests': len(records)}
+            )
+            return
+
+    def _collect(self) -> None:
+        for record in self._crashes.take_newly_quarantined():
+            self._unstored[record.fingerprint] = record
+
+    async def _try_store(self) -> bool:
+        """Return whether all records are in the store."""
+        for fingerprint, record in list(self._unstored.items()):
+            try:
+                await self._store.save(record, self._clock.now())
+            except (objects.StoreUnavailable, objects.RevisionConflict) as e:
+                self._registry.count('quarantine_writes_failed_total')
+                _log.warning(
+                    'quarantined request not stored',
+                    extra={'fingerprint': fingerprint, 'error': str(e)},
+                )
+                return False
+            del self._unstored[fingerprint]
+            _log.info(
+                'quarantined request stored',
+                extra={'fingerprint': fingerprint},
+            )
+        return True
--- a/packages/magnoliawood-server/magnoliawood_server/platform/names.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/names.py
@@ -71,6 +71,7 @@
 KIND_HOSTS = f'{KIND_PREFIX}hosts'
 KIND_GROUP = 'copy-groups'
 KIND_DISKS = 'copy-disks'
+KIND_QUARANTINE = 'quarantined-requests'
 NAME_CONFIGURATION = 'main'
 NAME_GROUP = 'main'
 
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/quarantine_store.py
@@ -0,0 +1,83 @@
+"""Storage of quarantined requests."""
+
+import datetime
+import logging
+
+import pydantic
+
+from magnoliawood.limits import crash_list
+from magnoliawood_server.platform import names
+from magnoliawood_server.platform import objects
+
+_RECORD = pydantic.TypeAdapter(crash_list.CrashRecord)
+
+_log = logging.getLogger(__name__)
+
+
+class QuarantineStore:
+    """Reads and writes quarantined requests in the platform's store.
+
+    :param client: client without watches, which would delay other calls
+    """
+
+    def __init__(self, client: objects.StoreClient) -> None:
+        self._client = client
+
+    async def load(
+        self, now: datetime.datetime
+    ) -> list[crash_list.CrashRecord]:
+        """Return the records that have not expired and remove the others.
+
+        :raises StoreUnavailable: if the store does not respond
+        """
+        listing = await self._client.list(names.KIND_QUARANTINE)
+        records = []
+        for stored in listing.objects:
+            record = _decode(stored)
+            if record is not None and record.expires_at > now:
+                records.append(record)
+            else:
+                await self._remove(stored)
+        return records
+
+    async def save(
+        self, record: crash_list.CrashRecord, now: datetime.datetime
+    ) -> None:
+        """Store a record, unless the store has one that has not expired.
+
+        :raises StoreUnavailable: if the store does not respond
+        """
+        spec = _RECORD.dump_python(record, mode='json')
+        name = record.fingerprint
+        try:
+            await self._client.create(names.KIND_QUARANTINE, name, spec)
+        except objects.RevisionConflict as conflict:
+            current = conflict.current
+            if current is None:
+                return
+            known = _decode(current)
+            if known is None or known.expires_at <= now:
+                await self._remove(current)
+                await self._client.create(names.KIND_QUARANTINE, name, spec)
+
+    async def _remove(self, stored: objects.StoredObject) -> None:
+        try:
+            await self._client.delete(
+                names.KIND_QUARANTINE, stored.name, stored.revision
+            )
+        except objects.RevisionConflict:
+            _log.info(
+                'expired quarantine was changed or removed by another gateway',
+                extra={'fingerprint': stored.name},
+            )
+
+
+def _decode(stored: objects.StoredObject) -> crash_list.CrashRecord | None:
+    try:
+        return _RECORD.validate_python(stored.spec)
+    except pydantic.ValidationError as error:
+        _log.error(
+            'stored quarantine is malformed',
+            extra={'fingerprint': stored.name, 'error': str(error)},
+        )
+        return None
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
@@ -12,6 +12,8 @@
 MAX_CRASHES = 2
 # Number of times that a caller sends the request.
 SENDS = 6
+# Message that a gateway logs at each start.
+QUARANTINE_LOADED = 'quarantined requests loaded'
 _numbers = itertools.count(1)
 
 
@@ -36,6 +38,14 @@
     )
 
 
+def _have_loaded_quarantine(deployment, starts):
+    """Return whether each gateway read the quarantined requests so often."""
+    return all(
+        gateway.log_path.read_text().count(QUARANTINE_LOADED) >= starts
+        for gateway in deployment.gateways
+    )
+
+
 # Guards against counting all crashes of one upstream once because it starts
 # again under the id that it had.
 def test_each_crash_of_an_upstream_that_keeps_its_id_counts():
@@ -56,6 +66,7 @@
         for gateway in deployment.gateways:
             gateway.start()
         deployment.wait_until_ready()
+        deployment.wait_for(lambda: _have_loaded_quarantine(deployment, 2))
         assert _is_rejected_by_all(deployment)
         assert _crashes(deployment) == crashes
 
--- a/packages/magnoliawood/magnoliawood/limits/crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_list.py
@@ -119,6 +119,7 @@
         # Incremented with each change; the records are in this order.
         self._version = 0
         self._versions: dict[str, int] = {}
+        self._newly_quarantined: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._records)
@@ -146,13 +147,14 @@
             return self._records[fingerprint]
         is_quarantined = _are_enough(updated)
         period = QUARANTINE_PERIOD if is_quarantined else SUSPICION_PERIOD
-        return self._store(
-            CrashRecord(
-                fingerprint,
-                tuple(sorted(updated)),
-                self._clock.now() + period,
-            )
+        record = CrashRecord(
+            fingerprint,
+            tuple(sorted(updated)),
+            self._clock.now() + period,
         )
+        if is_quarantined and not _are_enough(previous):
+            self._newly_quarantined.add(fingerprint)
+        return self._store(record)
 
     def merge(self, record: CrashRecord) -> CrashRecord:
         """Merge the record of another process into the list."""
@@ -166,6 +168,11 @@
             tuple(sorted({*previous.crashes, *record.crashes})),
             max(previous.expires_at, record.expires_at),
         )
+        was_quarantined = previous.is_quarantined or record.is_quarantined
+        if merged.is_quarantined and not was_quarantined:
+            self._newly_quarantined.add(record.fingerprint)
+            expires_at = self._clock.now() + QUARANTINE_PERIOD
+            merged = dataclasses.replace(merged, expires_at=expires_at)
         return self._store(merged)
 
     def changed_after(
@@ -187,6 +194,15 @@
             self._versions[changed[-1]],
         )
 
+    def take_newly_quarantined(self) -> list[CrashRecord]:
+        """Return the records whose quarantine began here since the last call.
+
+        Records that another process had quarantined are not included.
+        """
+        taken = [self._records[name] for name in self._newly_quarantined]
+        self._newly_quarantined.clear()
+        return taken
+
     def clear(self, fingerprint: str) -> None:
         """Delete the record of a request, if there is one."""
         if fingerprint in self._records:
@@ -223,6 +239,7 @@
     def _remove(self, fingerprint: str) -> None:
         del self._records[fingerprint]
         del self._versions[fingerprint]
+        self._newly_quarantined.discard(fingerprint)
 
     def _evictable(self) -> str:
         """Return the fingerprint of the record to evict."""
--- a/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
@@ -106,3 +106,22 @@
     crashes.record_crashes('a', [TWO])
     third = crashes.changed_after(second.version)
     assert [record.fingerprint for record in third.records] == ['a']
+
+
+def test_quarantine_that_begins_with_a_merge_is_newly_quarantined(
+    crashes, clock
+):
+    crashes.record_crashes('f', [ONE])
+    other = crash_list.CrashList(clock)
+    merged = crashes.merge(other.record_crashes('f', [TWO]))
+    assert merged.expires_at == clock.now() + crash_list.QUARANTINE_PERIOD
+    assert crashes.take_newly_quarantined() == [merged]
+    assert not crashes.take_newly_quarantined()
+
+
+def test_quarantine_of_another_process_is_not_newly_quarantined(
+    crashes, clock
+):
+    other = crash_list.CrashList(clock)
+    crashes.merge(other.record_crashes('f', [ONE, TWO]))
+    assert not crashes.take_newly_quarantined()
