Log a lost upstream once for each request

A request has two digests now, and each loss wrote a line for either. All lines name the digest of the content, so a search for it finds every run of the request at every gateway.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -331,7 +331,7 @@
                 'ending': str(result.ending),
                 'reason': result.reason,
                 'events': job.delivery.events,
-                'fingerprint': job.fingerprints.caller,
+                'fingerprint': job.fingerprints.content,
                 'idle_ms': _milliseconds(use.idle_time if use else None),
             },
         )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
@@ -53,7 +53,7 @@
                 raise errors.MagnoliawoodError(
                     errors.ErrorCode.SUSPECTED,
                     f'{len(record.crashes)} upstreams crashed during this '
-                    f'request ({record.fingerprint})',
+                    f'request ({fingerprints.content})',
                     retry_after=record.expires_at - self._clock.now(),
                 )
 
@@ -98,20 +98,22 @@
             ),
             is_certain,
         )
+        records = [
+            self._crashes.record_crashes(fingerprint, [crash])
+            for fingerprint in self._keys(fingerprints)
+        ]
         self._registry.count('crashes_total')
-        for fingerprint in self._keys(fingerprints):
-            record = self._crashes.record_crashes(fingerprint, [crash])
-            _log.warning(
-                'upstream lost during the request',
-                extra={
-                    'request_id': request_id,
-                    'fingerprint': fingerprint,
-                    'crash': f'{crash.upstream} {crash.run}',
-                    'is_certain': is_certain,
-                    'crashes': len(record.crashes),
-                    'is_quarantined': record.is_quarantined,
-                },
-            )
+        _log.warning(
+            'upstream lost during the request',
+            extra={
+                'request_id': request_id,
+                'fingerprint': fingerprints.content,
+                'crash': f'{crash.upstream} {crash.run}',
+                'is_certain': is_certain,
+                'crashes': max(len(record.crashes) for record in records),
+                'is_quarantined': self.is_quarantined(fingerprints),
+            },
+        )
 
     def retain_only(
         self, upstream_ids: collections.abc.Container[str]
