Count a crash that ends a stream without a length within an event

A stream that has neither a length nor chunks ends with its connection. If an upstream crashed within an event, the attempt failed as 'stream ended within an event' but the connection did not count as lost, so the crash was not recorded; with chunks it was. Test: test_connection_closed_within_a_response_is_lost failed for both streams before and passes.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -230,7 +230,11 @@
                 return _failed(error)
             await self._forward_events(response, splitter.feed(part))
         if splitter.remainder:
-            return Result(Ending.FAILED, 'stream ended within an event')
+            return Result(
+                Ending.FAILED,
+                'stream ended within an event',
+                is_connection_lost=True,
+            )
         if not self._responder.is_started:
             await self._responder.send_complete(
                 response.status, list(response.headers), b''
