Release content that a peer has seen completed

A gateway that has seen the content completed doesn't merge such a record and says so in its reply; the sender clears it, and removes it from the store if it had been stored. Merging moves from the gossip to Quarantine. Test: test_content_that_a_peer_has_seen_completed_is_released; its mechanism did not exist before, so it was not run on the code before.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -90,6 +90,7 @@
             self._load_tracker,
             self._selector,
             self._crashes,
+            self._quarantine,
             self._records,
             self._peers,
             clock,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -14,6 +14,7 @@
 from magnoliawood.limits import crash_list
 from magnoliawood_server.gateway import cluster_view as cluster_views
 from magnoliawood_server.gateway import messages
+from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.gateway import record_client as record_clients
 from magnoliawood_server.gateway import relay as relays
 from magnoliawood_server.peer import connection as connections
@@ -87,6 +88,7 @@
         load_tracker: loads.LoadTracker,
         selector: selection.Selector,
         crashes: crash_list.CrashList,
+        quarantine: quarantines.Quarantine,
         records: record_clients.RecordClient,
         pool: pools.PeerPool,
         clock: clocks.Clock,
@@ -98,6 +100,7 @@
         self._load_tracker = load_tracker
         self._selector = selector
         self._crashes = crashes
+        self._quarantine = quarantine
         self._records = records
         self._pool = pool
         self._clock = clock
@@ -182,8 +185,7 @@
         self._load_tracker.record_from_peer(report.host, report.requests)
         if report.does_reach_store:
             self._store_reached_at = self._clock.monotonic()
-        for record in report.crashes:
-            self._merge_crashes(record, report.host)
+        completed = self._quarantine.merge(report.crashes)
         for sent_prompt in report.prompts:
             self._selector.record_from_peer(sent_prompt)
         self.add_peers([report.address])
@@ -194,23 +196,9 @@
         # A report lists peers only if the sender is new or its set of peers
         # has changed; only then does the response list peers too.
         known_peers = list(self._peers) if report.peers else []
-        return messages.ReportTaken(known_peers, is_behind, self._start_id)
-
-    def _merge_crashes(
-        self, record: crash_list.CrashRecord, source: str
-    ) -> None:
-        previous = self._crashes.find(record.fingerprint)
-        merged = self._crashes.merge(record)
-        was_quarantined = previous is not None and previous.is_quarantined
-        if merged.is_quarantined and not was_quarantined:
-            _log.warning(
-                'request quarantined by a peer',
-                extra={
-                    'fingerprint': merged.fingerprint,
-                    'crashes': len(merged.crashes),
-                    'source': source,
-                },
-            )
+        return messages.ReportTaken(
+            known_peers, is_behind, self._start_id, completed
+        )
 
     async def _report(self, address: str, peer: _Peer) -> None:
         try:
@@ -249,6 +237,7 @@
         if peer.is_unresponsive:
             peer.is_unresponsive = False
             _log.info('peer regained', extra={'peer': address})
+        self._quarantine.release(reply.completed)
         self.add_peers(reply.peers)
         if reply.is_behind:
             await self._fetch_snapshot(address)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
@@ -26,7 +26,8 @@
     affinity key, so crashes are recorded by its content. Content that was
     completed before, such as a page that many callers read, is recognised
     only together with its caller: upstreams that crash for other reasons
-    must not withhold it from everybody.
+    must not withhold it from everybody. A gateway that has seen it completed
+    tells the peers that report a crash.
 
     :param crashes: crash records of this gateway and its peers
     """
@@ -74,10 +75,43 @@
         self, fingerprints: request_fingerprints.Fingerprints
     ) -> None:
         """Clear a request that an upstream has completed."""
-        self._succeeded.add(fingerprints.content)
-        self._crashes.clear(fingerprints.content)
+        self.release([fingerprints.content])
         self._crashes.clear(fingerprints.caller)
 
+    def release(self, contents: collections.abc.Iterable[str]) -> None:
+        """Clear content that this gateway or a peer has seen completed."""
+        for content in contents:
+            self._succeeded.add(content)
+            self._crashes.clear(content)
+
+    def merge(
+        self, records: collections.abc.Iterable[crash_list.CrashRecord]
+    ) -> list[str]:
+        """Merge crash records of a peer.
+
+        :returns: the content among them that this gateway has seen completed
+        """
+        completed = []
+        for record in records:
+            if record.fingerprint in self._succeeded:
+                completed.append(record.fingerprint)
+            else:
+                self._merge(record)
+        return completed
+
+    def _merge(self, record: crash_list.CrashRecord) -> None:
+        previous = self._crashes.find(record.fingerprint)
+        merged = self._crashes.merge(record)
+        was_quarantined = previous is not None and previous.is_quarantined
+        if merged.is_quarantined and not was_quarantined:
+            _log.warning(
+                'request quarantined by a peer',
+                extra={
+                    'fingerprint': merged.fingerprint,
+                    'crashes': len(merged.crashes),
+                },
+            )
+
     def record_loss(
         self,
         request_id: str,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine_sync.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine_sync.py
@@ -41,10 +41,11 @@
         self._crashes = crashes
         self._clock = clock
         self._registry = registry
-        self._unstored: dict[str, crash_list.CrashRecord] = {}
+        # A request that was released has no record.
+        self._unstored: dict[str, crash_list.CrashRecord | None] = {}
 
     async def run(self) -> None:
-        """Load all records, then store new ones until cancelled."""
+        """Load all records, then follow the changes until cancelled."""
         await self._load()
         while True:
             self._collect()
@@ -73,12 +74,14 @@
     def _collect(self) -> None:
         for record in self._crashes.take_newly_quarantined():
             self._unstored[record.fingerprint] = record
+        for fingerprint in self._crashes.take_newly_released():
+            self._unstored[fingerprint] = None
 
     async def _try_store(self) -> bool:
-        """Return whether all records are in the store."""
+        """Return whether all changes are in the store."""
         for fingerprint, record in list(self._unstored.items()):
             try:
-                await self._store.save(record, self._clock.now())
+                await self._store_change(fingerprint, record)
             except (objects.StoreUnavailable, objects.RevisionConflict) as e:
                 self._registry.count('quarantine_writes_failed_total')
                 _log.warning(
@@ -89,6 +92,17 @@
             del self._unstored[fingerprint]
             _log.info(
                 'quarantined request stored',
-                extra={'fingerprint': fingerprint},
+                extra={
+                    'fingerprint': fingerprint,
+                    'is_released': record is None,
+                },
             )
         return True
+
+    async def _store_change(
+        self, fingerprint: str, record: crash_list.CrashRecord | None
+    ) -> None:
+        if record is None:
+            await self._store.remove(fingerprint)
+        else:
+            await self._store.save(record, self._clock.now())
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
@@ -9,9 +9,11 @@
 from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import selection
 from magnoliawood.limits import crash_list
+from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import cluster_view as cluster_views
 from magnoliawood_server.gateway import gossip as gossips
 from magnoliawood_server.gateway import messages
+from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.peer import connection as connections
 
 QUARANTINED = 'quarantined-request'
@@ -61,6 +63,9 @@
         clock = clocks.SystemClock()
         load_tracker = loads.LoadTracker(clock)
         self.crashes = crash_list.CrashList(clock)
+        self.quarantine = quarantines.Quarantine(
+            self.crashes, clock, registries.Registry()
+        )
         self.selector = selection.Selector(load_tracker, 'dc-1')
         self.gossip = gossips.Gossip(
             address,
@@ -70,6 +75,7 @@
             load_tracker,
             self.selector,
             self.crashes,
+            self.quarantine,
             types.SimpleNamespace(group=None),
             network,
             clock,
@@ -121,6 +127,19 @@
     assert restarted.has_quarantine()
 
 
+# Guards against withholding a page that many callers read because a gateway
+# that has just started sees upstreams crash before it sees the page completed.
+def test_content_that_a_peer_has_seen_completed_is_released(network):
+    one = Gateway(network, 'one', ('two',))
+    two = Gateway(network, 'two', ())
+    two.quarantine.release([QUARANTINED])
+    one.crashes.record_crashes(QUARANTINED, CRASHES)
+    curio.run(network.run_until(lambda: not one.has_quarantine()))
+    assert not one.has_quarantine()
+    assert not two.has_quarantine()
+    assert one.crashes.take_newly_released() == [QUARANTINED]
+
+
 def test_unknown_message_is_rejected(network):
     one = Gateway(network, 'one', ())
     with pytest.raises(errors.MagnoliawoodError):
--- a/packages/magnoliawood-server/magnoliawood_server/platform/quarantine_store.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/quarantine_store.py
@@ -60,6 +60,15 @@
                 await self._remove(current)
                 await self._client.create(names.KIND_QUARANTINE, name, spec)
 
+    async def remove(self, fingerprint: str) -> None:
+        """Remove the record of a request, if there is one.
+
+        :raises StoreUnavailable: if the store does not respond
+        """
+        stored = await self._client.get(names.KIND_QUARANTINE, fingerprint)
+        if stored is not None:
+            await self._remove(stored)
+
     async def _remove(self, stored: objects.StoredObject) -> None:
         try:
             await self._client.delete(
@@ -67,7 +76,7 @@
             )
         except objects.RevisionConflict:
             _log.info(
-                'expired quarantine was changed or removed by another gateway',
+                'quarantined request was changed or removed meanwhile',
                 extra={'fingerprint': stored.name},
             )
 
