Send crashing requests in the soak

A request may crash two upstreams for each start of a gateway, which may be cut off from its peers and the store.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/process.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/process.py
@@ -88,6 +88,11 @@
         """Identifier of the operating-system process."""
         return self._popen.pid
 
+    @property
+    def starts(self) -> int:
+        """Number of times that the process was started."""
+        return self._starts
+
     @property
     def is_running(self) -> bool:
         """Whether the process was started and has not terminated."""
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/__main__.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/__main__.py
@@ -14,11 +14,16 @@
     parser.add_argument('--fresh', type=int, default=0, help='new seeds')
     parser.add_argument('--faults', type=int, default=12)
     parser.add_argument('--losses', type=int, default=1)
+    parser.add_argument(
+        '--crashing', action='store_true', help='requests crash upstreams'
+    )
     options = parser.parse_args()
     generator = random.SystemRandom()
     fresh = [generator.randrange(10**6) for _ in range(options.fresh)]
     size = experiments.Size(
-        keepers=2 * options.losses + 2, losses=options.losses
+        keepers=2 * options.losses + 2,
+        losses=options.losses,
+        has_crashing_caller=options.crashing,
     )
     has_problems = False
     for seed in (*options.seeds, *fresh):
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
@@ -9,6 +9,7 @@
 from magnoliawood_testing.chaos import schedule as schedules
 from magnoliawood_testing.cluster import deployment as deployments
 from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.soak import crashing
 from magnoliawood_testing.soak import injector as injectors
 from magnoliawood_testing.soak import promises
 from magnoliawood_testing.soak import traffic
@@ -27,6 +28,7 @@
     """Number of processes of each role and of callers.
 
     :param losses: number of disks that may fail at once
+    :param has_crashing_caller: whether some requests crash upstreams
     """
 
     gateways: int = 3
@@ -34,6 +36,7 @@
     upstreams: int = 3
     callers: int = 8
     losses: int = 1
+    has_crashing_caller: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,15 +104,27 @@
                 target=self._check_periodically, args=(deployment,)
             )
         )
+        injector = injectors.Injector(deployment, self._checker)
+        crashing_caller = crashing.CrashingCaller(
+            self._seed, deployment, self._checker, injector
+        )
+        if self._size.has_crashing_caller:
+            threads.append(
+                threading.Thread(
+                    target=crashing_caller.run, args=(self._stop,)
+                )
+            )
         for thread in threads:
             thread.start()
-        injector = injectors.Injector(deployment, self._checker)
         injector.run(self._faults)
         self._stop.set()
         for thread in threads:
             thread.join()
+        injector.restart_crashed_upstreams()
         self._check_recovery(deployment, callers, injector)
-        self._checker.check_runs(deployment.all_runs())
+        runs = deployment.all_runs()
+        self._checker.check_runs(runs)
+        crashing_caller.check_runs(runs)
 
     def _check_periodically(self, deployment: hosted.HostedDeployment) -> None:
         while not self._stop.wait(_CHECK_SECONDS):
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
@@ -10,6 +10,7 @@
 from magnoliawood_testing.cluster import hosted
 from magnoliawood_testing.cluster import process as processes
 from magnoliawood_testing.soak import promises
+from magnoliawood_testing.standins import signed_upstream
 
 _SLOW_STORE_SECONDS = 0.3
 _SLOW_LINK_SECONDS = 0.15
@@ -80,6 +81,13 @@
         for thread in threads:
             thread.join()
 
+    def restart_crashed_upstreams(self) -> None:
+        """Start the upstreams again that a request has crashed."""
+        for process in self._deployment.upstream_processes.values():
+            with self._process_lock:
+                if process.exit_code == signed_upstream.CRASH_EXIT_CODE:
+                    process.start()
+
     def added_path(self) -> str:
         """Return a path that only the newest configuration routes."""
         return f'/added-{self.version}/page'
@@ -263,9 +271,13 @@
 
     def _check_no_exit(self, process: processes.Process) -> None:
         # SIGKILL is expected: the injector killed the process and will start
-        # it again.
+        # it again. Only upstreams crash on a request.
         code = process.exit_code
-        if code is not None and code != -signal.SIGKILL:
+        if code not in (
+            None,
+            -signal.SIGKILL,
+            signed_upstream.CRASH_EXIT_CODE,
+        ):
             self._checker.record_problem(
                 f'{process.name} exited with code {code}'
             )
