Settle ownership before the outage of a configuration test

The test began its outage and killed entry-3, the owner of every shard, at about 02.05. Without the store nobody can take its shards, by design, so the request waited 10 s for an owner, which is also the caller's limit. So the case is allowed and the test wrong: it took for granted that entry-1 owns its share. It now waits until the map in the store has the preferred owners and entry-1 serves one, and then asserts what it did before.

--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/support.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/support.py
@@ -113,6 +113,14 @@
             return f'/v1/programs/{name}'
 
 
+def has_preferred_owners(deployment):
+    """Whether each shard is owned by the entry that hashing prefers."""
+    stored = deployment.stored_object(shard_map.MAP_NAME)
+    stored_map = shard_map.ShardMap.from_text(stored.version, stored.value)
+    owners = tuple(a.owner for a in stored_map.assignments)
+    return owners == shard_map.preferred_owners(list(deployment.entries))
+
+
 def open_program_of(deployment, owner):
     """Open a program that a given entry owns."""
     path = path_owned_by(deployment, owner)
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_configuration.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_configuration.py
@@ -100,6 +100,12 @@
     name = new_name()
     version = write_class(entries[0], name)
     wait_until_applied(deployment, entries, version)
+    # Entries that start together own all shards by turns at first. A shard
+    # whose owner is killed in an outage has none until the store is back.
+    deployments.wait_until(
+        lambda: support.has_preferred_owners(deployment), 'preferred owners'
+    )
+    support.open_program_of(deployment, 'entry-1')
     deployment.set_faults(deployment.platform, outage=True)
     restarted = entries[-1]
     restarted.process.kill()
