Keep an upstream that moved with its id when its old address misdirects

When an address responded as another upstream, the gateway dropped the id that it had expected there. An upstream that had started again with its id at another address in the meantime was dropped with it, and its entry comes again only when it changes. The address that was tried has to be the registered one now. Test: test_drop_of_a_former_address_keeps_the_new_one failed before and passes.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -215,7 +215,7 @@
         self._registry.count('attempts_total', ending=str(result.ending))
         self._log_failure(job, upstream, result)
         if result.ending is exchanges.Ending.MISDIRECTED:
-            self._cluster_view.directory.drop(upstream.id)
+            self._cluster_view.directory.drop(upstream)
         if result.ending.is_upstream_failure:
             self._load_tracker.record_failure(upstream.id)
         if result.is_connection_lost and result.connection_use is not None:
--- a/packages/magnoliawood/magnoliawood/fleet/directory.py
+++ b/packages/magnoliawood/magnoliawood/fleet/directory.py
@@ -149,10 +149,14 @@
             else:
                 self._handle_removal(change.id, retain_until)
 
-    def drop(self, upstream_id: str) -> None:
-        """Remove an upstream that has certainly terminated."""
-        self._upstreams.pop(upstream_id, None)
-        self._retain_until.pop(upstream_id, None)
+    def drop(self, upstream: Upstream) -> None:
+        """Remove an upstream that has certainly left its address.
+
+        It stays if it has registered another address since.
+        """
+        registered = self._upstreams.get(upstream.id)
+        if registered is None or registered.address == upstream.address:
+            self._remove(upstream.id)
 
     def _add_registered(self, upstream: Upstream) -> None:
         self._upstreams[upstream.id] = upstream
@@ -162,10 +166,14 @@
         self, upstream_id: str, retain_until: datetime.timedelta | None
     ) -> None:
         if retain_until is None:
-            self.drop(upstream_id)
+            self._remove(upstream_id)
         elif upstream_id in self._upstreams:
             self._retain_until.setdefault(upstream_id, retain_until)
 
+    def _remove(self, upstream_id: str) -> None:
+        self._upstreams.pop(upstream_id, None)
+        self._retain_until.pop(upstream_id, None)
+
     def _drop_expired(self) -> None:
         now = self._clock.monotonic()
         expired_ids = [
@@ -174,4 +182,4 @@
             if now > until
         ]
         for upstream_id in expired_ids:
-            self.drop(upstream_id)
+            self._remove(upstream_id)
