Check the quarantine before each send of a request

A request was checked when it arrived. One that an upstream refused or that could not connect went on to the next upstream, up to four times, although another gateway had quarantined it meanwhile. It is checked right before each send now: rejected if it has not run, ended as before if it may have. Test: test_request_quarantined_under_way_is_not_sent_again failed before for the refused one (three attempts) and passes.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -148,6 +148,7 @@
             lambda: self._before_end(job),
         )
         while True:
+            self._check_may_run(job)
             upstream = self._choose(job)
             time_left = job.deadline - self._clock.monotonic()
             if upstream is None or time_left < MIN_ATTEMPT_TIME:
@@ -183,6 +184,15 @@
             self._selector.record_sent_prompt(upstream.id, job.metadata.parts)
         return result
 
+    def _check_may_run(self, job: jobs.Job) -> None:
+        """Reject a request that was quarantined while it was under way.
+
+        :raises MagnoliawoodError: with ``suspected`` if it has not run
+        """
+        if job.attempts and self._quarantine.is_quarantined(job.fingerprints):
+            raise self._abort_error(job)
+        self._quarantine.check(job.fingerprints)
+
     def _choose(self, job: jobs.Job) -> directories.Upstream | None:
         usable = self._cluster_view.directory.usable(job.service)
         untried = [
@@ -233,7 +243,6 @@
             job.attempts += 1
             may_retry = job.attempts < job.route.max_attempts
             may_retry &= job.route.is_idempotent
-            may_retry &= not self._quarantine.is_quarantined(job.fingerprints)
         if not may_retry:
             raise self._abort_error(job)
 
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
@@ -0,0 +1,113 @@
+import datetime
+import types
+
+import curio
+import pytest
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.fleet import directory as directories
+from magnoliawood.fleet import load as loads
+from magnoliawood.fleet import selection
+from magnoliawood.limits import crash_list
+from magnoliawood.routes import configuration as configurations
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.gateway import caller as callers
+from magnoliawood_server.gateway import cluster_view as cluster_views
+from magnoliawood_server.gateway import exchange as exchanges
+from magnoliawood_server.gateway import fingerprint as request_fingerprints
+from magnoliawood_server.gateway import handler as handlers
+from magnoliawood_server.gateway import job as jobs
+from magnoliawood_server.gateway import quarantine as quarantines
+from magnoliawood_server.platform import requests
+
+FINGERPRINTS = request_fingerprints.Fingerprints('content', 'caller')
+CRASHES = (
+    crash_list.Crash('engine-1', 'a'),
+    crash_list.Crash('engine-2', 'b'),
+)
+UPSTREAMS = [
+    directories.Upstream(f'i-{number}', 'llm', f'h-{number}:80', 'dc-1', 8)
+    for number in range(3)
+]
+
+
+class Attempts:
+    """Replaces the attempts at upstreams; each has the given ending."""
+
+    def __init__(self, ending, crashes):
+        self.count = 0
+        self._ending = ending
+        self._crashes = crashes
+
+    async def run(self, job, exchange, upstream, time_left):
+        self.count += 1
+        # Another gateway quarantines the request while it is under way.
+        self._crashes.record_crashes(FINGERPRINTS.content, CRASHES)
+        return exchanges.Result(self._ending, 'injected fault')
+
+
+def _make_job(clock, kind):
+    request = callers.CallerRequest(
+        'POST', '/page', [(b'request-id', b'r-1')], b'', clock.monotonic()
+    )
+    route = configurations.Route(
+        'route',
+        'app',
+        '/',
+        kind,
+        datetime.timedelta(seconds=4),
+        datetime.timedelta(seconds=1),
+        0,
+        (configurations.ServiceShare('llm'),),
+        3,
+        False,
+        datetime.timedelta(),
+        False,
+    )
+    return jobs.Job(
+        request,
+        requests.decode_request_metadata(request.headers),
+        types.SimpleNamespace(is_started=False),
+        route,
+        'llm',
+        clock.monotonic() + datetime.timedelta(seconds=4),
+        FINGERPRINTS,
+    )
+
+
+# Guards against sending a request that is under way to one more upstream
+# after another gateway has quarantined it.
+@pytest.mark.parametrize(
+    ('ending', 'code'),
+    [
+        (exchanges.Ending.REFUSED, errors.ErrorCode.SUSPECTED),
+        (exchanges.Ending.FAILED, errors.ErrorCode.UPSTREAM_FAILED),
+    ],
+)
+def test_request_quarantined_under_way_is_not_sent_again(
+    monkeypatch, ending, code
+):
+    clock = clocks.ManualClock()
+    crashes = crash_list.CrashList(clock)
+    load_tracker = loads.LoadTracker(clock)
+    registry = registries.Registry()
+    cluster_view = cluster_views.ClusterView(clock)
+    cluster_view.directory.replace(UPSTREAMS, 1, None)
+    handler = handlers.RequestHandler(
+        cluster_view,
+        load_tracker,
+        selection.Selector(load_tracker, 'dc-1'),
+        None,
+        None,
+        quarantines.Quarantine(crashes, clock, registry),
+        clock,
+        registry,
+    )
+    attempts = Attempts(ending, crashes)
+    monkeypatch.setattr(handler, '_attempt', attempts.run)
+    job = _make_job(clock, configurations.RequestKind.SAFE)
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        curio.run(handler._try_upstreams(job, b''))
+    assert caught.value.code is code
+    assert attempts.count == 1
