--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -72,6 +72,7 @@
                 objects.StoreClient(settings.store)
             ),
             self._crashes,
+            self._quarantine,
             clock,
             self._registry,
         )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
@@ -43,6 +43,7 @@
         self._registry = registry
         self._crash_tracker = crash_tracker.CrashTracker(clock)
         self._succeeded = succeeded.SucceededRequests()
+        self._released: set[str] = set()
 
     def check(self, fingerprints: request_fingerprints.Fingerprints) -> None:
         """Reject a quarantined request.
@@ -76,13 +77,25 @@
     ) -> None:
         """Clear a request that an upstream has completed."""
         self.release([fingerprints.content])
-        self._crashes.clear(fingerprints.caller)
+        self._clear(fingerprints.caller)
 
     def release(self, contents: collections.abc.Iterable[str]) -> None:
         """Clear content that this gateway or a peer has seen completed."""
         for content in contents:
             self._succeeded.add(content)
-            self._crashes.clear(content)
+            self._clear(content)
+
+    def take_released(self) -> set[str]:
+        """Return the quarantined requests cleared since the last call."""
+        taken = self._released
+        self._released = set()
+        return taken
+
+    def _clear(self, fingerprint: str) -> None:
+        record = self._crashes.find(fingerprint)
+        if record is not None and record.is_quarantined:
+            self._released.add(fingerprint)
+        self._crashes.clear(fingerprint)
 
     def merge(
         self, records: collections.abc.Iterable[crash_list.CrashRecord]
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine_sync.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine_sync.py
@@ -8,6 +8,7 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.limits import crash_list
 from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.platform import objects
 from magnoliawood_server.platform import quarantine_store
 
@@ -15,6 +16,8 @@
 CHECK_INTERVAL = datetime.timedelta(milliseconds=200)
 RETRY_DELAY = datetime.timedelta(milliseconds=500)
 
+_STORE_ERRORS = (objects.StoreUnavailable, objects.RevisionConflict)
+
 _log = logging.getLogger(__name__)
 
 
@@ -34,11 +37,13 @@
         self,
         store: quarantine_store.QuarantineStore,
         crashes: crash_list.CrashList,
+        quarantine: quarantines.Quarantine,
         clock: clocks.Clock,
         registry: registries.Registry,
     ) -> None:
         self._store = store
         self._crashes = crashes
+        self._quarantine = quarantine
         self._clock = clock
         self._registry = registry
         # A request that was released has no record.
@@ -74,7 +79,7 @@
     def _collect(self) -> None:
         for record in self._crashes.take_newly_quarantined():
             self._unstored[record.fingerprint] = record
-        for fingerprint in self._crashes.take_newly_released():
+        for fingerprint in self._quarantine.take_released():
             self._unstored[fingerprint] = None
 
     async def _try_store(self) -> bool:
@@ -82,19 +87,19 @@
         for fingerprint, record in list(self._unstored.items()):
             try:
                 await self._store_change(fingerprint, record)
-            except (objects.StoreUnavailable, objects.RevisionConflict) as e:
+            except _STORE_ERRORS as error:
                 self._registry.count('quarantine_writes_failed_total')
                 _log.warning(
-                    'quarantined request not stored',
-                    extra={'fingerprint': fingerprint, 'error': str(e)},
+                    'quarantine not written to the store',
+                    extra={'fingerprint': fingerprint, 'error': str(error)},
                 )
                 return False
             del self._unstored[fingerprint]
             _log.info(
-                'quarantined request stored',
+                'quarantine written to the store',
                 extra={
                     'fingerprint': fingerprint,
-                    'is_released': record is None,
+                    'is_quarantined': record is not None,
                 },
             )
         return True
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
@@ -137,7 +137,7 @@
     curio.run(network.run_until(lambda: not one.has_quarantine()))
     assert not one.has_quarantine()
     assert not two.has_quarantine()
-    assert one.crashes.take_newly_released() == [QUARANTINED]
+    assert one.quarantine.take_released() == {QUARANTINED}
 
 
 def test_unknown_message_is_rejected(network):
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_quarantine_sync.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_quarantine_sync.py
@@ -6,6 +6,7 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.limits import crash_list
 from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.gateway import quarantine_sync
 from magnoliawood_server.platform import objects
 
@@ -48,45 +49,59 @@
 
 
 @pytest.fixture
-def crashes():
-    return crash_list.CrashList(clocks.SystemClock())
+def clock():
+    return clocks.SystemClock()
 
 
-def _run_until(store, crashes, condition):
-    sync = quarantine_sync.QuarantineSync(
-        store, crashes, clocks.SystemClock(), registries.Registry()
-    )
+@pytest.fixture
+def crashes(clock):
+    return crash_list.CrashList(clock)
+
+
+@pytest.fixture
+def quarantine(crashes, clock):
+    return quarantines.Quarantine(crashes, clock, registries.Registry())
+
+
+@pytest.fixture
+def run_until(crashes, quarantine, clock):
+    def run(store, condition):
+        sync = quarantine_sync.QuarantineSync(
+            store, crashes, quarantine, clock, registries.Registry()
+        )
+        curio.run(_run_sync, sync, condition)
+
+    return run
 
-    async def run():
-        async with curio.timeout_after(10):
-            async with curio.TaskGroup() as tasks:
-                await tasks.spawn(sync.run)
-                while not condition():
-                    await curio.sleep(0.001)
-                await tasks.cancel_remaining()
 
-    curio.run(run)
+async def _run_sync(sync, condition):
+    async with curio.timeout_after(10):
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(sync.run)
+            while not condition():
+                await curio.sleep(0.001)
+            await tasks.cancel_remaining()
 
 
-def test_quarantined_request_is_stored_although_calls_fail(crashes):
+def test_quarantined_request_is_stored_although_calls_fail(run_until, crashes):
     store = Store(failures=3)
     crashes.record_crashes('suspected', CRASHES[:1])
     record = crashes.record_crashes('quarantined', CRASHES)
-    _run_until(store, crashes, lambda: store.records)
+    run_until(store, lambda: store.records)
     assert store.records == {'quarantined': record}
 
 
-def test_stored_requests_are_loaded_at_the_start(crashes):
+def test_stored_requests_are_loaded_at_the_start(run_until, crashes):
     store = Store()
     other = crash_list.CrashList(clocks.SystemClock())
     store.records['f'] = other.record_crashes('f', CRASHES)
-    _run_until(store, crashes, lambda: crashes.find('f'))
+    run_until(store, lambda: crashes.find('f'))
     assert crashes.find('f').is_quarantined
 
 
-def test_released_request_is_removed(crashes):
+def test_released_request_is_removed(run_until, crashes, quarantine):
     store = Store()
     crashes.record_crashes('f', CRASHES)
-    _run_until(store, crashes, lambda: store.records)
-    crashes.clear('f')
-    _run_until(store, crashes, lambda: not store.records)
+    run_until(store, lambda: store.records)
+    quarantine.release(['f'])
+    run_until(store, lambda: not store.records)
--- a/packages/magnoliawood/magnoliawood/limits/crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_list.py
@@ -120,7 +120,6 @@
         self._version = 0
         self._versions: dict[str, int] = {}
         self._newly_quarantined: set[str] = set()
-        self._newly_released: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._records)
@@ -204,20 +203,10 @@
         self._newly_quarantined.clear()
         return taken
 
-    def take_newly_released(self) -> list[str]:
-        """Return the quarantined requests cleared since the last call."""
-        taken = sorted(self._newly_released)
-        self._newly_released.clear()
-        return taken
-
     def clear(self, fingerprint: str) -> None:
         """Delete the record of a request, if there is one."""
-        record = self._records.get(fingerprint)
-        if record is None:
-            return
-        if record.is_quarantined:
-            self._newly_released.add(fingerprint)
-        self._remove(fingerprint)
+        if fingerprint in self._records:
+            self._remove(fingerprint)
 
     def check(self, fingerprint: str) -> None:
         """Reject a quarantined request.
