Wait for the store in the test of a restart of all gateways

The test killed the gateways as soon as all rejected the request; the record is written within 200 ms of that, so on a slow machine it could have been killed first. It waits for the record now; the assertions are the same. Found on reading, never seen to fail.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Requests that crash each upstream that runs them, with real processes."""
 
 import itertools
+import json
 
 import pytest
 
@@ -38,6 +39,12 @@
     )
 
 
+def _stored_quarantine(deployment):
+    """Return the quarantined requests in the store."""
+    listing = deployment.store('GET', '/objects/quarantined-requests')
+    return json.loads(listing.body)['items']
+
+
 def _have_loaded_quarantine(deployment, starts):
     """Return whether each gateway read the quarantined requests so often."""
     return all(
@@ -60,6 +67,7 @@
 def test_quarantine_survives_a_restart_of_all_gateways():
     with hosted.HostedDeployment(upstreams=3) as deployment:
         deployment.wait_for(lambda: _is_rejected_by_all(deployment))
+        deployment.wait_for(lambda: _stored_quarantine(deployment))
         crashes = _crashes(deployment)
         for gateway in deployment.gateways:
             gateway.kill()
