--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
@@ -82,13 +82,13 @@
 # Guards against taking a request for another one because its program, session,
 # affinity key or query differs, though path and body are the same.
 @pytest.mark.parametrize(
-    'header', ['Program_Id', 'Session_Id', 'Affinity_Key', 'query']
+    'changed', ['Program_Id', 'Session_Id', 'Affinity_Key', 'query']
 )
-def test_crashing_request_is_recognised_by_path_and_body(header):
+def test_crashing_request_is_recognised_by_path_and_body(changed):
     with hosted.HostedDeployment(gateways=1, upstreams=3) as deployment:
         for number in range(SENDS):
-            if header == 'query':
+            if changed == 'query':
                 _send(deployment, 0, f'/once/page?try={number}')
             else:
-                _send(deployment, 0, **{header: f'value-{number}'})
+                _send(deployment, 0, **{changed: f'value-{number}'})
         assert _crashes(deployment) <= MAX_CRASHES
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
@@ -85,7 +85,7 @@
         """Start the upstreams again that a request has crashed."""
         for process in self._deployment.upstream_processes.values():
             with self._process_lock:
-                if process.exit_code == signed_upstream.CRASH_EXIT_CODE:
+                if self._has_crashed_on_a_request(process):
                     process.start()
 
     def added_path(self) -> str:
@@ -269,15 +269,18 @@
                 )
             process.start()
 
+    def _has_crashed_on_a_request(self, process: processes.Process) -> bool:
+        upstreams = self._deployment.upstream_processes.values()
+        is_crash = process.exit_code == signed_upstream.CRASH_EXIT_CODE
+        return is_crash and process in upstreams
+
     def _check_no_exit(self, process: processes.Process) -> None:
         # SIGKILL is expected: the injector killed the process and will start
-        # it again. Only upstreams crash on a request.
+        # it again.
         code = process.exit_code
-        if code not in (
-            None,
-            -signal.SIGKILL,
-            signed_upstream.CRASH_EXIT_CODE,
-        ):
+        if code in (None, -signal.SIGKILL):
+            return
+        if not self._has_crashed_on_a_request(process):
             self._checker.record_problem(
                 f'{process.name} exited with code {code}'
             )
