Failing tests for crashing requests whose content completed before

A request that crashes each upstream is sent on without a bound if its content completed once and its caller's program, session, affinity key and query change: 6 sends of 6 crash an upstream. The same happens while other callers read the page in between: each completion clears the crashes of all callers.

The stand-in of an upstream now also ends on a session with a certain beginning, so that a page can serve some callers and crash for another one.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
@@ -9,6 +9,8 @@
 from magnoliawood_testing.standins import signed_upstream
 
 CRASH_BODY = signed_upstream.SignedUpstreamFaults().crash_body
+CRASH_SESSION = signed_upstream.SignedUpstreamFaults().crash_session
+PAGE_BODY = b'page'
 # Number of upstreams that one request may crash before it is rejected.
 MAX_CRASHES = 2
 # Number of times that a caller sends the request.
@@ -92,3 +94,62 @@
             else:
                 _send(deployment, 0, **{changed: f'value-{number}'})
         assert _crashes(deployment) <= MAX_CRASHES
+
+
+def _read_page(deployment, gateway, caller):
+    """Read a page as a caller whose requests crash no upstream."""
+    return deployment.call(
+        gateway,
+        '/once/page',
+        f'read-{next(_numbers)}',
+        PAGE_BODY,
+        Program_Id=caller,
+        Session_Id=caller,
+        Affinity_Key=caller,
+    ).status
+
+
+def _crash_page(deployment, gateway, **headers):
+    """Send the page's request as a caller that crashes upstreams."""
+    number = next(_numbers)
+    response = deployment.call(
+        gateway,
+        f'/once/page?try={number}',
+        f'crash-{number}',
+        PAGE_BODY,
+        **{
+            'Program_Id': f'program-{number}',
+            'Session_Id': f'{CRASH_SESSION}-{number}',
+            'Affinity_Key': f'key-{number}',
+            **headers,
+        },
+    )
+    deployment.restart_crashed_upstreams()
+    return response.status
+
+
+def _page_crashes(deployment):
+    return sum(
+        run.request_id.startswith('crash') for run in deployment.all_runs()
+    )
+
+
+# Guards against sending a crashing request on without a bound because its
+# content completed once and its caller looks like another one each time.
+def test_completed_content_is_contained_while_its_caller_changes():
+    with hosted.HostedDeployment(gateways=1, upstreams=3) as deployment:
+        assert _read_page(deployment, 0, 'reader') == 200
+        for _ in range(SENDS):
+            _crash_page(deployment, 0)
+        assert _page_crashes(deployment) <= MAX_CRASHES
+        assert _read_page(deployment, 0, 'reader') == 200
+
+
+# Guards against forgetting the crashes of one caller because another one reads
+# the same page in between.
+def test_completions_of_other_callers_do_not_clear_crashes():
+    with hosted.HostedDeployment(gateways=1, upstreams=3) as deployment:
+        for number in range(SENDS):
+            _crash_page(deployment, 0)
+            _read_page(deployment, 0, f'reader-{number}')
+        assert _page_crashes(deployment) <= MAX_CRASHES
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -38,6 +38,8 @@
         if negative
     :param poison: body of requests whose response is always lost
     :param crash_body: body of requests that end the process when they run
+    :param crash_session: beginning of the sessions whose requests end the
+        process when they run
     :param forget_idle_seconds: idle time after which a connection is dropped
         at its next request, which does not run; never if 0
     """
@@ -48,6 +50,7 @@
     cut_after: int = -1
     poison: str = ''
     crash_body: str = 'crash-the-upstream'
+    crash_session: str = 'crash-session'
     forget_idle_seconds: float = 0.0
 
 
@@ -99,7 +102,7 @@
     ) -> http_message.Response:
         request_id = request_id_header['request-id']
         self._record_run(request)
-        if request.body.decode('latin-1') == self.faults.crash_body:
+        if self._does_crash(request):
             os._exit(CRASH_EXIT_CODE)
         signed = {
             **request_id_header,
@@ -131,6 +134,12 @@
         with self._journal.open('a', encoding='utf-8') as file:
             file.write(json.dumps(entry) + '\n')
 
+    def _does_crash(self, request: http_message.Request) -> bool:
+        if request.body.decode('latin-1') == self.faults.crash_body:
+            return True
+        session = request.header('session-id') or ''
+        return session.startswith(self.faults.crash_session)
+
     def _is_poison(self, request: http_message.Request) -> bool:
         return request.body.decode('latin-1') == self.faults.poison
 
