Serve new callers of a page again after a pause that grows

What callers saw: with the commit before, content that others complete was withheld for an hour from every new caller after two crashes without anything in common, also if the upstreams had crashed for other reasons.

Cause: nothing tells a caller of whom all attributes change from new callers, and the time limit of content that nobody completes was taken for both.

Change: new callers are refused for 10 s after the second crash, and four times as long after each further one, up to an hour. A caller that crashes upstreams is still bound, to one more crash after each pause. Content that nobody completes, and callers that share an attribute with all crashes, are refused for an hour as before.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
@@ -49,26 +49,29 @@
         :raises MagnoliawoodError: with ``suspected``
         """
         record = self._crashes.find(fingerprints.content)
-        if record is None or not crash_attribution.is_rejected(
-            record, fingerprints.caller
-        ):
+        if record is None:
+            return
+        until = crash_attribution.rejected_until(record, fingerprints.caller)
+        now = self._clock.now()
+        if until is None or until <= now:
             return
         count = crash_list.count_crashes(record.open_crashes)
         raise errors.MagnoliawoodError(
             errors.ErrorCode.SUSPECTED,
             f'{count} upstreams crashed during this request '
             f'({fingerprints.content})',
-            retry_after=record.expires_at - self._clock.now(),
+            retry_after=until - now,
         )
 
     def is_quarantined(
         self, fingerprints: request_fingerprints.Fingerprints
     ) -> bool:
         """Whether a request must not run again."""
-        record = self._crashes.find(fingerprints.content)
-        return record is not None and crash_attribution.is_rejected(
-            record, fingerprints.caller
-        )
+        try:
+            self.check(fingerprints)
+        except errors.MagnoliawoodError:
+            return True
+        return False
 
     def is_suspected(
         self, fingerprints: request_fingerprints.Fingerprints
--- a/packages/magnoliawood/magnoliawood/limits/crash_attribution.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_attribution.py
@@ -11,63 +11,81 @@
 
 import collections
 import collections.abc
+import datetime
 import functools
 import operator
 
 from magnoliawood.limits import crash_list
 
+FIRST_PAUSE = datetime.timedelta(seconds=10)
+PAUSE_GROWTH = 4
+
 # An attribute of a caller: its position among the attributes, and its value.
 Attribute = tuple[int, str]
 
 
-def is_rejected(
+def rejected_until(
     record: crash_list.CrashRecord, caller: crash_list.Caller
-) -> bool:
-    """Return whether a caller's request must not run.
+) -> datetime.datetime | None:
+    """Return until when a caller's request must not run.
 
     Explanation
     ===========
 
     Nobody is rejected before the second crash. After that:
 
-    - A request that was never completed is rejected for all callers.
+    - A request that was never completed is rejected for all callers, until
+      the record expires.
     - If the callers in all crashes share an attribute with which the request
-      was never completed, callers with that attribute are rejected.
-    - Otherwise nothing tells the crashing caller from a new one. Callers are
-      served that share an attribute with a completion and with no crash;
-      after the third crash, only callers for whom the request was completed.
+      was never completed, callers with that attribute are rejected, until the
+      record expires.
+    - Otherwise nothing tells the crashing caller from a new one, or the
+      upstreams crashed for another reason. New callers are rejected for a
+      pause that grows with each crash. In the pause callers are served that
+      share an attribute with a completion and with no crash; after the third
+      crash, only callers for whom the request was completed.
 
     Examples
     ========
 
-    >>> import datetime
     >>> crashes = (
     ...     crash_list.Crash('engine-1', 'a', caller=('session-1',)),
     ...     crash_list.Crash('engine-2', 'b', caller=('session-2',)),
     ... )
-    >>> expires_at = datetime.datetime.max
+    >>> now = datetime.datetime(2026, 1, 1)
+    >>> expires_at = now + crash_list.QUARANTINE_PERIOD
     >>> record = crash_list.CrashRecord('f', crashes, expires_at)
     >>> record = record.with_completed([('session-3',)])
-    >>> is_rejected(record, ('session-3',))
-    False
-    >>> is_rejected(record, ('session-4',))
-    True
+    >>> rejected_until(record, ('session-3',))
+    >>> rejected_until(record, ('session-4',)) - now
+    datetime.timedelta(seconds=10)
+
+    :returns: ``None`` if the caller is served
     """
     if not record.is_quarantined:
-        return False
+        return None
     if not caller or not record.completed_callers:
-        return True
+        return record.expires_at
     attributes = set(enumerate(caller))
     completed = _attributes_of(record.completed_callers)
     common = _common_attributes(record.open_crashes) - completed
     if common:
-        return bool(attributes & common)
+        return record.expires_at if attributes & common else None
     crashed_callers = {crash.caller for crash in record.open_crashes}
     count = crash_list.count_crashes(record.open_crashes)
-    if count > crash_list.QUARANTINE_CRASHES:
+    if count == crash_list.QUARANTINE_CRASHES:
+        trusted = completed - _attributes_of(crashed_callers)
+        is_trusted = bool(attributes & trusted)
+    else:
         is_known = caller in record.completed_callers
-        return not is_known or caller in crashed_callers
-    return not attributes & (completed - _attributes_of(crashed_callers))
+        is_trusted = is_known and caller not in crashed_callers
+    return None if is_trusted else record.last_crash_at + _pause(count)
+
+
+def _pause(count: int) -> datetime.timedelta:
+    """Return for how long new callers are rejected after a crash."""
+    growth = PAUSE_GROWTH ** (count - crash_list.QUARANTINE_CRASHES)
+    return min(FIRST_PAUSE * growth, crash_list.QUARANTINE_PERIOD)
 
 
 def _common_attributes(
--- a/packages/magnoliawood/magnoliawood/limits/crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_list.py
@@ -76,6 +76,11 @@
         """Whether the request is rejected because of its crashes."""
         return _are_enough(self.open_crashes)
 
+    @property
+    def last_crash_at(self) -> datetime.datetime:
+        """Time of the last crash of a quarantined request."""
+        return self.expires_at - QUARANTINE_PERIOD
+
     def with_completed(
         self, callers: collections.abc.Iterable[Caller]
     ) -> 'CrashRecord':
