Send crashing requests for pages that others read in the soak

Every second request of the crashing caller is for a page that another caller completes in between, and comes from another program and session each time.

--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/crashing.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/crashing.py
@@ -16,15 +16,23 @@
 
 # Number of times that each request is sent before the next one.
 SENDS = 60
+# A page is read by another caller once in so many sends.
+_SENDS_PER_READ = 5
 _SEND_INTERVAL_SECONDS = 0.1
 _CRASH_BODY = signed_upstream.SignedUpstreamFaults().crash_body
+_CRASH_SESSION = signed_upstream.SignedUpstreamFaults().crash_session
+_CRASH_PREFIX = 'crash-'
+# Upstreams that a page that others complete may crash while it is sent: one
+# more before and one more after the first pause of design note 40.
+_PAGE_CRASHES = crash_list.QUARANTINE_CRASHES + 2
 
 
 class CrashingCaller:
     """Sends requests that crash each upstream that runs them.
 
     Each request is sent several times, to any gateway and from another
-    program each time.
+    program each time. Every second one is for a page that is completed for
+    other callers.
     """
 
     def __init__(
@@ -45,7 +53,11 @@
             if stop.is_set():
                 return
             number, send = divmod(count, SENDS)
-            self._send(f'crash-{number}', f'crash-{number}.{send}')
+            if _is_page(number):
+                self._send_for_page(number, send)
+            else:
+                name = f'{_CRASH_PREFIX}{number}'
+                self._send(name, f'{name}.{send}', _CRASH_BODY)
             self._injector.restart_crashed_upstreams()
             time.sleep(_SEND_INTERVAL_SECONDS)
 
@@ -59,28 +71,48 @@
         what it has seen since its start, so each start may add crashes.
         """
         starts = sum(process.starts for process in self._deployment.gateways)
-        allowed = crash_list.QUARANTINE_CRASHES * starts
         crashes = collections.Counter(
             run.request_id.partition('.')[0]
             for run in runs
-            if run.body == _CRASH_BODY
+            if run.request_id.startswith(_CRASH_PREFIX)
         )
         for name, count in crashes.items():
+            allowed = _allowed_crashes(name) * starts
             if count > allowed:
                 self._checker.record_problem(
                     f'{name} crashed {count} upstreams, allowed are {allowed}'
                 )
 
-    def _send(self, name: str, request_id: str) -> None:
+    def _send_for_page(self, number: int, send: int) -> None:
+        name = f'{_CRASH_PREFIX}{number}'
+        if send % _SENDS_PER_READ == 0:
+            reader = f'read-{number}.{send}'
+            self._send(name, reader, Session_Id=reader)
+        session = f'{_CRASH_SESSION}-{send}'
+        self._send(name, f'{name}.{send}', Session_Id=session)
+
+    def _send(
+        self, name: str, request_id: str, body: str = '', **headers: str
+    ) -> None:
         kind = attempts.Kind.BOOKING
-        self._checker.record_request(
-            attempts.Attempt(request_id, kind, _CRASH_BODY)
-        )
+        self._checker.record_request(attempts.Attempt(request_id, kind, body))
         gateway = self._random.randrange(len(self._deployment.gateways))
         self._deployment.call(
             gateway,
             f'{kind.path}/{name}',
             request_id,
-            _CRASH_BODY.encode(),
+            body.encode(),
             Program_Id=request_id,
+            **headers,
         )
+
+
+def _is_page(number: int) -> bool:
+    return number % 2 == 1
+
+
+def _allowed_crashes(name: str) -> int:
+    """Return the number of crashes allowed for one start of a gateway."""
+    if _is_page(int(name.removeprefix(_CRASH_PREFIX))):
+        return _PAGE_CRASHES
+    return crash_list.QUARANTINE_CRASHES
