--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -48,10 +48,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
-    """One run of a request, as an upstream recorded it in its journal."""
+    """One run of a request, as an upstream recorded it in its journal.
+
+    :param version: version of the upstream's software
+    :param stream: id of the request that began the stream, if it is one
+    """
 
     request_id: str
     body: str
+    version: str
+    stream: str
 
 
 class HostedDeployment:
@@ -60,6 +66,7 @@
     :param keepers: number of hosts with a disk
     :param losses: number of disks that may fail at once
     :param proxied: whether each link runs through a fault-injecting proxy
+    :param versions: versions of the software of the upstreams, in turn
     """
 
     def __init__(
@@ -69,6 +76,7 @@
         losses: int = 1,
         upstreams: int = 2,
         proxied: bool = False,
+        versions: tuple[str, ...] = ('v1',),
     ) -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.losses = losses
@@ -82,6 +90,9 @@
             f'i-{number}': processes.free_address()
             for number in range(1, upstreams + 1)
         }
+        self.upstream_versions = dict(
+            zip(self.upstreams, itertools.cycle(versions), strict=False)
+        )
         self.upstream_processes = {
             name: self._make_upstream(name, address)
             for name, address in self.upstreams.items()
@@ -327,6 +338,7 @@
                 links.GATEWAYS, name, self.upstreams[name]
             ),
             'zone': 'zone-1',
+            'version': self.upstream_versions[name],
             'slots': 8,
             'state': state,
         }
@@ -345,6 +357,7 @@
             {
                 'listen': address,
                 'incarnation': name,
+                'version': self.upstream_versions[name],
                 'journal': self.folder / f'runs-{name}.jsonl',
             },
         )
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -57,12 +57,16 @@
 class SignedUpstream:
     """Upstream that runs the requests for its incarnation.
 
+    :param version: version of its software, recorded with each run
     :param journal: file to which each run is appended, so that the count
         survives a restart of the process
     """
 
-    def __init__(self, incarnation: str, journal: pathlib.Path) -> None:
+    def __init__(
+        self, incarnation: str, version: str, journal: pathlib.Path
+    ) -> None:
         self._incarnation = incarnation
+        self._version = version
         self._journal = journal
         # Keyed by task: each connection is served by a separate task.
         self._last_requests: dict[int, float] = {}
@@ -130,6 +134,9 @@
         entry = {
             'request_id': request.header('request-id'),
             'body': request.body.decode('latin-1'),
+            'version': self._version,
+            'stream': request.header('resumes')
+            or request.header('request-id'),
         }
         with self._journal.open('a', encoding='utf-8') as file:
             file.write(json.dumps(entry) + '\n')
@@ -158,9 +165,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--listen', required=True)
     parser.add_argument('--incarnation', required=True)
+    parser.add_argument('--version', required=True)
     parser.add_argument('--journal', type=pathlib.Path, required=True)
     options = parser.parse_args()
-    upstream = SignedUpstream(options.incarnation, options.journal)
+    upstream = SignedUpstream(
+        options.incarnation, options.version, options.journal
+    )
     control.serve(options.listen, upstream.handle)
 
 
