Continue a stream only at the version that began it

Cause: the gateways read neither an upstream's version nor the caller's Resumes header. A stream that a caller took up, or that a gateway continued within one response, went to any upstream of the service.

Change: service and version of the upstream that makes the first event are written to a write quorum of disks while the upstream works on it, and the caller gets the event only after that. A request that takes a stream up reads them from a read quorum, at whichever gateway, and runs at that version only; so do retries within one response once there is an event. It is rejected at once, without a run, if nothing is known of the stream, if no replica can be read, or if its version does not serve or its service has left the route. Reading needs no memory of the gateway, so one that has started since, or that is cut off and relays through a peer, decides the same or rejects.

A caller that names no stream, as all did before today, is served while one version serves.

Keepers store a third kind of record and have to run this release before the gateways do.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -20,6 +20,7 @@
 from magnoliawood_server.gateway import record_client as record_clients
 from magnoliawood_server.gateway import relay as relays
 from magnoliawood_server.gateway import store_watch
+from magnoliawood_server.gateway import stream_guard
 from magnoliawood_server.gateway import turn_guard
 from magnoliawood_server.gateway import upstream_pool
 from magnoliawood_server.peer import pool as pools
@@ -102,6 +103,12 @@
             self._selector,
             self._upstreams,
             turn_guard.TurnGuard(self._records, clock),
+            stream_guard.StreamGuard(
+                self._records,
+                self._cluster_view.directory,
+                clock,
+                self._registry,
+            ),
             self._quarantine,
             clock,
             self._registry,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from magnoliawood.core import errors
 from magnoliawood.fleet import directory
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import events as event_streams
@@ -23,8 +24,9 @@
 
     ``REFUSED``, ``UNREACHABLE`` and ``MISDIRECTED`` (another upstream
     responded) mean that the request did not run, ``FAILED`` that it may have
-    run. After ``FORGOTTEN`` it may have run as well, but the upstream is
-    healthy: it had closed the idle connection.
+    run. After ``FORGOTTEN`` and ``ABANDONED`` it may have run as well, but
+    the upstream is healthy: it had closed the idle connection, or the gateway
+    could not use the response.
     """
 
     DELIVERED = 'delivered'
@@ -33,11 +35,16 @@
     MISDIRECTED = 'misdirected'
     FAILED = 'failed'
     FORGOTTEN = 'forgotten'
+    ABANDONED = 'abandoned'
 
     @property
     def is_upstream_failure(self) -> bool:
         """Whether the upstream should be avoided for a while."""
-        return self not in (Ending.REFUSED, Ending.FORGOTTEN)
+        return self not in (
+            Ending.REFUSED,
+            Ending.FORGOTTEN,
+            Ending.ABANDONED,
+        )
 
     @property
     def has_not_run(self) -> bool:
@@ -92,12 +99,14 @@
     connection_use: upstream_pool.ConnectionUse | None = None
 
 
-BeforeEnd = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+Step = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
 
 class Exchange:
     """Sends a request to an upstream and forwards the response.
 
+    :param before_start: called before the first event of a stream is sent
+        to the caller; the attempt is abandoned if it raises an error
     :param before_end: called when a stream is complete, before its end is
         sent to the caller
     """
@@ -109,13 +118,15 @@
         body: bytes,
         responder: callers.Responder,
         delivery: Delivery,
-        before_end: BeforeEnd,
+        before_start: Step,
+        before_end: Step,
     ) -> None:
         self._pool = pool
         self._request = request
         self._body = body
         self._responder = responder
         self._delivery = delivery
+        self._before_start = before_start
         self._before_end = before_end
 
     async def run(
@@ -228,7 +239,10 @@
                 break
             except OSError as error:
                 return _failed(error)
-            await self._forward_events(response, splitter.feed(part))
+            try:
+                await self._forward_events(response, splitter.feed(part))
+            except errors.MagnoliawoodError as error:
+                return Result(Ending.ABANDONED, str(error))
         if splitter.remainder:
             return Result(
                 Ending.FAILED,
@@ -251,6 +265,8 @@
     ) -> None:
         if not new_events:
             return
+        if not self._responder.is_started:
+            await self._before_start()
         self._delivery.record_events(new_events)
         data = b''.join(event.raw for event in new_events)
         if self._responder.is_started:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -17,6 +17,7 @@
 from magnoliawood_server.gateway import fingerprint as request_fingerprints
 from magnoliawood_server.gateway import job as jobs
 from magnoliawood_server.gateway import quarantine as quarantines
+from magnoliawood_server.gateway import stream_guard
 from magnoliawood_server.gateway import turn_guard
 from magnoliawood_server.gateway import upstream_pool
 from magnoliawood_server.platform import requests
@@ -43,6 +44,7 @@
 class RequestHandler:
     """Routes each request and runs it on an upstream.
 
+    :param streams: origins of streams
     :param quarantine: requests that crash upstreams
     """
 
@@ -53,6 +55,7 @@
         selector: selection.Selector,
         pool: upstream_pool.UpstreamPool,
         guard: turn_guard.TurnGuard,
+        streams: stream_guard.StreamGuard,
         quarantine: quarantines.Quarantine,
         clock: clocks.Clock,
         registry: registries.Registry,
@@ -62,6 +65,7 @@
         self._selector = selector
         self._pool = pool
         self._guard = guard
+        self._streams = streams
         self._quarantine = quarantine
         self._clock = clock
         self._registry = registry
@@ -123,6 +127,8 @@
 
     async def _serve(self, job: jobs.Job) -> None:
         body = job.request.body
+        if job.is_resumable_stream:
+            await self._bind_stream(job)
         if job.is_turn:
             job.turn = await self._guard.admit(job.metadata, job.route)
             body = job.turn.history + body
@@ -133,6 +139,15 @@
             if job.turn is not None:
                 await self._guard.settle(job.turn, self._tokens_spent(job))
 
+    async def _bind_stream(self, job: jobs.Job) -> None:
+        """Bind a stream that is taken up to where it began.
+
+        :raises MagnoliawoodError: if it can't go on
+        """
+        job.stream = await self._streams.bind(job.metadata, job.route)
+        if job.stream.origin is not None:
+            job.service = job.stream.origin.service
+
     async def _try_upstreams(self, job: jobs.Job, body: bytes) -> None:
         """Try upstreams until one delivers a response.
 
@@ -145,6 +160,7 @@
             body,
             job.responder,
             job.delivery,
+            lambda: self._before_start(job),
             lambda: self._before_end(job),
         )
         while True:
@@ -170,6 +186,10 @@
         upstream: directories.Upstream,
         time_left: datetime.timedelta,
     ) -> exchanges.Result | None:
+        if job.stream is not None:
+            await self._streams.begin_attempt(
+                job.stream, job.metadata.request_id, upstream
+            )
         self._load_tracker.begin(upstream.id)
         try:
             # On a new connection a loss can't be an idle close, so a second
@@ -196,7 +216,10 @@
     def _choose(self, job: jobs.Job) -> directories.Upstream | None:
         usable = self._cluster_view.directory.usable(job.service)
         untried = [
-            upstream for upstream in usable if upstream.id not in job.tried
+            upstream
+            for upstream in usable
+            if upstream.id not in job.tried
+            and (job.stream is None or job.stream.allows(upstream))
         ]
         return self._selector.choose(untried, self._demand(job))
 
@@ -246,6 +269,14 @@
         if not may_retry:
             raise self._abort_error(job)
 
+    async def _before_start(self, job: jobs.Job) -> None:
+        """Store the origin of a stream before its first event is sent.
+
+        :raises MagnoliawoodError: if it could not be stored
+        """
+        if job.stream is not None:
+            await self._streams.confirm(job.stream)
+
     async def _before_end(self, job: jobs.Job) -> None:
         """Store a turn that has a retention period before its stream ends."""
         if job.turn is None or not job.turn.retention_period:
@@ -337,6 +368,7 @@
             extra={
                 'request_id': job.metadata.request_id,
                 'upstream': upstream.id,
+                'version': upstream.version,
                 'ending': str(result.ending),
                 'reason': result.reason,
                 'events': job.delivery.events,
@@ -362,6 +394,8 @@
                 'route': job.route.name,
                 'configuration': self._cluster_view.version,
                 'upstream': upstream.id,
+                'version': upstream.version,
+                'resumes': job.metadata.resumed_id,
                 'requests_there': self._load_tracker.requests(upstream.id),
                 'attempts': job.attempts + job.attempts_not_run + 1,
                 'admitted_ms': _milliseconds(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
@@ -8,6 +8,7 @@
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import exchange as exchanges
 from magnoliawood_server.gateway import fingerprint as request_fingerprints
+from magnoliawood_server.gateway import stream_guard
 from magnoliawood_server.gateway import turn_guard
 from magnoliawood_server.platform import requests
 
@@ -20,6 +21,7 @@
     :param admitted: monotonic time at which it was first ready to be sent
     :param attempts: number of attempts that may have run
     :param attempts_not_run: number of attempts that certainly did not run
+    :param stream: binding to the origin of the stream, if it is resumable
     :param tried: ids of the upstreams that failed
     """
 
@@ -31,6 +33,7 @@
     deadline: datetime.timedelta
     fingerprints: request_fingerprints.Fingerprints
     turn: turn_guard.Turn | None = None
+    stream: stream_guard.StreamBinding | None = None
     admitted: datetime.timedelta | None = None
     delivery: exchanges.Delivery = dataclasses.field(
         default_factory=exchanges.Delivery
@@ -48,6 +51,12 @@
             self.metadata.budget_tokens is not None or self.route.keeps_history
         )
 
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Whether the request is for a stream that may be taken up."""
+        is_stream = self.route.kind is configurations.RequestKind.STREAMING
+        return is_stream and self.route.is_resumable
+
 
 def hash_point(metadata: requests.RequestMetadata) -> float:
     """Hash the session to a point in [0, 1).
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -148,6 +148,30 @@
                 )
         return chain
 
+    async def read_stream(self, stream_id: str) -> list[records.StreamRecord]:
+        """Return the origins of a stream on the disks of a read quorum.
+
+        :raises MagnoliawoodError: with ``store_unavailable`` if too few
+            disks replied
+        """
+
+        def make_request(member: groups.Member, epoch: int) -> typing.Any:
+            return messages.ReadStream(epoch, member.disk_id, stream_id)
+
+        replies = await self._request(
+            make_request, lambda group: group.read_quorum, sends_to_all=False
+        )
+        decoded = [
+            records.decode(reply.record)
+            for reply in replies
+            if reply.record is not None
+        ]
+        return [
+            record
+            for record in decoded
+            if isinstance(record, records.StreamRecord)
+        ]
+
     async def probe_forever(self) -> None:
         """Probe the replicas periodically while they are unreachable.
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
@@ -47,7 +47,7 @@
         'POST', '/stream', [(b'host', b'app')], b'', datetime.timedelta()
     )
 
-    async def before_end():
+    async def no_step():
         return
 
     exchange = exchanges.Exchange(
@@ -56,7 +56,8 @@
         b'',
         responder,
         exchanges.Delivery(),
-        before_end,
+        no_step,
+        no_step,
     )
     async with curio.tcp_server_socket('127.0.0.1', 0) as listener:
         port = listener.getsockname()[1]
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
@@ -100,6 +100,7 @@
         selection.Selector(load_tracker, 'dc-1'),
         None,
         None,
+        None,
         quarantines.Quarantine(crashes, clock, registry),
         clock,
         registry,
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stream_guard.py
@@ -0,0 +1,172 @@
+import datetime
+
+import curio
+import pytest
+
+from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
+from magnoliawood.fleet import directory as directories
+from magnoliawood.routes import configuration as configurations
+from magnoliawood.telemetry import registry as registries
+from magnoliawood.turns import records
+from magnoliawood_server.gateway import stream_guard
+from magnoliawood_server.platform import requests
+
+SECOND = datetime.timedelta(seconds=1)
+OLD = directories.Upstream('i-1', 'llm', 'h:1', 'dc-1', 8, version='v1')
+NEW = directories.Upstream('i-2', 'llm', 'h:2', 'dc-1', 8, version='v2')
+
+
+class Client:
+    """Records on one disk, whose writes may fail."""
+
+    def __init__(self):
+        self.stored = []
+        self.failures = 0
+
+    async def write(self, new_records):
+        if self.failures:
+            self.failures -= 1
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.STORE_UNAVAILABLE, 'injected fault'
+            )
+        self.stored += new_records
+
+    async def read_stream(self, stream_id):
+        return [item for item in self.stored if item.stream_id == stream_id]
+
+
+@pytest.fixture
+def client():
+    return Client()
+
+
+@pytest.fixture
+def directory():
+    return directories.UpstreamDirectory(clocks.ManualClock())
+
+
+@pytest.fixture
+def guard(client, directory):
+    return stream_guard.StreamGuard(
+        client, directory, clocks.ManualClock(), registries.Registry()
+    )
+
+
+def _route(*services):
+    return configurations.Route(
+        'streams',
+        'app',
+        '/',
+        configurations.RequestKind.STREAMING,
+        SECOND,
+        SECOND,
+        0,
+        tuple(configurations.ServiceShare(service) for service in services),
+        2,
+        is_resumable=True,
+    )
+
+
+def _metadata(**headers):
+    return requests.decode_request_metadata(
+        [
+            (name.replace('_', '-').encode(), value.encode())
+            for name, value in headers.items()
+        ]
+    )
+
+
+def _begin(guard, *upstreams):
+    """Attempt a new stream at upstreams; the last one makes an event."""
+
+    async def begin():
+        binding = await guard.bind(_metadata(), _route('llm'))
+        for upstream in upstreams:
+            await guard.begin_attempt(binding, 'stream', upstream)
+        await guard.confirm(binding)
+        return binding
+
+    return curio.run(begin)
+
+
+def _take_up(guard, route=None, **headers):
+    metadata = _metadata(last_event_id='2', **headers)
+    return curio.run(guard.bind, metadata, route or _route('llm'))
+
+
+def test_new_stream_may_run_anywhere_until_its_first_event(guard):
+    binding = curio.run(guard.bind, _metadata(), _route('llm'))
+    assert binding.allows(OLD)
+    assert binding.allows(NEW)
+
+
+def test_stream_is_bound_once_it_has_an_event(guard):
+    binding = _begin(guard, OLD)
+    assert binding.allows(OLD)
+    assert not binding.allows(NEW)
+
+
+# Guards against binding a stream to an upstream that was tried first but made
+# no event.
+def test_stream_is_bound_to_the_upstream_that_made_its_first_event(guard):
+    _begin(guard, OLD, NEW)
+    binding = _take_up(guard, resumes='stream')
+    assert binding.allows(NEW)
+    assert not binding.allows(OLD)
+
+
+# Guards against events at the caller whose origin no gateway finds.
+def test_stream_without_a_stored_origin_does_not_start(guard, client):
+    client.failures = 1
+    with pytest.raises(errors.MagnoliawoodError):
+        _begin(guard, OLD)
+
+
+def test_origin_is_written_again_after_a_failure(guard, client):
+    client.failures = 1
+
+    async def begin():
+        binding = await guard.bind(_metadata(), _route('llm'))
+        await guard.begin_attempt(binding, 'stream', OLD)
+        with pytest.raises(errors.MagnoliawoodError):
+            await guard.confirm(binding)
+        await guard.begin_attempt(binding, 'stream', OLD)
+        await guard.confirm(binding)
+
+    curio.run(begin)
+    assert [origin.attempt for origin in client.stored] == [2]
+
+
+# Guards against a stream that goes on at an older origin because two requests
+# began with one id.
+def test_stream_of_two_requests_with_one_id_is_rejected(guard, client):
+    client.stored = [
+        records.StreamRecord('stream', 'llm', version, 1, 60.0)
+        for version in ('v1', 'v2')
+    ]
+    with pytest.raises(errors.MagnoliawoodError):
+        _take_up(guard, resumes='stream')
+
+
+def test_stream_whose_service_left_the_route_is_rejected(guard):
+    _begin(guard, OLD)
+    with pytest.raises(errors.MagnoliawoodError):
+        _take_up(guard, _route('other'), resumes='stream')
+    assert _take_up(guard, _route('other', 'llm'), resumes='stream').is_bound
+
+
+# Guards against rejecting callers that do not name the stream while it can
+# only go on at one version.
+@pytest.mark.parametrize(
+    ('upstreams', 'goes_on'), [([OLD], True), ([OLD, NEW], False)]
+)
+def test_unnamed_stream_goes_on_only_if_one_version_serves(
+    guard, directory, upstreams, goes_on
+):
+    directory.replace(upstreams, 1, None)
+    if goes_on:
+        assert _take_up(guard).allows(OLD)
+    else:
+        with pytest.raises(errors.MagnoliawoodError):
+            _take_up(guard)
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/messages.py
@@ -58,6 +58,22 @@
     records: list[bytes]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadStream:
+    """Request for the origin of a stream."""
+
+    epoch: int
+    disk_id: str
+    stream_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """Response to :class:`ReadStream`: the encoded origin, if it is stored."""
+
+    record: bytes | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GetCopyStatus:
     """Request for the state of a keeper's disk and its replica group.
@@ -126,6 +142,8 @@
     Charges,
     ReadChain,
     ChainRecords,
+    ReadStream,
+    StreamOrigin,
     GetCopyStatus,
     CopyStatus,
     TakeGroup,
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
@@ -62,6 +62,9 @@
             case messages.ReadChain():
                 self._replica.check_request(message.epoch, message.disk_id)
                 await stream.send(self._chain(message.turn_id))
+            case messages.ReadStream():
+                self._replica.check_request(message.epoch, message.disk_id)
+                await stream.send(self._stream_origin(message.stream_id))
             case messages.GetCopyStatus():
                 await stream.send(self._status())
             case messages.TakeGroup():
@@ -98,6 +101,12 @@
         turns = self._replica.table.chain(turn_id)
         return messages.ChainRecords([records.encode(turn) for turn in turns])
 
+    def _stream_origin(self, stream_id: str) -> messages.StreamOrigin:
+        record = self._replica.table.stream(stream_id)
+        if record is None:
+            return messages.StreamOrigin(None)
+        return messages.StreamOrigin(records.encode(record))
+
     def _status(self) -> messages.CopyStatus:
         state = self._replica.state
         return messages.CopyStatus(
--- a/packages/magnoliawood-server/magnoliawood_server/platform/decoding.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/decoding.py
@@ -115,6 +115,7 @@
     zone: str
     state: typing.Literal['ready', 'draining']
     slots: int = 1
+    version: typing.Any = ''
 
 
 def decode_configuration(spec: object) -> configurations.Configuration:
@@ -154,6 +155,7 @@
         fields.zone,
         fields.slots,
         fields.state == names.STATE_LEAVING,
+        str(fields.version),
     )
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/platform/names.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/names.py
@@ -11,6 +11,8 @@
 # alone.
 PROMPT_PARTS = b'prompt-prefix'
 LAST_EVENT_ID = b'last-event-id'
+# Id of the request that brought the first event of the resumed stream.
+RESUMED = b'resumes'
 # Signature that proves that a response comes from the upstream itself.
 SIGNATURE = b'server-stamp'
 EXPECTED_INCARNATION = b'expect-instance'
--- a/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
@@ -21,6 +21,7 @@
     :param session_id: session within the program, a sequence of turns
     :param budget_tokens: limit on the tokens of all turns of the program
     :param previous_turn_id: turn that this one continues
+    :param resumed_id: request that began the stream that this one takes up
     :param parts: parts of the prompt, with their numbers of tokens
     :param output_tokens: maximum number of generated tokens; 0 if not given
     """
@@ -34,6 +35,7 @@
     budget_tokens: int | None
     previous_turn_id: str
     last_event_id: int | None
+    resumed_id: str
     affinity: str
     parts: tuple[selection.PromptPart, ...]
     output_tokens: int
@@ -60,6 +62,7 @@
         budget_tokens=_decode_integer(text(names.BUDGET)),
         previous_turn_id=text(names.PREVIOUS_TURN),
         last_event_id=_decode_integer(text(names.LAST_EVENT_ID)),
+        resumed_id=text(names.RESUMED),
         affinity=text(names.AFFINITY),
         parts=tuple(_decode_prompt_parts(text(names.PROMPT_PARTS))),
         output_tokens=_decode_integer(tokens[-1]) or 0,
--- a/packages/magnoliawood/magnoliawood/fleet/directory.py
+++ b/packages/magnoliawood/magnoliawood/fleet/directory.py
@@ -23,6 +23,7 @@
     :param address: IP address and port
     :param slots: number of requests that it runs at the same time
     :param is_leaving: whether it accepts no new work
+    :param version: version of its software; empty if it states none
     """
 
     id: str
@@ -31,6 +32,7 @@
     data_centre: str
     slots: int
     is_leaving: bool = False
+    version: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/magnoliawood/magnoliawood/replication/quorum.py
+++ b/packages/magnoliawood/magnoliawood/replication/quorum.py
@@ -58,6 +58,41 @@
     )
 
 
+def decide_origin(
+    stored: collections.abc.Iterable[records.StreamRecord],
+) -> records.StreamRecord | None:
+    """Return the origin of a stream from the disks of a read quorum.
+
+    Explanation
+    ===========
+
+    The origin was on a write quorum before the caller got an event, so at
+    least one disk has it, and any later one belongs to the same stream.
+    Origins with the same number that differ come from two requests with one
+    id; then neither is known to be the stream's.
+
+    Examples
+    ========
+
+    >>> first = records.StreamRecord('s', 'llm', 'v1', 1, 60.0)
+    >>> second = records.StreamRecord('s', 'llm', 'v2', 2, 60.0)
+    >>> decide_origin([first, second]).version
+    'v2'
+    >>> decide_origin([])
+
+    :param stored: origins on the disks of a read quorum
+    """
+    origins = {
+        (origin.attempt, origin.service, origin.version): origin
+        for origin in stored
+    }
+    latest = max((attempt for attempt, _, _ in origins), default=0)
+    candidates = [
+        origin for origin in origins.values() if origin.attempt == latest
+    ]
+    return candidates[0] if len(candidates) == 1 else None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Chain:
     """The part of a chain of turns that has been read so far.
--- a/packages/magnoliawood/magnoliawood/turns/records.py
+++ b/packages/magnoliawood/magnoliawood/turns/records.py
@@ -1,4 +1,4 @@
-"""Records of turns and of charges against a program's budget."""
+"""Records of turns, charges against budgets, and origins of streams."""
 
 import collections.abc
 import dataclasses
@@ -8,6 +8,7 @@
 
 _TURN = 'turn'
 _CHARGE = 'charge'
+_STREAM = 'stream'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +51,25 @@
     expires_at: float
 
 
-Record = TurnRecord | ChargeRecord
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamRecord:
+    """Origin of a stream: the upstream that made its first event.
+
+    :param stream_id: identity of the request that began the stream
+    :param version: version of the upstream's software
+    :param attempt: number of the origin; a later one replaces those before,
+        whose upstreams made no event that the caller got
+    :param expires_at: Unix time in seconds until which it is kept
+    """
+
+    stream_id: str
+    service: str
+    version: str
+    attempt: int
+    expires_at: float
+
+
+Record = TurnRecord | ChargeRecord | StreamRecord
 
 
 def encode(record: Record) -> bytes:
@@ -63,7 +82,7 @@
     >>> decode(encode(charge)) == charge
     True
     """
-    kind = _TURN if isinstance(record, TurnRecord) else _CHARGE
+    kind = _KINDS[type(record)]
     fields = [getattr(record, field) for field in _FIELDS[kind]]
     return msgpack.packb([kind, *fields])
 
@@ -82,6 +101,10 @@
 _TYPES: dict[str, collections.abc.Callable[..., Record]] = {
     _TURN: TurnRecord,
     _CHARGE: ChargeRecord,
+    _STREAM: StreamRecord,
+}
+_KINDS: dict[typing.Any, str] = {
+    record_type: kind for kind, record_type in _TYPES.items()
 }
 _FIELDS: dict[str, tuple[str, ...]] = {
     kind: tuple(
--- a/packages/magnoliawood/magnoliawood/turns/table.py
+++ b/packages/magnoliawood/magnoliawood/turns/table.py
@@ -8,7 +8,7 @@
 
 
 class RecordTable:
-    """Turns and charges stored by one replica.
+    """Turns, charges and origins of streams stored by one replica.
 
     Examples
     ========
@@ -25,6 +25,7 @@
         self._clock = clock
         self._turns: dict[str, records.TurnRecord] = {}
         self._ledgers: dict[str, dict[str, records.ChargeRecord]] = {}
+        self._streams: dict[str, records.StreamRecord] = {}
 
     def apply(self, record: records.Record) -> None:
         """Add a record; a duplicate or superseded record is ignored."""
@@ -33,6 +34,9 @@
         if isinstance(record, records.TurnRecord):
             self._turns[record.turn_id] = record
             return
+        if isinstance(record, records.StreamRecord):
+            self._streams[record.stream_id] = record
+            return
         charges = self._ledgers.setdefault(record.program_id, {})
         charges[record.attempt_id] = record
 
@@ -40,6 +44,9 @@
         """Return whether applying a record would change the table."""
         if isinstance(record, records.TurnRecord):
             return record.turn_id not in self._turns
+        if isinstance(record, records.StreamRecord):
+            origin = self._streams.get(record.stream_id)
+            return origin is None or record.attempt > origin.attempt
         existing = self._ledgers.get(record.program_id, {}).get(
             record.attempt_id
         )
@@ -64,11 +71,16 @@
             for record in self._ledgers.get(program_id, {}).values()
         ]
 
+    def stream(self, stream_id: str) -> records.StreamRecord | None:
+        """Return the latest origin of a stream, if it is stored."""
+        return self._streams.get(stream_id)
+
     def records(self) -> collections.abc.Iterator[records.Record]:
         """Iterate over all records."""
         yield from list(self._turns.values())
         for charges in list(self._ledgers.values()):
             yield from list(charges.values())
+        yield from list(self._streams.values())
 
     def expire(self) -> int:
         """Drop expired records.
@@ -98,7 +110,17 @@
             len(self._ledgers.pop(program_id))
             for program_id in expired_programs
         )
-        return len(expired_turns) + dropped
+        return len(expired_turns) + dropped + self._expire_streams(now)
+
+    def _expire_streams(self, now: float) -> int:
+        expired_ids = [
+            stream_id
+            for stream_id, record in self._streams.items()
+            if record.expires_at <= now
+        ]
+        for stream_id in expired_ids:
+            del self._streams[stream_id]
+        return len(expired_ids)
 
     def _collect_chain(self, turn_id: str, collected: set[str]) -> None:
         """Add a turn and its predecessors, up to one already collected."""
