Take up broken streams in the soak, with two versions side by side

Callers take a stream that broke off up again at any gateway, and the checker looks at the events over all tries: none missing or twice, all of one version.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -56,8 +56,8 @@
 
     request_id: str
     body: str
-    version: str
-    stream: str
+    version: str = signed_upstream.DEFAULT_VERSION
+    stream: str = ''
 
 
 class HostedDeployment:
@@ -76,7 +76,7 @@
         losses: int = 1,
         upstreams: int = 2,
         proxied: bool = False,
-        versions: tuple[str, ...] = ('v1',),
+        versions: tuple[str, ...] = (signed_upstream.DEFAULT_VERSION,),
     ) -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.losses = losses
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/attempt.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/attempt.py
@@ -37,6 +37,8 @@
 
     :param previous_id: id of the turn that this turn follows; empty for the
         first turn of a program
+    :param stream_id: id of the request that began the stream, if it is one
+    :param last_event_id: last event of the stream that the caller has
     """
 
     request_id: str
@@ -44,6 +46,8 @@
     body: str
     program_id: str = ''
     previous_id: str = ''
+    stream_id: str = ''
+    last_event_id: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
@@ -29,6 +29,7 @@
 
     :param losses: number of disks that may fail at once
     :param has_crashing_caller: whether some requests crash upstreams
+    :param versions: versions of the software of the upstreams, in turn
     """
 
     gateways: int = 3
@@ -37,6 +38,7 @@
     callers: int = 8
     losses: int = 1
     has_crashing_caller: bool = False
+    versions: tuple[str, ...] = ('v1', 'v2')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +76,12 @@
         """Run the experiment to its end and return the result."""
         size = self._size
         deployment = hosted.HostedDeployment(
-            size.keepers, size.gateways, size.losses, size.upstreams, True
+            size.keepers,
+            size.gateways,
+            size.losses,
+            size.upstreams,
+            True,
+            size.versions,
         )
         with deployment:
             self._run(deployment)
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/promises.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/promises.py
@@ -17,7 +17,13 @@
 _NOT_RUN_STATUSES = (402, 404, 408, 421, 429, 503)
 # Statuses that state that the previous turn does not exist.
 _UNKNOWN_TURN_STATUSES = (404, 410)
-_EVENT = re.compile(rb'id: (\d+)\ndata: word(\d+)\n\n')
+_EVENT = re.compile(rb'id: (\d+)\n(?:event: (\w+)\n)?data: word(\d+)\n\n')
+_EVENT_NUMBERS = range(1, signed_upstream.EVENTS + 1)
+
+
+def event_numbers(body: bytes) -> list[int]:
+    """Return the numbers of the complete events in a part of a stream."""
+    return [int(number) for number, _, _ in _EVENT.findall(body)]
 
 
 class GuaranteeChecker:
@@ -35,6 +41,9 @@
             collections.Counter()
         )
         self._histories: dict[str, str] = {'': ''}
+        self._stream_versions: dict[str, set[bytes]] = collections.defaultdict(
+            set
+        )
         self.problems: list[str] = []
 
     @property
@@ -56,6 +65,8 @@
             self._check_response(attempt, outcome)
             if attempt.kind is attempts.Kind.TURN:
                 self._check_turn(attempt, outcome)
+            if attempt.kind is attempts.Kind.STREAM:
+                self._check_stream(attempt, outcome)
 
     def record_problem(self, problem: str) -> None:
         """Record a violated guarantee that another component detected."""
@@ -83,9 +94,24 @@
             self._add_problem(attempt, f'response to request {echoed}')
         if not signature.endswith(f'.{attempt.request_id}'):
             self._add_problem(attempt, f'signed {signature!r}')
-        if outcome.body != _expected_body(attempt.kind):
+        if not _is_expected(attempt, outcome.body):
             self._add_problem(attempt, f'answered {outcome.body!r}')
 
+    def _check_stream(
+        self, attempt: attempts.Attempt, outcome: attempts.Outcome
+    ) -> None:
+        """Check one part of a stream, complete or not."""
+        numbers = event_numbers(outcome.body)
+        first = attempt.last_event_id + 1
+        if numbers != list(range(first, first + len(numbers))):
+            self._add_problem(attempt, f'events {numbers} after {first - 1}')
+        versions = self._stream_versions[attempt.stream_id]
+        versions |= {version for _, version, _ in _EVENT.findall(outcome.body)}
+        if len(versions) > 1:
+            self._add_problem(
+                attempt, f'stream {attempt.stream_id} has {sorted(versions)}'
+            )
+
     def _check_turn(
         self, attempt: attempts.Attempt, outcome: attempts.Outcome
     ) -> None:
@@ -97,7 +123,7 @@
                 attempt, f'{self._delivered_tokens[program]} tokens delivered'
             )
         if outcome.is_success:
-            reply = ''.join(f'word{word.decode()}\n' for _, word in events)
+            reply = ''.join(f'word{word.decode()}\n' for _, _, word in events)
             previous_history = self._histories[attempt.previous_id]
             self._histories[attempt.request_id] = (
                 previous_history + attempt.body + reply
@@ -140,10 +166,9 @@
         self.problems.append(f'{attempt.kind} {attempt.request_id}: {problem}')
 
 
-def _expected_body(kind: attempts.Kind) -> bytes:
-    if kind in (attempts.Kind.PAGE, attempts.Kind.BOOKING):
-        return b'done'
-    return b''.join(
-        signed_upstream.event_bytes(number)
-        for number in range(1, signed_upstream.EVENTS + 1)
-    )
+def _is_expected(attempt: attempts.Attempt, body: bytes) -> bool:
+    """Return whether a body is what upstreams answer to a request."""
+    if attempt.kind in (attempts.Kind.PAGE, attempts.Kind.BOOKING):
+        return body == b'done'
+    numbers = list(_EVENT_NUMBERS[attempt.last_event_id :])
+    return event_numbers(body) == numbers and not _EVENT.sub(b'', body)
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/tests/test_promises.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/tests/test_promises.py
@@ -5,6 +5,7 @@
 from magnoliawood_testing.cluster import hosted
 from magnoliawood_testing.soak import attempt as attempts
 from magnoliawood_testing.soak import promises
+from magnoliawood_testing.standins import signed_upstream
 
 EVENTS = b''.join(
     f'id: {number}\ndata: word{number}\n\n'.encode() for number in range(1, 6)
@@ -110,3 +111,34 @@
     checker.record_outcome(_turn('t2'), _success('t2', EVENTS, False))
     checker.record_outcome(_turn('t3'), _success('t3', EVENTS, False))
     assert 'tokens delivered' in checker.problems[0]
+
+
+def _stream_part(name, last_event_id, *events):
+    """Return a part of a stream that broke off, and its outcome."""
+    attempt = attempts.Attempt(
+        name,
+        attempts.Kind.STREAM,
+        '',
+        stream_id='s',
+        last_event_id=last_event_id,
+    )
+    body = b''.join(signed_upstream.event_bytes(*event) for event in events)
+    return attempt, _success(name, body, False)
+
+
+@pytest.mark.parametrize(
+    ('events', 'problem'),
+    [
+        ([(3, 'v1'), (4, 'v1')], ''),
+        ([(3, 'v2')], 'stream s has'),
+        ([(4, 'v1')], 'events [4] after 2'),
+        ([(2, 'v1'), (3, 'v1')], 'events [2, 3] after 2'),
+    ],
+)
+def test_stream_that_goes_on_wrongly_is_detected(events, problem):
+    checker = _checker()
+    checker.record_outcome(*_stream_part('s', 0, (1, 'v1'), (2, 'v1')))
+    assert not checker.problems
+    checker.record_outcome(*_stream_part('s.1', 2, *events))
+    assert bool(checker.problems) == bool(problem)
+    assert problem in ' '.join(checker.problems)
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/traffic.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/traffic.py
@@ -18,6 +18,7 @@
 _BUDGET_SPENT_STATUS = 402
 _TURNS_PER_PROGRAM = 7
 _MAX_TRIES_PER_TURN = 3
+_MAX_TRIES_PER_STREAM = 4
 _MAX_RETRY_AFTER_SECONDS = 1.0
 # Delay after a request that got no response from a gateway.
 _NO_RESPONSE_DELAY_SECONDS = 0.1
@@ -61,6 +62,8 @@
             kind = self._random.choice(tuple(attempts.Kind))
             if kind is attempts.Kind.TURN:
                 self._run_program(stop)
+            elif kind is attempts.Kind.STREAM:
+                self._run_stream()
             else:
                 self._send(kind, body=self._random.choice(('', 'x', 'y' * 99)))
             time.sleep(_REQUEST_INTERVAL_SECONDS)
@@ -104,6 +107,27 @@
             previous = turn_id
             self._record_session(Session(program, turn_id))
 
+    def _run_stream(self) -> None:
+        """Read a stream and take it up each time that it breaks off."""
+        name = f'c{self._number}.{next(self._numbers)}'
+        attempt = attempts.Attempt(
+            name, attempts.Kind.STREAM, f'say {name}', stream_id=name
+        )
+        for number in range(_MAX_TRIES_PER_STREAM):
+            gateway = self._random.randrange(len(self._deployment.gateways))
+            outcome = self._exchange(gateway, attempt, attempt.kind.path)
+            if outcome.is_success:
+                return
+            received = promises.event_numbers(outcome.body)
+            last_event_id = max([attempt.last_event_id, *received])
+            if not last_event_id:
+                return
+            attempt = dataclasses.replace(
+                attempt,
+                request_id=f'{name}.{number}',
+                last_event_id=last_event_id,
+            )
+
     def _record_session(self, session: Session) -> None:
         if (
             self.sessions
@@ -187,6 +211,9 @@
             }
         if attempt.previous_id:
             headers['Previous-Turn'] = attempt.previous_id
+        if attempt.last_event_id:
+            headers['Resumes'] = attempt.stream_id
+            headers['Last-Event-Id'] = str(attempt.last_event_id)
         return headers
 
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -23,9 +23,14 @@
 CRASH_EXIT_CODE = 70
 
 
-def event_bytes(number: int) -> bytes:
+# Version of the software whose events do not name it.
+DEFAULT_VERSION = 'v1'
+
+
+def event_bytes(number: int, version: str = DEFAULT_VERSION) -> bytes:
     """Return the encoded event of a stream with the given number."""
-    return f'id: {number}\ndata: word{number}\n\n'.encode()
+    named = '' if version == DEFAULT_VERSION else f'event: {version}\n'
+    return f'id: {number}\n{named}data: word{number}\n\n'.encode()
 
 
 class SignedUpstreamFaults(control.Faults):
@@ -157,7 +162,7 @@
             if number - first == self.faults.cut_after:
                 raise ConnectionResetError('injected fault: stream cut')
             await curio.sleep(self.faults.event_seconds)
-            yield event_bytes(number)
+            yield event_bytes(number, self._version)
 
 
 def main() -> None:
