Keep room for the next crash in the record of a request

What callers would see: a request that crashes upstreams is served again each time the first pause ends, though the pause should grow.

Cause: a record holds 64 crashes, each with one caller. If more callers had the same content running in one crash, the record was full and later crashes neither counted nor prolonged it.

Change: at most four callers of one crash are kept, and a crash that does not fit prolongs the record.

Measured: test_crash_under_many_callers_leaves_room_for_the_next failed before (the second crash did not quarantine).

--- a/packages/magnoliawood/magnoliawood/limits/crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_list.py
@@ -19,7 +19,9 @@
 LIST_LIMIT = 1000
 # Maximum number of records in one report to another process.
 REPORT_LIMIT = 100
-# Maximum number of crashes, and of callers, in one record.
+# Maximum number of callers in one crash, of crashes with one caller each, and
+# of callers for whom a request was completed, in one record.
+CALLER_LIMIT = 4
 CRASH_LIMIT = 64
 COMPLETED_LIMIT = 16
 
@@ -124,6 +126,22 @@
     return is_any_certain and count_crashes(crashes) >= QUARANTINE_CRASHES
 
 
+def _with_crashes(
+    known: tuple[Crash, ...], crashes: collections.abc.Iterable[Crash]
+) -> tuple[Crash, ...]:
+    """Return crashes with new ones, each with a limited number of callers."""
+    updated = {*known}
+    for crash in crashes:
+        callers = [
+            other
+            for other in updated
+            if (other.upstream, other.run) == (crash.upstream, crash.run)
+        ]
+        if len(callers) < CALLER_LIMIT:
+            updated.add(crash)
+    return tuple(sorted(updated))
+
+
 def _merged(one: CrashRecord, other: CrashRecord) -> CrashRecord:
     """Return a record with all that two processes know of a request."""
     crashes = sorted({*one.crashes, *other.crashes})
@@ -198,11 +216,11 @@
         previous = self.find(fingerprint) or CrashRecord(
             fingerprint, (), self._clock.now()
         )
-        updated = {*previous.crashes, *crashes}
-        is_full = len(updated) > CRASH_LIMIT
-        if is_full or (updated == {*previous.crashes} and updated):
+        updated = _with_crashes(previous.crashes, crashes)
+        if updated == previous.crashes and updated:
             return previous
-        record = dataclasses.replace(previous, crashes=tuple(sorted(updated)))
+        # A crash that doesn't fit still prolongs the record.
+        record = dataclasses.replace(previous, crashes=updated[:CRASH_LIMIT])
         period = (
             QUARANTINE_PERIOD if record.is_quarantined else SUSPICION_PERIOD
         )
--- a/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
@@ -52,6 +52,27 @@
     assert crashes.record_crashes('f', [ONE]).expires_at == first.expires_at
 
 
+# Guards against a crash that is not counted because many callers had the same
+# request running in an earlier one.
+def test_crash_under_many_callers_leaves_room_for_the_next(crashes, clock):
+    for number in range(2 * crash_list.CRASH_LIMIT):
+        crash = crash_list.Crash('engine-1', 'a', caller=(str(number),))
+        crashes.record_crashes('f', [crash])
+    assert not crashes.find('f').is_quarantined
+    assert crashes.record_crashes('f', [TWO]).is_quarantined
+
+
+def test_crash_that_does_not_fit_prolongs_the_record(crashes, clock):
+    for number in range(crash_list.CRASH_LIMIT):
+        crashes.record_crashes(
+            'f', [crash_list.Crash('engine', f'{number:03}')]
+        )
+    clock.advance(datetime.timedelta(minutes=1))
+    record = crashes.record_crashes('f', [crash_list.Crash('engine', 'last')])
+    assert len(record.crashes) == crash_list.CRASH_LIMIT
+    assert record.last_crash_at == clock.now()
+
+
 def test_second_crash_of_one_upstream_counts(crashes):
     crashes.record_crashes('f', [ONE])
     again = crash_list.Crash('engine-1', 'restarted')
