Reject a resumable stream at once if its origin can't be stored

What callers would see: an upstream works on the prompt, and the caller gets a 502 in place of the first event, while a gateway reaches too few replicas and the request has no budget to be charged first.

Cause: the origin is written while the upstream works, so a failure shows only when the first event is there.

Change: a new resumable stream is rejected with 503 and a time to return, and does not run, while the last operations on the replicas have failed.

The test of a restart restarts the keepers too.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/stream_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/stream_guard.py
@@ -87,9 +87,10 @@
 
         :raises MagnoliawoodError: with ``upstream_unavailable`` if a stream
             that is taken up can't go on, with ``store_unavailable`` if its
-            origin can't be read
+            origin can't be read, or a new one not be written
         """
         if metadata.last_event_id is None:
+            self._check_replicas()
             return StreamBinding()
         if metadata.resumed_id:
             origin = await self._find(metadata.resumed_id)
@@ -147,6 +148,15 @@
                 raise error
         binding.is_bound = True
 
+    def _check_replicas(self) -> None:
+        """Reject a stream whose first event could not be sent."""
+        if not self._client.is_reachable:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.STORE_UNAVAILABLE,
+                'too few replicas to store the origin of the stream',
+                retry_after=RETRY_AFTER,
+            )
+
     async def _try_write(
         self, origin: records.StreamRecord
     ) -> errors.MagnoliawoodError | None:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stream_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stream_guard.py
@@ -23,6 +23,7 @@
     def __init__(self):
         self.stored = []
         self.failures = 0
+        self.is_reachable = True
 
     async def write(self, new_records):
         if self.failures:
@@ -123,6 +124,14 @@
         _begin(guard, OLD)
 
 
+# Guards against running a prompt whose first event can't be sent.
+def test_new_stream_is_rejected_while_replicas_are_unreachable(guard, client):
+    client.is_reachable = False
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        _begin(guard, OLD)
+    assert caught.value.code is errors.ErrorCode.STORE_UNAVAILABLE
+
+
 def test_origin_is_written_again_after_a_failure(guard, client):
     client.failures = 1
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_stream_versions.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_stream_versions.py
@@ -96,13 +96,14 @@
 
 
 # Guards against forgetting at which version a stream began once all gateways
-# have started again.
-def test_stream_is_taken_up_after_a_restart_of_all_gateways(deployment):
+# and keepers have started again.
+def test_stream_is_taken_up_after_a_restart_of_all_processes(deployment):
     streams = _begin_all(deployment)
-    for gateway in deployment.gateways:
-        gateway.kill()
-    for gateway in deployment.gateways:
-        gateway.start()
+    processes = (*deployment.keepers, *deployment.gateways)
+    for process in processes:
+        process.kill()
+    for process in processes:
+        process.start()
     deployment.wait_until_ready()
     statuses = {_take_up(deployment, 0, stream) for stream in streams}
     assert statuses == {200}
