Check the configuration that the store has after the faults of the soak

Cause: the check was wrong. The store took the change to the next version but lost its answer, so the injector went on with the version before, whose route the change had removed.

Change: the check reads the version from the store and asks each gateway for that version's route. It is as strict: it still asks all gateways, and now also after a change whose answer was lost.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -315,6 +315,11 @@
             response = self.store('POST', '/objects/config', body)
         return response.status == 200
 
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in the store."""
+        response = self.store('GET', '/objects/config/main')
+        return int(json.loads(response.body)['spec']['version'])
+
     def _register(self) -> None:
         self.put_configuration(1, standard_routes())
         for name in self.upstreams:
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
@@ -128,7 +128,7 @@
         for thread in threads:
             thread.join()
         injector.restart_crashed_upstreams()
-        self._check_recovery(deployment, callers, injector)
+        self._check_recovery(deployment, callers)
         runs = deployment.all_runs()
         self._checker.check_runs(runs)
         crashing_caller.check_runs(runs)
@@ -144,7 +144,6 @@
         self,
         deployment: hosted.HostedDeployment,
         callers: list[traffic.Caller],
-        injector: injectors.Injector,
     ) -> None:
         try:
             deployment.wait_until_ready()
@@ -162,18 +161,16 @@
                     self._checker.record_problem(
                         f'{session} could not be continued'
                     )
-        for number in range(len(deployment.gateways)):
-            self._check_configuration(callers[0], number, injector)
+        # The store may have taken a change although its answer was lost.
+        version = deployment.configuration_version()
+        if version > 1:
+            path = f'{injectors.added_prefix(version)}page'
+            for number in range(len(deployment.gateways)):
+                self._check_configuration(callers[0], number, path)
 
     def _check_configuration(
-        self,
-        caller: traffic.Caller,
-        gateway: int,
-        injector: injectors.Injector,
+        self, caller: traffic.Caller, gateway: int, path: str
     ) -> None:
-        if injector.version == 1:
-            return
-        path = injector.added_path()
         if not _succeeds_in_time(
             lambda: caller.call(gateway, path).is_success
         ):
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
@@ -52,6 +52,11 @@
     CONFIGURATION_CHANGED = 'configuration_changed'
 
 
+def added_prefix(version: int) -> str:
+    """Return the path prefix that only one configuration routes."""
+    return f'/added-{version}/'
+
+
 class Injector:
     """Applies the faults of a schedule, each in a separate thread.
 
@@ -68,7 +73,7 @@
         self._process_lock = threading.Lock()
         self._disk_lock = threading.Lock()
         self._configuration_lock = threading.Lock()
-        self.version = 1
+        self._version = 1
 
     def run(self, faults: list[schedules.Fault]) -> None:
         """Apply all faults and return once all have been reverted."""
@@ -88,10 +93,6 @@
                 if self._has_crashed_on_a_request(process):
                     process.start()
 
-    def added_path(self) -> str:
-        """Return a path that only the newest configuration routes."""
-        return f'/added-{self.version}/page'
-
     def _apply(self, fault: schedules.Fault) -> None:
         time.sleep(fault.start_seconds)
         component, _, _ = fault.kind.partition('_')
@@ -235,15 +236,15 @@
 
     def _change_configuration(self) -> None:
         with self._configuration_lock:
-            version = self.version + 1
+            version = self._version + 1
             routes = hosted.standard_routes()
             added = {
                 **routes[0],
                 'name': f'added-{version}',
-                'path_prefix': f'/added-{version}/',
+                'path_prefix': added_prefix(version),
             }
             if self._deployment.put_configuration(version, [*routes, added]):
-                self.version = version
+                self._version = version
 
     def _kill(self, process: processes.Process) -> None:
         with self._process_lock:
