--- a/packages/magnoliawood-server/magnoliawood_server/entry/quarantine_registry.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/quarantine_registry.py
@@ -10,6 +10,7 @@
 from magnoliawood.core import errors
 from magnoliawood.limits import affinity as affinities
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood.limits import succeeded
 from magnoliawood.platform import store
 from magnoliawood.programs import call as calls
@@ -59,7 +60,7 @@
         self._changed = curio.Event()
         self._version = 0
 
-    def crashes_of(self, fingerprint: str) -> list[crash_list.Crash]:
+    def crashes_of(self, fingerprint: str) -> list[crash_record.Crash]:
         """Return the recorded crashes of a request in order."""
         return sorted(self._crashes.crashes(fingerprint))
 
@@ -132,7 +133,7 @@
                 await self._changed.set()
 
     def _record_crashes(
-        self, fingerprint: str, crashes: tuple[crash_list.Crash, ...]
+        self, fingerprint: str, crashes: tuple[crash_record.Crash, ...]
     ) -> bool:
         """Record crashes and return whether any of them is new."""
         previous = self._crashes.find(fingerprint)
@@ -243,7 +244,7 @@
                 await self._objects.delete(name, version)
             return
         if stored_object is not None:
-            stored = crash_list.CrashRecord.from_text(stored_object.value)
+            stored = crash_record.CrashRecord.from_text(stored_object.value)
             record = self._crashes.merge(stored)
         written = await self._objects.put(name, record.to_text(), version)
         self._stored[fingerprint] = written.version
@@ -289,9 +290,9 @@
     return [by_name[name] for name in names]
 
 
-def _parse_record(item: store.StoredObject) -> crash_list.CrashRecord | None:
+def _parse_record(item: store.StoredObject) -> crash_record.CrashRecord | None:
     try:
-        return crash_list.CrashRecord.from_text(item.value)
+        return crash_record.CrashRecord.from_text(item.value)
     except pydantic.ValidationError as error:
         _log.error('crash record malformed', extra={'error': str(error)})
         return None
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/fingerprint.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/fingerprint.py
@@ -3,7 +3,7 @@
 import dataclasses
 import hashlib
 
-from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.platform import requests
 
@@ -22,7 +22,7 @@
     """
 
     content: str
-    caller: crash_list.Caller
+    caller: crash_record.Caller
 
 
 def fingerprints_of(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -12,6 +12,7 @@
 from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import selection
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood_server.gateway import cluster_view as cluster_views
 from magnoliawood_server.gateway import messages
 from magnoliawood_server.gateway import quarantine as quarantines
@@ -275,7 +276,7 @@
     def _make_report(
         self,
         prompts: list[selection.SentPrompt],
-        crashes: list[crash_list.CrashRecord],
+        crashes: list[crash_record.CrashRecord],
         has_new_peers: bool,
     ) -> messages.GatewayReport:
         return messages.GatewayReport(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from magnoliawood.fleet import selection
-from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood.replication import group as groups
 from magnoliawood_server.gateway import cluster_view
 from magnoliawood_server.peer import control
@@ -35,7 +35,7 @@
     version: int
     revision: int
     does_reach_store: bool
-    crashes: list[crash_list.CrashRecord]
+    crashes: list[crash_record.CrashRecord]
     prompts: list[selection.SentPrompt]
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
@@ -10,6 +10,7 @@
 from magnoliawood.limits import completed_callers
 from magnoliawood.limits import crash_attribution
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import fingerprint as request_fingerprints
 from magnoliawood_server.gateway import upstream_pool
@@ -55,7 +56,7 @@
         now = self._clock.now()
         if until is None or until <= now:
             return
-        count = crash_list.count_crashes(record.open_crashes)
+        count = crash_record.count_crashes(record.open_crashes)
         raise errors.MagnoliawoodError(
             errors.ErrorCode.SUSPECTED,
             f'{count} upstreams crashed during this request '
@@ -89,7 +90,7 @@
         self._crashes.record_completion(content, caller)
 
     def merge(
-        self, records: collections.abc.Iterable[crash_list.CrashRecord]
+        self, records: collections.abc.Iterable[crash_record.CrashRecord]
     ) -> None:
         """Merge crash records of a peer.
 
@@ -99,7 +100,7 @@
         for record in records:
             self._merge(record)
 
-    def _merge(self, record: crash_list.CrashRecord) -> None:
+    def _merge(self, record: crash_record.CrashRecord) -> None:
         previous = self._crashes.find(record.fingerprint)
         merged = self._crashes.add_completed(
             self._crashes.merge(record),
@@ -111,7 +112,7 @@
                 'request quarantined by a peer',
                 extra={
                     'fingerprint': merged.fingerprint,
-                    'crashes': crash_list.count_crashes(merged.open_crashes),
+                    'crashes': crash_record.count_crashes(merged.open_crashes),
                     'completed_callers': len(merged.completed_callers),
                 },
             )
@@ -129,7 +130,7 @@
         :param is_certain: whether the upstream had certainly not closed the
             connection before the request was sent
         """
-        crash = crash_list.Crash(
+        crash = crash_record.Crash(
             upstream.address,
             self._crash_tracker.crash_of(
                 upstream.id, connection_use.opened_at
@@ -149,7 +150,7 @@
                 'fingerprint': fingerprints.content,
                 'crash': f'{crash.upstream} {crash.run}',
                 'is_certain': is_certain,
-                'crashes': crash_list.count_crashes(record.open_crashes),
+                'crashes': crash_record.count_crashes(record.open_crashes),
                 'completed_callers': len(record.completed_callers),
                 'is_quarantined': self.is_quarantined(fingerprints),
             },
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine_sync.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine_sync.py
@@ -7,6 +7,7 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.platform import objects
@@ -47,7 +48,7 @@
         self._clock = clock
         self._registry = registry
         # A request that was released has no record.
-        self._unstored: dict[str, crash_list.CrashRecord | None] = {}
+        self._unstored: dict[str, crash_record.CrashRecord | None] = {}
 
     async def run(self) -> None:
         """Load all records, then follow the changes until cancelled."""
@@ -105,7 +106,7 @@
         return True
 
     async def _store_change(
-        self, fingerprint: str, record: crash_list.CrashRecord | None
+        self, fingerprint: str, record: crash_record.CrashRecord | None
     ) -> None:
         if record is None:
             await self._store.remove(fingerprint)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
@@ -9,6 +9,7 @@
 from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import selection
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import cluster_view as cluster_views
 from magnoliawood_server.gateway import fingerprint as request_fingerprints
@@ -19,8 +20,8 @@
 
 QUARANTINED = 'quarantined-request'
 CRASHES = (
-    crash_list.Crash('engine-1', 'a', caller=('program-1',)),
-    crash_list.Crash('engine-2', 'b', caller=('program-2',)),
+    crash_record.Crash('engine-1', 'a', caller=('program-1',)),
+    crash_record.Crash('engine-2', 'b', caller=('program-2',)),
 )
 READER = request_fingerprints.Fingerprints(QUARANTINED, ('reader',))
 STRANGER = request_fingerprints.Fingerprints(QUARANTINED, ('stranger',))
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
@@ -10,6 +10,7 @@
 from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import selection
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood.routes import configuration as configurations
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import caller as callers
@@ -23,8 +24,8 @@
 
 FINGERPRINTS = request_fingerprints.Fingerprints('content', ('caller',))
 CRASHES = (
-    crash_list.Crash('engine-1', 'a'),
-    crash_list.Crash('engine-2', 'b'),
+    crash_record.Crash('engine-1', 'a'),
+    crash_record.Crash('engine-2', 'b'),
 )
 UPSTREAMS = [
     directories.Upstream(f'i-{number}', 'llm', f'h-{number}:80', 'dc-1', 8)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_quarantine_sync.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_quarantine_sync.py
@@ -5,6 +5,7 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import fingerprint as request_fingerprints
 from magnoliawood_server.gateway import quarantine as quarantines
@@ -13,8 +14,8 @@
 
 CALLER = ('caller',)
 CRASHES = (
-    crash_list.Crash('engine-1', 'a', caller=CALLER),
-    crash_list.Crash('engine-2', 'b', caller=CALLER),
+    crash_record.Crash('engine-1', 'a', caller=CALLER),
+    crash_record.Crash('engine-2', 'b', caller=CALLER),
 )
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -10,7 +10,7 @@
 import dataclasses
 import datetime
 
-from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood.ownership import witness
 from magnoliawood.platform import store
 from magnoliawood.programs import budget as budgets
@@ -106,7 +106,7 @@
     deadline: datetime.datetime
     hold_until: datetime.datetime | None = None
     fingerprint: str = ''
-    crashes: list[crash_list.Crash] = dataclasses.field(default_factory=list)
+    crashes: list[crash_record.Crash] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,7 +172,7 @@
     these crashes. The response is :class:`Done`.
     """
 
-    record: crash_list.CrashRecord
+    record: crash_record.CrashRecord
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/magnoliawood-server/magnoliawood_server/platform/quarantine_store.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/quarantine_store.py
@@ -5,11 +5,11 @@
 
 import pydantic
 
-from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood_server.platform import names
 from magnoliawood_server.platform import objects
 
-_RECORD = pydantic.TypeAdapter(crash_list.CrashRecord)
+_RECORD = pydantic.TypeAdapter(crash_record.CrashRecord)
 
 _log = logging.getLogger(__name__)
 
@@ -25,7 +25,7 @@
 
     async def load(
         self, now: datetime.datetime
-    ) -> list[crash_list.CrashRecord]:
+    ) -> list[crash_record.CrashRecord]:
         """Return the records that have not expired and remove the others.
 
         :raises StoreUnavailable: if the store does not respond
@@ -41,7 +41,7 @@
         return records
 
     async def save(
-        self, record: crash_list.CrashRecord, now: datetime.datetime
+        self, record: crash_record.CrashRecord, now: datetime.datetime
     ) -> None:
         """Store a record, unless the store has one that has not expired.
 
@@ -81,7 +81,7 @@
             )
 
 
-def _decode(stored: objects.StoredObject) -> crash_list.CrashRecord | None:
+def _decode(stored: objects.StoredObject) -> crash_record.CrashRecord | None:
     try:
         return _RECORD.validate_python(stored.spec)
     except pydantic.ValidationError as error:
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -12,6 +12,7 @@
 from magnoliawood.core import verdict as verdicts
 from magnoliawood.limits import admission as admissions
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood.limits import shares as caller_shares
 from magnoliawood.ownership import witness as witnesses
 from magnoliawood.programs import call as calls
@@ -377,7 +378,7 @@
             or not await self._health.has_exited(run.upstream_process_id)
         ):
             return outcome
-        crash = crash_list.Crash(self._name, run.upstream_process_id)
+        crash = crash_record.Crash(self._name, run.upstream_process_id)
         record = self._crashes.record_crashes(
             run.order.fingerprint, [crash, *run.order.crashes]
         )
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/crashing.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/crashing.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood_testing.cluster import hosted
 from magnoliawood_testing.soak import attempt as attempts
 from magnoliawood_testing.soak import injector as injectors
@@ -24,7 +24,7 @@
 _CRASH_PREFIX = 'crash-'
 # Upstreams that a page that others complete may crash while it is sent: one
 # more before and one more after the first pause of design note 40.
-_PAGE_CRASHES = crash_list.QUARANTINE_CRASHES + 2
+_PAGE_CRASHES = crash_record.QUARANTINE_CRASHES + 2
 
 
 class CrashingCaller:
@@ -115,4 +115,4 @@
     """Return the number of crashes allowed for one start of a gateway."""
     if _is_page(int(name.removeprefix(_CRASH_PREFIX))):
         return _PAGE_CRASHES
-    return crash_list.QUARANTINE_CRASHES
+    return crash_record.QUARANTINE_CRASHES
--- a/packages/magnoliawood/magnoliawood/limits/completed_callers.py
+++ b/packages/magnoliawood/magnoliawood/limits/completed_callers.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 
 # Number of contents that are remembered.
 CONTENT_LIMIT = 10_000
@@ -29,17 +29,17 @@
     def __init__(self, limit: int = CONTENT_LIMIT) -> None:
         self._limit = limit
         self._callers: collections.OrderedDict[
-            str, tuple[crash_list.Caller, ...]
+            str, tuple[crash_record.Caller, ...]
         ] = collections.OrderedDict()
 
-    def of(self, content: str) -> tuple[crash_list.Caller, ...]:
+    def of(self, content: str) -> tuple[crash_record.Caller, ...]:
         """Return the callers of a content, the latest one last."""
         return self._callers.get(content, ())
 
-    def add(self, content: str, caller: crash_list.Caller) -> None:
+    def add(self, content: str, caller: crash_record.Caller) -> None:
         """Add a caller, or mark it as the latest one."""
         others = [known for known in self.of(content) if known != caller]
-        kept = others[1 - crash_list.COMPLETED_LIMIT :]
+        kept = others[1 - crash_record.COMPLETED_LIMIT :]
         self._callers[content] = (*kept, caller)
         self._callers.move_to_end(content)
         while len(self._callers) > self._limit:
--- a/packages/magnoliawood/magnoliawood/limits/crash_attribution.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_attribution.py
@@ -15,7 +15,7 @@
 import functools
 import operator
 
-from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 
 FIRST_PAUSE = datetime.timedelta(seconds=10)
 PAUSE_GROWTH = 4
@@ -25,7 +25,7 @@
 
 
 def rejected_until(
-    record: crash_list.CrashRecord, caller: crash_list.Caller
+    record: crash_record.CrashRecord, caller: crash_record.Caller
 ) -> datetime.datetime | None:
     """Return until when a caller's request must not run.
 
@@ -49,12 +49,12 @@
     ========
 
     >>> crashes = (
-    ...     crash_list.Crash('engine-1', 'a', caller=('session-1',)),
-    ...     crash_list.Crash('engine-2', 'b', caller=('session-2',)),
+    ...     crash_record.Crash('engine-1', 'a', caller=('session-1',)),
+    ...     crash_record.Crash('engine-2', 'b', caller=('session-2',)),
     ... )
     >>> now = datetime.datetime(2026, 1, 1)
-    >>> expires_at = now + crash_list.QUARANTINE_PERIOD
-    >>> record = crash_list.CrashRecord('f', crashes, expires_at)
+    >>> expires_at = now + crash_record.QUARANTINE_PERIOD
+    >>> record = crash_record.CrashRecord('f', crashes, expires_at)
     >>> record = record.with_completed([('session-3',)])
     >>> rejected_until(record, ('session-3',))
     >>> rejected_until(record, ('session-4',)) - now
@@ -72,8 +72,8 @@
     if common:
         return record.expires_at if attributes & common else None
     crashed_callers = {crash.caller for crash in record.open_crashes}
-    count = crash_list.count_crashes(record.open_crashes)
-    if count == crash_list.QUARANTINE_CRASHES:
+    count = crash_record.count_crashes(record.open_crashes)
+    if count == crash_record.QUARANTINE_CRASHES:
         trusted = completed - _attributes_of(crashed_callers)
         is_trusted = bool(attributes & trusted)
     else:
@@ -84,12 +84,12 @@
 
 def _pause(count: int) -> datetime.timedelta:
     """Return for how long new callers are rejected after a crash."""
-    growth = PAUSE_GROWTH ** (count - crash_list.QUARANTINE_CRASHES)
-    return min(FIRST_PAUSE * growth, crash_list.QUARANTINE_PERIOD)
+    growth = PAUSE_GROWTH ** (count - crash_record.QUARANTINE_CRASHES)
+    return min(FIRST_PAUSE * growth, crash_record.QUARANTINE_PERIOD)
 
 
 def _common_attributes(
-    crashes: collections.abc.Iterable[crash_list.Crash],
+    crashes: collections.abc.Iterable[crash_record.Crash],
 ) -> set[Attribute]:
     """Return the attributes that some caller in each of the crashes has."""
     callers = collections.defaultdict(set)
@@ -101,6 +101,6 @@
 
 
 def _attributes_of(
-    callers: collections.abc.Iterable[crash_list.Caller],
+    callers: collections.abc.Iterable[crash_record.Caller],
 ) -> set[Attribute]:
     return {attribute for caller in callers for attribute in enumerate(caller)}
--- a/packages/magnoliawood/magnoliawood/limits/crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_list.py
@@ -3,157 +3,26 @@
 import collections
 import collections.abc
 import dataclasses
-import datetime
 import itertools
 
-import pydantic
-
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
+from magnoliawood.limits import crash_record
 
-# Number of different crashes after which a request is quarantined.
-QUARANTINE_CRASHES = 2
-SUSPICION_PERIOD = datetime.timedelta(minutes=10)
-QUARANTINE_PERIOD = datetime.timedelta(hours=1)
 # Maximum number of records in a list.
 LIST_LIMIT = 1000
 # Maximum number of records in one report to another process.
 REPORT_LIMIT = 100
-# Maximum number of callers in one crash, of crashes with one caller each, and
-# of callers for whom a request was completed, in one record.
-CALLER_LIMIT = 4
-CRASH_LIMIT = 64
-COMPLETED_LIMIT = 16
-
-# Digests of the attributes by which a caller may be recognised, in a fixed
-# order; empty if it is not known.
-Caller = tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class Crash:
-    """One crash of one upstream.
-
-    :param upstream: name of the host
-    :param run: identifier of the process that crashed or, if it may keep its
-        identifier when it starts again, of the crash
-    :param is_certain: whether nothing else explains the loss of the request;
-        an upstream may also have closed a connection while it was idle
-    :param caller: caller whose request was running
-    """
-
-    upstream: str
-    run: str
-    is_certain: bool = True
-    caller: Caller = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CrashRecord:
-    """The crashes during which one request was running.
-
-    :param fingerprint: digest of the complete content of the request
-    :param crashes: distinct crashes, sorted
-    :param expires_at: time at which the record expires
-    :param cleared: those of the crashes after which the request was completed
-        for the same caller
-    :param completed_callers: some callers for whom it was completed
-    """
-
-    fingerprint: str
-    crashes: tuple[Crash, ...]
-    expires_at: datetime.datetime
-    cleared: tuple[Crash, ...] = ()
-    completed_callers: tuple[Caller, ...] = ()
-
-    @property
-    def open_crashes(self) -> tuple[Crash, ...]:
-        """The crashes that the request may have caused."""
-        return tuple(
-            crash for crash in self.crashes if crash not in self.cleared
-        )
-
-    @property
-    def is_quarantined(self) -> bool:
-        """Whether the request is rejected because of its crashes."""
-        return _are_enough(self.open_crashes)
-
-    @property
-    def last_crash_at(self) -> datetime.datetime:
-        """Time of the last crash of a quarantined request."""
-        return self.expires_at - QUARANTINE_PERIOD
-
-    def with_completed(
-        self, callers: collections.abc.Iterable[Caller]
-    ) -> 'CrashRecord':
-        """Return the record with further callers, up to the limit."""
-        completed = dict.fromkeys([*self.completed_callers, *callers])
-        return dataclasses.replace(
-            self, completed_callers=tuple(completed)[:COMPLETED_LIMIT]
-        )
-
-    def to_text(self) -> str:
-        """Return the record in the format of the store."""
-        return _RECORD.dump_json(self).decode()
-
-    @classmethod
-    def from_text(cls, text: str) -> 'CrashRecord':
-        """Parse a record in the format of the store.
-
-        :raises pydantic.ValidationError: if it is malformed
-        """
-        return _RECORD.validate_json(text)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChangedRecords:
     """Records that changed after a version, and the version reached."""
 
-    records: list[CrashRecord]
+    records: list[crash_record.CrashRecord]
     version: int
 
 
-_RECORD = pydantic.TypeAdapter(CrashRecord)
-
-
-def count_crashes(crashes: collections.abc.Iterable[Crash]) -> int:
-    """Return the number of crashes; several callers may share one."""
-    return len({(crash.upstream, crash.run) for crash in crashes})
-
-
-def _are_enough(crashes: collections.abc.Collection[Crash]) -> bool:
-    is_any_certain = any(crash.is_certain for crash in crashes)
-    return is_any_certain and count_crashes(crashes) >= QUARANTINE_CRASHES
-
-
-def _with_crashes(
-    known: tuple[Crash, ...], crashes: collections.abc.Iterable[Crash]
-) -> tuple[Crash, ...]:
-    """Return crashes with new ones, each with a limited number of callers."""
-    updated = {*known}
-    for crash in crashes:
-        callers = [
-            other
-            for other in updated
-            if (other.upstream, other.run) == (crash.upstream, crash.run)
-        ]
-        if len(callers) < CALLER_LIMIT:
-            updated.add(crash)
-    return tuple(sorted(updated))
-
-
-def _merged(one: CrashRecord, other: CrashRecord) -> CrashRecord:
-    """Return a record with all that two processes know of a request."""
-    crashes = sorted({*one.crashes, *other.crashes})
-    merged = dataclasses.replace(
-        one,
-        crashes=tuple(crashes[:CRASH_LIMIT]),
-        expires_at=max(one.expires_at, other.expires_at),
-        cleared=tuple(sorted({*one.cleared, *other.cleared})),
-    )
-    return merged.with_completed(other.completed_callers)
-
-
 class CrashList:
     """Suspected and quarantined requests by fingerprint.
 
@@ -173,9 +42,11 @@
     ========
 
     >>> crashes = CrashList(clocks.ManualClock())
-    >>> crashes.record_crashes('f', [Crash('engine-1', 'a')]).is_quarantined
+    >>> one = crash_record.Crash('engine-1', 'a')
+    >>> crashes.record_crashes('f', [one]).is_quarantined
     False
-    >>> crashes.record_crashes('f', [Crash('engine-2', 'b')]).is_quarantined
+    >>> two = crash_record.Crash('engine-2', 'b')
+    >>> crashes.record_crashes('f', [two]).is_quarantined
     True
 
     :param limit: maximum number of records
@@ -184,9 +55,9 @@
     def __init__(self, clock: clocks.Clock, limit: int = LIST_LIMIT) -> None:
         self._clock = clock
         self._limit = limit
-        self._records: collections.OrderedDict[str, CrashRecord] = (
-            collections.OrderedDict()
-        )
+        self._records: collections.OrderedDict[
+            str, crash_record.CrashRecord
+        ] = collections.OrderedDict()
         # Incremented with each change; the records are in this order.
         self._version = 0
         self._versions: dict[str, int] = {}
@@ -196,12 +67,12 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def crashes(self, fingerprint: str) -> frozenset[Crash]:
+    def crashes(self, fingerprint: str) -> frozenset[crash_record.Crash]:
         """Return the recorded crashes of a request."""
         record = self.find(fingerprint)
         return frozenset(record.crashes if record else ())
 
-    def find(self, fingerprint: str) -> CrashRecord | None:
+    def find(self, fingerprint: str) -> crash_record.CrashRecord | None:
         """Return the record of a request, unless it has expired."""
         record = self._records.get(fingerprint)
         if record is not None and record.expires_at <= self._clock.now():
@@ -210,19 +81,25 @@
         return record
 
     def record_crashes(
-        self, fingerprint: str, crashes: collections.abc.Iterable[Crash]
-    ) -> CrashRecord:
+        self,
+        fingerprint: str,
+        crashes: collections.abc.Iterable[crash_record.Crash],
+    ) -> crash_record.CrashRecord:
         """Add crashes to the record of a request and return it."""
-        previous = self.find(fingerprint) or CrashRecord(
+        previous = self.find(fingerprint) or crash_record.CrashRecord(
             fingerprint, (), self._clock.now()
         )
-        updated = _with_crashes(previous.crashes, crashes)
-        if updated == previous.crashes and updated:
+        new = list(crashes)
+        record = previous.with_crashes(new)
+        known_runs = {crash.run_key for crash in previous.crashes}
+        # A crash that does not fit still prolongs the record.
+        has_new_run = any(crash.run_key not in known_runs for crash in new)
+        if record == previous and not has_new_run:
             return previous
-        # A crash that doesn't fit still prolongs the record.
-        record = dataclasses.replace(previous, crashes=updated[:CRASH_LIMIT])
         period = (
-            QUARANTINE_PERIOD if record.is_quarantined else SUSPICION_PERIOD
+            crash_record.QUARANTINE_PERIOD
+            if record.is_quarantined
+            else crash_record.SUSPICION_PERIOD
         )
         expires_at = self._clock.now() + period
         record = dataclasses.replace(record, expires_at=expires_at)
@@ -230,7 +107,9 @@
             self._newly_quarantined.add(fingerprint)
         return self._store(record)
 
-    def record_completion(self, fingerprint: str, caller: Caller) -> None:
+    def record_completion(
+        self, fingerprint: str, caller: crash_record.Caller
+    ) -> None:
         """Clear the crashes of one caller, for whom the request completed."""
         previous = self.find(fingerprint)
         if previous is None:
@@ -247,18 +126,22 @@
             self._store(record)
 
     def add_completed(
-        self, record: CrashRecord, callers: collections.abc.Iterable[Caller]
-    ) -> CrashRecord:
+        self,
+        record: crash_record.CrashRecord,
+        callers: collections.abc.Iterable[crash_record.Caller],
+    ) -> crash_record.CrashRecord:
         """Add callers to a record of this list and return it."""
         completed = record.with_completed(callers)
         return record if completed == record else self._store(completed)
 
-    def merge(self, record: CrashRecord) -> CrashRecord:
+    def merge(
+        self, record: crash_record.CrashRecord
+    ) -> crash_record.CrashRecord:
         """Merge the record of another process into the list."""
         previous = self.find(record.fingerprint)
         if previous is None:
             return self._store(record)
-        merged = _merged(previous, record)
+        merged = previous.merged_with(record)
         if merged == dataclasses.replace(
             previous, expires_at=merged.expires_at
         ):
@@ -266,7 +149,7 @@
         was_quarantined = previous.is_quarantined or record.is_quarantined
         if merged.is_quarantined and not was_quarantined:
             self._newly_quarantined.add(record.fingerprint)
-            expires_at = self._clock.now() + QUARANTINE_PERIOD
+            expires_at = self._clock.now() + crash_record.QUARANTINE_PERIOD
             merged = dataclasses.replace(merged, expires_at=expires_at)
         self._note_release(previous, merged)
         return self._store(merged)
@@ -290,7 +173,7 @@
             self._versions[changed[-1]],
         )
 
-    def take_newly_quarantined(self) -> list[CrashRecord]:
+    def take_newly_quarantined(self) -> list[crash_record.CrashRecord]:
         """Return the records whose quarantine began here since the last call.
 
         Records that another process had quarantined are not included.
@@ -320,7 +203,9 @@
         if record is not None and record.is_quarantined:
             raise self.refusal(record)
 
-    def refusal(self, record: CrashRecord) -> errors.MagnoliawoodError:
+    def refusal(
+        self, record: crash_record.CrashRecord
+    ) -> errors.MagnoliawoodError:
         """Return the error with which a quarantined request is rejected."""
         return errors.MagnoliawoodError(
             errors.ErrorCode.QUARANTINED,
@@ -330,13 +215,17 @@
         )
 
     def _note_release(
-        self, previous: CrashRecord, record: CrashRecord
+        self,
+        previous: crash_record.CrashRecord,
+        record: crash_record.CrashRecord,
     ) -> None:
         if previous.is_quarantined and not record.is_quarantined:
             self._newly_quarantined.discard(record.fingerprint)
             self._released.add(record.fingerprint)
 
-    def _store(self, record: CrashRecord) -> CrashRecord:
+    def _store(
+        self, record: crash_record.CrashRecord
+    ) -> crash_record.CrashRecord:
         self._version += 1
         self._versions[record.fingerprint] = self._version
         self._records[record.fingerprint] = record
--- a/packages/magnoliawood/magnoliawood/limits/tests/test_crash_attribution.py
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_crash_attribution.py
@@ -4,11 +4,11 @@
 from hypothesis import strategies
 
 from magnoliawood.limits import crash_attribution
-from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 
 READER = ('program-r', 'session-r', '')
 NOW = datetime.datetime(2026, 1, 1)
-EXPIRES_AT = NOW + crash_list.QUARANTINE_PERIOD
+EXPIRES_AT = NOW + crash_record.QUARANTINE_PERIOD
 # Largest number of upstreams that a completed request may crash: one more
 # than others, if one caller crashed the first two.
 MAX_CRASHES = 3
@@ -18,10 +18,10 @@
 def _record(*callers, completed=(READER,)):
     """Return the record of one crash for each caller."""
     crashes = tuple(
-        crash_list.Crash(f'engine-{number}', 'run', caller=caller)
+        crash_record.Crash(f'engine-{number}', 'run', caller=caller)
         for number, caller in enumerate(callers)
     )
-    record = crash_list.CrashRecord('f', crashes, EXPIRES_AT)
+    record = crash_record.CrashRecord('f', crashes, EXPIRES_AT)
     return record.with_completed(completed)
 
 
@@ -100,5 +100,5 @@
             continue
         if not _is_rejected(_record(*crashed, completed=completed), *caller):
             crashed.append(caller)
-    allowed = MAX_CRASHES if completed else crash_list.QUARANTINE_CRASHES
+    allowed = MAX_CRASHES if completed else crash_record.QUARANTINE_CRASHES
     assert len(crashed) <= allowed
--- a/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
@@ -5,9 +5,10 @@
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 
-ONE = crash_list.Crash('engine-1', 'a')
-TWO = crash_list.Crash('engine-2', 'b')
+ONE = crash_record.Crash('engine-1', 'a')
+TWO = crash_record.Crash('engine-2', 'b')
 
 
 @pytest.fixture
@@ -28,14 +29,14 @@
     with pytest.raises(errors.MagnoliawoodError) as caught:
         crashes.check('f')
     assert caught.value.code == errors.ErrorCode.QUARANTINED
-    left = crash_list.QUARANTINE_PERIOD - datetime.timedelta(minutes=1)
+    left = crash_record.QUARANTINE_PERIOD - datetime.timedelta(minutes=1)
     assert caught.value.retry_after == left
 
 
 def test_two_uncertain_crashes_do_not_quarantine(crashes):
     uncertain = [
-        crash_list.Crash('engine-1', 'a', False),
-        crash_list.Crash('engine-2', 'b', False),
+        crash_record.Crash('engine-1', 'a', False),
+        crash_record.Crash('engine-2', 'b', False),
     ]
     assert not crashes.record_crashes('f', uncertain).is_quarantined
     assert crashes.record_crashes('f', [ONE]).is_quarantined
@@ -55,33 +56,35 @@
 # Guards against a crash that is not counted because many callers had the same
 # request running in an earlier one.
 def test_crash_under_many_callers_leaves_room_for_the_next(crashes, clock):
-    for number in range(2 * crash_list.CRASH_LIMIT):
-        crash = crash_list.Crash('engine-1', 'a', caller=(str(number),))
+    for number in range(2 * crash_record.CRASH_LIMIT):
+        crash = crash_record.Crash('engine-1', 'a', caller=(str(number),))
         crashes.record_crashes('f', [crash])
     assert not crashes.find('f').is_quarantined
     assert crashes.record_crashes('f', [TWO]).is_quarantined
 
 
 def test_crash_that_does_not_fit_prolongs_the_record(crashes, clock):
-    for number in range(crash_list.CRASH_LIMIT):
+    for number in range(crash_record.CRASH_LIMIT):
         crashes.record_crashes(
-            'f', [crash_list.Crash('engine', f'{number:03}')]
+            'f', [crash_record.Crash('engine', f'{number:03}')]
         )
     clock.advance(datetime.timedelta(minutes=1))
-    record = crashes.record_crashes('f', [crash_list.Crash('engine', 'last')])
-    assert len(record.crashes) == crash_list.CRASH_LIMIT
+    record = crashes.record_crashes(
+        'f', [crash_record.Crash('engine', 'last')]
+    )
+    assert len(record.crashes) == crash_record.CRASH_LIMIT
     assert record.last_crash_at == clock.now()
 
 
 def test_second_crash_of_one_upstream_counts(crashes):
     crashes.record_crashes('f', [ONE])
-    again = crash_list.Crash('engine-1', 'restarted')
+    again = crash_record.Crash('engine-1', 'restarted')
     assert crashes.record_crashes('f', [again]).is_quarantined
 
 
 def test_records_expire(crashes, clock):
     crashes.record_crashes('f', [ONE, TWO])
-    clock.advance(crash_list.QUARANTINE_PERIOD)
+    clock.advance(crash_record.QUARANTINE_PERIOD)
     crashes.check('f')
     assert not crashes.crashes('f')
 
@@ -106,7 +109,7 @@
 def test_merged_records_keep_all_crashes(crashes, clock):
     crashes.record_crashes('f', [ONE])
     other = crash_list.CrashList(clock).record_crashes('f', [TWO])
-    stored = crash_list.CrashRecord.from_text(other.to_text())
+    stored = crash_record.CrashRecord.from_text(other.to_text())
     assert crashes.merge(stored).is_quarantined
 
 
@@ -135,7 +138,7 @@
     crashes.record_crashes('f', [ONE])
     other = crash_list.CrashList(clock)
     merged = crashes.merge(other.record_crashes('f', [TWO]))
-    assert merged.expires_at == clock.now() + crash_list.QUARANTINE_PERIOD
+    assert merged.expires_at == clock.now() + crash_record.QUARANTINE_PERIOD
     assert crashes.take_newly_quarantined() == [merged]
     assert not crashes.take_newly_quarantined()
 
--- a/packages/magnoliawood/magnoliawood/programs/call.py
+++ b/packages/magnoliawood/magnoliawood/programs/call.py
@@ -9,7 +9,7 @@
 from magnoliawood import charts
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
-from magnoliawood.limits import crash_list
+from magnoliawood.limits import crash_record
 from magnoliawood.programs import identity
 from magnoliawood.programs import message as messages
 
@@ -90,7 +90,7 @@
     code: str = ''
     detail: str = ''
     retry_after_seconds: float = 0.0
-    crashes: tuple[crash_list.Crash, ...] = ()
+    crashes: tuple[crash_record.Crash, ...] = ()
 
     @property
     def is_success(self) -> bool:
