Move the log lines of requests out of their handler

What it logs of refused, failed and served requests is in gateway/request_log.py; the lines are the same, only the name of their logger differs.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -17,6 +17,7 @@
 from magnoliawood_server.gateway import fingerprint as request_fingerprints
 from magnoliawood_server.gateway import job as jobs
 from magnoliawood_server.gateway import quarantine as quarantines
+from magnoliawood_server.gateway import request_log
 from magnoliawood_server.gateway import stream_guard
 from magnoliawood_server.gateway import turn_guard
 from magnoliawood_server.gateway import upstream_pool
@@ -36,7 +37,6 @@
 # Timeout of a request that states none.
 DEFAULT_REQUEST_TIMEOUT = datetime.timedelta(seconds=30)
 _GATEWAY_TIMEOUT = 504
-_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 _log = logging.getLogger(__name__)
 
@@ -174,8 +174,7 @@
                 job.attempts += 1
                 raise self._abort_error(job, is_timeout=True)
             if result.ending is exchanges.Ending.DELIVERED:
-                self._quarantine.record_success(job.fingerprints)
-                self._log_served(job, upstream, result)
+                self._record_served(job, upstream, result)
                 return
             self._handle_failure(job, upstream, result)
 
@@ -246,7 +245,7 @@
         job.tried.add(upstream.id)
         job.last_reason = result.reason
         self._registry.count('attempts_total', ending=str(result.ending))
-        self._log_failure(job, upstream, result)
+        request_log.log_failed_attempt(job, upstream, result)
         if result.ending is exchanges.Ending.MISDIRECTED:
             self._cluster_view.directory.drop(upstream)
         if result.ending.is_upstream_failure:
@@ -335,16 +334,8 @@
     ) -> None:
         elapsed = self._clock.monotonic() - request.arrived
         self._registry.count('refusals_total', reason=str(error.code))
-        _log.warning(
-            'request refused',
-            extra={
-                'request_id': metadata.request_id,
-                'code': str(error.code),
-                'reason': error.detail,
-                'verdict': str(error.verdict),
-                'configuration': self._cluster_view.version,
-                'elapsed_ms': elapsed // _MILLISECOND,
-            },
+        request_log.log_refused(
+            metadata, error, elapsed, self._cluster_view.version
         )
         if responder.is_started:
             raise callers.ResponseAborted(error.detail)
@@ -356,58 +347,23 @@
         )
         await responder.send_complete(status, headers, b'')
 
-    def _log_failure(
+    def _record_served(
         self,
         job: jobs.Job,
         upstream: directories.Upstream,
         result: exchanges.Result,
     ) -> None:
-        use = result.connection_use
-        _log.warning(
-            'attempt failed',
-            extra={
-                'request_id': job.metadata.request_id,
-                'upstream': upstream.id,
-                'version': upstream.version,
-                'ending': str(result.ending),
-                'reason': result.reason,
-                'events': job.delivery.events,
-                'fingerprint': job.fingerprints.content,
-                'idle_ms': _milliseconds(use.idle_time if use else None),
-            },
-        )
-
-    def _log_served(
-        self,
-        job: jobs.Job,
-        upstream: directories.Upstream,
-        result: exchanges.Result,
-    ) -> None:
-        elapsed = self._clock.monotonic() - job.request.arrived
+        now = self._clock.monotonic()
+        self._quarantine.record_success(job.fingerprints)
         self._load_tracker.record_success(upstream.id)
-        self._registry.record('request_seconds', elapsed, route=job.route.name)
-        _log.info(
-            'served',
-            extra={
-                'request_id': job.metadata.request_id,
-                'program': job.metadata.program_id,
-                'route': job.route.name,
-                'configuration': self._cluster_view.version,
-                'upstream': upstream.id,
-                'version': upstream.version,
-                'resumes': job.metadata.resumed_id,
-                'requests_there': self._load_tracker.requests(upstream.id),
-                'attempts': job.attempts + job.attempts_not_run + 1,
-                'admitted_ms': _milliseconds(
-                    job.admitted and job.admitted - job.request.arrived
-                ),
-                'events': job.delivery.events,
-                'elapsed_ms': elapsed // _MILLISECOND,
-                'outcome': result.reason,
-            },
+        self._registry.record(
+            'request_seconds', now - job.request.arrived, route=job.route.name
+        )
+        request_log.log_served(
+            job,
+            upstream,
+            result,
+            now,
+            self._cluster_view.version,
+            self._load_tracker.requests(upstream.id),
         )
-
-
-def _milliseconds(period: datetime.timedelta | None) -> int | None:
-    """Return a period in milliseconds, if it is known."""
-    return None if period is None else period // _MILLISECOND
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/request_log.py
@@ -0,0 +1,99 @@
+"""Log lines about the requests of callers and their attempts."""
+
+import datetime
+import logging
+
+from magnoliawood.core import errors
+from magnoliawood.fleet import directory as directories
+from magnoliawood_server.gateway import exchange as exchanges
+from magnoliawood_server.gateway import job as jobs
+from magnoliawood_server.platform import requests
+
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+_log = logging.getLogger(__name__)
+
+
+def log_refused(
+    metadata: requests.RequestMetadata,
+    error: errors.MagnoliawoodError,
+    elapsed: datetime.timedelta,
+    configuration: int,
+) -> None:
+    """Log that a request was refused.
+
+    :param elapsed: time since the request arrived
+    :param configuration: version of the configuration
+    """
+    _log.warning(
+        'request refused',
+        extra={
+            'request_id': metadata.request_id,
+            'code': str(error.code),
+            'reason': error.detail,
+            'verdict': str(error.verdict),
+            'configuration': configuration,
+            'elapsed_ms': elapsed // _MILLISECOND,
+        },
+    )
+
+
+def log_failed_attempt(
+    job: jobs.Job, upstream: directories.Upstream, result: exchanges.Result
+) -> None:
+    """Log an attempt that delivered no complete response."""
+    use = result.connection_use
+    _log.warning(
+        'attempt failed',
+        extra={
+            'request_id': job.metadata.request_id,
+            'upstream': upstream.id,
+            'version': upstream.version,
+            'ending': str(result.ending),
+            'reason': result.reason,
+            'events': job.delivery.events,
+            'fingerprint': job.fingerprints.content,
+            'idle_ms': _milliseconds(use.idle_time if use else None),
+        },
+    )
+
+
+def log_served(
+    job: jobs.Job,
+    upstream: directories.Upstream,
+    result: exchanges.Result,
+    now: datetime.timedelta,
+    configuration: int,
+    requests_there: int,
+) -> None:
+    """Log that a request got a complete response.
+
+    :param now: monotonic time
+    :param configuration: version of the configuration
+    :param requests_there: requests of all gateways at the upstream
+    """
+    _log.info(
+        'served',
+        extra={
+            'request_id': job.metadata.request_id,
+            'program': job.metadata.program_id,
+            'route': job.route.name,
+            'configuration': configuration,
+            'upstream': upstream.id,
+            'version': upstream.version,
+            'resumes': job.metadata.resumed_id,
+            'requests_there': requests_there,
+            'attempts': job.attempts + job.attempts_not_run + 1,
+            'admitted_ms': _milliseconds(
+                job.admitted and job.admitted - job.request.arrived
+            ),
+            'events': job.delivery.events,
+            'elapsed_ms': (now - job.request.arrived) // _MILLISECOND,
+            'outcome': result.reason,
+        },
+    )
+
+
+def _milliseconds(period: datetime.timedelta | None) -> int | None:
+    """Return a period in milliseconds, if it is known."""
+    return None if period is None else period // _MILLISECOND
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
@@ -47,11 +47,19 @@
     return json.loads(listing.body)['items']
 
 
-def _have_loaded_quarantine(deployment, starts):
-    """Return whether each gateway read the quarantined requests so often."""
-    return all(
-        gateway.log_path.read_text().count(QUARANTINE_LOADED) >= starts
-        for gateway in deployment.gateways
+def _restart_gateways(deployment):
+    """Kill all gateways and start them again with what the store has."""
+    for gateway in deployment.gateways:
+        gateway.kill()
+    for gateway in deployment.gateways:
+        gateway.start()
+    deployment.wait_until_ready()
+    deployment.wait_for(
+        lambda: all(
+            gateway.log_path.read_text().count(QUARANTINE_LOADED)
+            >= gateway.starts
+            for gateway in deployment.gateways
+        )
     )
 
 
@@ -71,12 +79,7 @@
         deployment.wait_for(lambda: _is_rejected_by_all(deployment))
         deployment.wait_for(lambda: _stored_quarantine(deployment))
         crashes = _crashes(deployment)
-        for gateway in deployment.gateways:
-            gateway.kill()
-        for gateway in deployment.gateways:
-            gateway.start()
-        deployment.wait_until_ready()
-        deployment.wait_for(lambda: _have_loaded_quarantine(deployment, 2))
+        _restart_gateways(deployment)
         assert _is_rejected_by_all(deployment)
         assert _crashes(deployment) == crashes
 
@@ -192,12 +195,7 @@
             )
         )
         deployment.wait_for(lambda: _stored_quarantine(deployment))
-        for gateway in deployment.gateways:
-            gateway.kill()
-        for gateway in deployment.gateways:
-            gateway.start()
-        deployment.wait_until_ready()
-        deployment.wait_for(lambda: _have_loaded_quarantine(deployment, 2))
+        _restart_gateways(deployment)
         crashes = _page_crashes(deployment)
         for at in gateways:
             status = _crash_page(deployment, at, Session_Id=CRASH_SESSION)
