Take streams up after losses of disks, and name probes apart in the test

test_stream_is_taken_up_after_successive_losses_of_two_disks: origins are copied to new disks with the other records.

test_stream_is_continued_at_its_version_within_one_response failed once: it found probe-2 run at two versions. The test's requests that wait for the route had the ids of the deployment's own probes, so two requests had one id. They have a name of their own now; the check is the same.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_stream_versions.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_stream_versions.py
@@ -50,7 +50,7 @@
         deployment.wait_for(
             lambda at=gateway: (
                 deployment.call(
-                    at, '/single/stream', f'probe-{next(_numbers)}'
+                    at, '/single/stream', f'routed-{next(_numbers)}'
                 ).status
                 == 200
             )
@@ -110,6 +110,27 @@
     assert not _mixed_streams(deployment)
 
 
+# Guards against losing the origins of streams with the disks that they were
+# written to.
+def test_stream_is_taken_up_after_successive_losses_of_two_disks(deployment):
+    streams = _begin_all(deployment)
+    for keeper in (0, 1):
+        epoch = deployment.group()['epoch']
+        deployment.keepers[keeper].kill()
+        deployment.wipe_disk(keeper)
+        deployment.keepers[keeper].start()
+        deployment.wait_for(
+            lambda before=epoch: deployment.group()['epoch'] > before
+        )
+        deployment.wait_for_replicas()
+    deployment.keepers[2].kill()
+    for stream in streams:
+        deployment.wait_for(
+            lambda name=stream: _take_up(deployment, 1, name) == 200
+        )
+    assert not _mixed_streams(deployment)
+
+
 # Guards against continuing a stream elsewhere because its version is gone.
 def test_stream_of_a_version_that_is_gone_is_rejected_at_once(deployment):
     streams = _begin_all(deployment)
