Let unnamed streams go on where a route has several services

What callers would see: a stream that is taken up without naming it is refused on a route that is split between services, though each has one version.

Cause: the one version that is possible was sought over all services of the route; a session goes to one of them only. Found on reading the diff.

Change: only the service that would run the request counts.

Measured: the case OLD and OTHER_SERVICE failed before; the tests of the gateway pass.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -144,7 +144,9 @@
 
         :raises MagnoliawoodError: if it can't go on
         """
-        job.stream = await self._streams.bind(job.metadata, job.route)
+        job.stream = await self._streams.bind(
+            job.metadata, job.route, job.service
+        )
         if job.stream.origin is not None:
             job.service = job.stream.origin.service
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/stream_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/stream_guard.py
@@ -81,10 +81,14 @@
         self._registry = registry
 
     async def bind(
-        self, metadata: requests.RequestMetadata, route: configurations.Route
+        self,
+        metadata: requests.RequestMetadata,
+        route: configurations.Route,
+        service: str,
     ) -> StreamBinding:
         """Return the binding of a request for a stream.
 
+        :param service: service that would run a new stream
         :raises MagnoliawoodError: with ``upstream_unavailable`` if a stream
             that is taken up can't go on, with ``store_unavailable`` if its
             origin can't be read, or a new one not be written
@@ -95,7 +99,7 @@
         if metadata.resumed_id:
             origin = await self._find(metadata.resumed_id)
         else:
-            origin = self._only_origin(route)
+            origin = self._only_origin(service)
         self._registry.count(
             'streams_taken_up_total',
             stream='named' if metadata.resumed_id else 'unnamed',
@@ -174,17 +178,13 @@
     async def _find(self, stream_id: str) -> records.StreamRecord | None:
         return quorum.decide_origin(await self._client.read_stream(stream_id))
 
-    def _only_origin(
-        self, route: configurations.Route
-    ) -> records.StreamRecord | None:
+    def _only_origin(self, service: str) -> records.StreamRecord | None:
         """Return the origin of an unnamed stream if only one is possible."""
-        services = {share.service for share in route.shares}
-        origins = {
-            (upstream.service, upstream.version)
+        versions = {
+            upstream.version
             for upstream in self._directory.all()
-            if upstream.service in services
+            if upstream.service == service
         }
-        if len(origins) != 1:
+        if len(versions) != 1:
             return None
-        (service, version), *_ = origins
-        return records.StreamRecord('', service, version, 1, 0.0)
+        return records.StreamRecord('', service, versions.pop(), 1, 0.0)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stream_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stream_guard.py
@@ -15,6 +15,9 @@
 SECOND = datetime.timedelta(seconds=1)
 OLD = directories.Upstream('i-1', 'llm', 'h:1', 'dc-1', 8, version='v1')
 NEW = directories.Upstream('i-2', 'llm', 'h:2', 'dc-1', 8, version='v2')
+OTHER_SERVICE = directories.Upstream(
+    'i-3', 'other', 'h:3', 'dc-1', 8, version='v3'
+)
 
 
 class Client:
@@ -82,7 +85,7 @@
     """Attempt a new stream at upstreams; the last one makes an event."""
 
     async def begin():
-        binding = await guard.bind(_metadata(), _route('llm'))
+        binding = await guard.bind(_metadata(), _route('llm'), 'llm')
         for upstream in upstreams:
             await guard.begin_attempt(binding, 'stream', upstream)
         await guard.confirm(binding)
@@ -93,11 +96,11 @@
 
 def _take_up(guard, route=None, **headers):
     metadata = _metadata(last_event_id='2', **headers)
-    return curio.run(guard.bind, metadata, route or _route('llm'))
+    return curio.run(guard.bind, metadata, route or _route('llm'), 'llm')
 
 
 def test_new_stream_may_run_anywhere_until_its_first_event(guard):
-    binding = curio.run(guard.bind, _metadata(), _route('llm'))
+    binding = curio.run(guard.bind, _metadata(), _route('llm'), 'llm')
     assert binding.allows(OLD)
     assert binding.allows(NEW)
 
@@ -136,7 +139,7 @@
     client.failures = 1
 
     async def begin():
-        binding = await guard.bind(_metadata(), _route('llm'))
+        binding = await guard.bind(_metadata(), _route('llm'), 'llm')
         await guard.begin_attempt(binding, 'stream', OLD)
         with pytest.raises(errors.MagnoliawoodError):
             await guard.confirm(binding)
@@ -168,14 +171,16 @@
 # Guards against rejecting callers that do not name the stream while it can
 # only go on at one version.
 @pytest.mark.parametrize(
-    ('upstreams', 'goes_on'), [([OLD], True), ([OLD, NEW], False)]
+    ('upstreams', 'goes_on'),
+    [([OLD], True), ([OLD, OTHER_SERVICE], True), ([OLD, NEW], False)],
 )
 def test_unnamed_stream_goes_on_only_if_one_version_serves(
     guard, directory, upstreams, goes_on
 ):
     directory.replace(upstreams, 1, None)
+    route = _route('llm', 'other')
     if goes_on:
-        assert _take_up(guard).allows(OLD)
+        assert _take_up(guard, route).allows(OLD)
     else:
         with pytest.raises(errors.MagnoliawoodError):
-            _take_up(guard)
+            _take_up(guard, route)
