Keep a request in the store that is quarantined again after its release

What callers would see: after a restart of all gateways a crashing request runs again, though it had been quarantined.

Cause: releases and new quarantines are collected every 200 ms, releases last. A request that was released and quarantined again between two collections was removed from the store.

Change: a new quarantine cancels a release that was not collected yet.

Measured: test_request_quarantined_again_is_not_released failed before.

--- a/packages/magnoliawood/magnoliawood/limits/crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_list.py
@@ -104,7 +104,7 @@
         expires_at = self._clock.now() + period
         record = dataclasses.replace(record, expires_at=expires_at)
         if record.is_quarantined and not previous.is_quarantined:
-            self._newly_quarantined.add(fingerprint)
+            self._note_quarantine(fingerprint)
         return self._store(record)
 
     def record_completion(
@@ -148,7 +148,7 @@
             return previous
         was_quarantined = previous.is_quarantined or record.is_quarantined
         if merged.is_quarantined and not was_quarantined:
-            self._newly_quarantined.add(record.fingerprint)
+            self._note_quarantine(record.fingerprint)
             expires_at = self._clock.now() + crash_record.QUARANTINE_PERIOD
             merged = dataclasses.replace(merged, expires_at=expires_at)
         self._note_release(previous, merged)
@@ -214,6 +214,10 @@
             retry_after=record.expires_at - self._clock.now(),
         )
 
+    def _note_quarantine(self, fingerprint: str) -> None:
+        self._released.discard(fingerprint)
+        self._newly_quarantined.add(fingerprint)
+
     def _note_release(
         self,
         previous: crash_record.CrashRecord,
--- a/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_crash_list.py
@@ -143,6 +143,20 @@
     assert not crashes.take_newly_quarantined()
 
 
+# Guards against removing a request from the store that was quarantined again
+# right after its release.
+def test_request_quarantined_again_is_not_released(crashes):
+    caller = ('caller',)
+    for name in ('engine-1', 'engine-2'):
+        crash = crash_record.Crash(name, 'a', caller=caller)
+        crashes.record_crashes('f', [crash])
+    crashes.record_completion('f', caller)
+    again = crashes.record_crashes('f', [ONE, TWO])
+    assert again.is_quarantined
+    assert crashes.take_newly_quarantined() == [again]
+    assert not crashes.take_released()
+
+
 def test_quarantine_of_another_process_is_not_newly_quarantined(
     crashes, clock
 ):
