Ask once whether a caller is rejected at this time

The check and the question whether a request is quarantined share one method; the latter no longer catches the error of the former.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quarantine.py
@@ -1,6 +1,7 @@
 """Rejects requests that crash the upstreams that run them."""
 
 import collections.abc
+import datetime
 import logging
 
 from magnoliawood.core import clock as clocks
@@ -50,29 +51,36 @@
         :raises MagnoliawoodError: with ``suspected``
         """
         record = self._crashes.find(fingerprints.content)
-        if record is None:
-            return
-        until = crash_attribution.rejected_until(record, fingerprints.caller)
-        now = self._clock.now()
-        if until is None or until <= now:
+        until = self._rejected_until(record, fingerprints.caller)
+        if record is None or until is None:
             return
         count = crash_record.count_crashes(record.open_crashes)
         raise errors.MagnoliawoodError(
             errors.ErrorCode.SUSPECTED,
             f'{count} upstreams crashed during this request '
             f'({fingerprints.content})',
-            retry_after=until - now,
+            retry_after=until - self._clock.now(),
         )
 
     def is_quarantined(
         self, fingerprints: request_fingerprints.Fingerprints
     ) -> bool:
         """Whether a request must not run again."""
-        try:
-            self.check(fingerprints)
-        except errors.MagnoliawoodError:
-            return True
-        return False
+        record = self._crashes.find(fingerprints.content)
+        return self._rejected_until(record, fingerprints.caller) is not None
+
+    def _rejected_until(
+        self,
+        record: crash_record.CrashRecord | None,
+        caller: crash_record.Caller,
+    ) -> datetime.datetime | None:
+        """Return until when a caller is rejected, if it is at this time."""
+        if record is None:
+            return None
+        until = crash_attribution.rejected_until(record, caller)
+        if until is None or until <= self._clock.now():
+            return None
+        return until
 
     def is_suspected(
         self, fingerprints: request_fingerprints.Fingerprints
