Check the data of each event in the soak again, and share bodies of streams

An event with the data of another one passed.

Cause: events of a second version have one more line, and the new comparison looked at the numbers of events only.

Change: the data has to be that of the event's number, in complete streams and in parts; three of four streams have a body that other requests have too.

--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/promises.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/promises.py
@@ -105,6 +105,8 @@
         first = attempt.last_event_id + 1
         if numbers != list(range(first, first + len(numbers))):
             self._add_problem(attempt, f'events {numbers} after {first - 1}')
+        if not _has_own_data(outcome.body):
+            self._add_problem(attempt, f'got data of others {outcome.body!r}')
         versions = self._stream_versions[attempt.stream_id]
         versions |= {version for _, version, _ in _EVENT.findall(outcome.body)}
         if len(versions) > 1:
@@ -171,4 +173,10 @@
     if attempt.kind in (attempts.Kind.PAGE, attempts.Kind.BOOKING):
         return body == b'done'
     numbers = list(_EVENT_NUMBERS[attempt.last_event_id :])
-    return event_numbers(body) == numbers and not _EVENT.sub(b'', body)
+    is_whole = event_numbers(body) == numbers and not _EVENT.sub(b'', body)
+    return is_whole and _has_own_data(body)
+
+
+def _has_own_data(body: bytes) -> bool:
+    """Return whether the data of each event is that of its number."""
+    return all(number == word for number, _, word in _EVENT.findall(body))
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/tests/test_promises.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/tests/test_promises.py
@@ -64,10 +64,16 @@
     assert problem in ' '.join(checker.problems)
 
 
-def test_truncated_stream_is_detected():
-    stream = attempts.Attempt('s', attempts.Kind.STREAM, '')
+@pytest.mark.parametrize('kind', [attempts.Kind.STREAM, attempts.Kind.TURN])
+@pytest.mark.parametrize(
+    'body',
+    [EVENTS[:20], EVENTS + b'x', EVENTS.replace(b'word2', b'word9')],
+    ids=['truncated', 'trailing bytes', 'data of another event'],
+)
+def test_wrong_stream_is_detected(kind, body):
+    stream = attempts.Attempt('s', kind, '')
     checker = _checker(stream)
-    checker.record_outcome(stream, _success('s', EVENTS[:20]))
+    checker.record_outcome(stream, _success('s', body))
     assert checker.problems
 
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/traffic.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/traffic.py
@@ -19,6 +19,8 @@
 _TURNS_PER_PROGRAM = 7
 _MAX_TRIES_PER_TURN = 3
 _MAX_TRIES_PER_STREAM = 4
+# Bodies that many requests of all callers have.
+_SHARED_BODIES = ('', 'x', 'y' * 99)
 _MAX_RETRY_AFTER_SECONDS = 1.0
 # Delay after a request that got no response from a gateway.
 _NO_RESPONSE_DELAY_SECONDS = 0.1
@@ -65,7 +67,7 @@
             elif kind is attempts.Kind.STREAM:
                 self._run_stream()
             else:
-                self._send(kind, body=self._random.choice(('', 'x', 'y' * 99)))
+                self._send(kind, body=self._random.choice(_SHARED_BODIES))
             time.sleep(_REQUEST_INTERVAL_SECONDS)
         for connection in self._connections.values():
             connection.close()
@@ -111,7 +113,10 @@
         """Read a stream and take it up each time that it breaks off."""
         name = f'c{self._number}.{next(self._numbers)}'
         attempt = attempts.Attempt(
-            name, attempts.Kind.STREAM, f'say {name}', stream_id=name
+            name,
+            attempts.Kind.STREAM,
+            self._random.choice((f'say {name}', *_SHARED_BODIES)),
+            stream_id=name,
         )
         for number in range(_MAX_TRIES_PER_STREAM):
             gateway = self._random.randrange(len(self._deployment.gateways))
