--- a/packages/magnoliawood/magnoliawood/limits/crash_attribution.py
+++ b/packages/magnoliawood/magnoliawood/limits/crash_attribution.py
@@ -71,15 +71,24 @@
     common = _common_attributes(record.open_crashes) - completed
     if common:
         return record.expires_at if attributes & common else None
+    if _is_served_in_pause(record, caller):
+        return None
+    count = crash_record.count_crashes(record.open_crashes)
+    return record.last_crash_at + _pause(count)
+
+
+def _is_served_in_pause(
+    record: crash_record.CrashRecord, caller: crash_record.Caller
+) -> bool:
+    """Return whether a caller is served while new callers have to wait."""
     crashed_callers = {crash.caller for crash in record.open_crashes}
     count = crash_record.count_crashes(record.open_crashes)
-    if count == crash_record.QUARANTINE_CRASHES:
-        trusted = completed - _attributes_of(crashed_callers)
-        is_trusted = bool(attributes & trusted)
-    else:
+    if count > crash_record.QUARANTINE_CRASHES:
         is_known = caller in record.completed_callers
-        is_trusted = is_known and caller not in crashed_callers
-    return None if is_trusted else record.last_crash_at + _pause(count)
+        return is_known and caller not in crashed_callers
+    completed = _attributes_of(record.completed_callers)
+    trusted = completed - _attributes_of(crashed_callers)
+    return not trusted.isdisjoint(enumerate(caller))
 
 
 def _pause(count: int) -> datetime.timedelta:
@@ -94,7 +103,7 @@
     """Return the attributes that some caller in each of the crashes has."""
     callers = collections.defaultdict(set)
     for crash in crashes:
-        callers[crash.upstream, crash.run].add(crash.caller)
+        callers[crash.run_key].add(crash.caller)
     return functools.reduce(
         operator.and_, map(_attributes_of, callers.values())
     )
