Say why a stream can not go on in one sentence

The reason in the log and the response names its service that left the route, and a stream without a name is called so. No change of behaviour; the tests of the gateway pass.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/stream_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/stream_guard.py
@@ -105,14 +105,10 @@
             stream='named' if metadata.resumed_id else 'unnamed',
             origin='unknown' if origin is None else 'known',
         )
-        services = {share.service for share in route.shares}
-        if origin is None or origin.service not in services:
-            raise errors.MagnoliawoodError(
-                errors.ErrorCode.UPSTREAM_UNAVAILABLE,
-                f'stream {metadata.resumed_id!r} can not go on: '
-                + ('its origin is unknown' if origin is None else 'rerouted'),
-                retry_after=RETRY_AFTER,
-            )
+        if origin is None:
+            raise _cannot_go_on(metadata, 'its origin is unknown')
+        if origin.service not in {share.service for share in route.shares}:
+            raise _cannot_go_on(metadata, 'its service has left the route')
         return StreamBinding(origin, is_bound=True)
 
     async def begin_attempt(
@@ -188,3 +184,14 @@
         if len(versions) != 1:
             return None
         return records.StreamRecord('', service, versions.pop(), 1, 0.0)
+
+
+def _cannot_go_on(
+    metadata: requests.RequestMetadata, reason: str
+) -> errors.MagnoliawoodError:
+    name = metadata.resumed_id or 'without a name'
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.UPSTREAM_UNAVAILABLE,
+        f'stream {name} can not go on: {reason}',
+        retry_after=RETRY_AFTER,
+    )
