Log and count the rate limits that upstreams name

Change: the header is decoded in platform/; the directory keeps what each upstream said last. Log lines when a limit is named, changes or ends, the counters rate_limit_changes_total and rate_limited_requests_total. Routing does not use it yet. What upstreams announce in responses has a module of its own, which takes over the announcement of a leave from the request handler. A limit belongs to one start of an upstream; a response to a request that was sent before the limit was last named does not end it, and a figure that is no decimal number changes nothing. Tests: tables of figures for the header; those of the announcement of a leave go through the new module.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -22,6 +22,7 @@
 from magnoliawood_server.gateway import store_watch
 from magnoliawood_server.gateway import stream_guard
 from magnoliawood_server.gateway import turn_guard
+from magnoliawood_server.gateway import upstream_announcements
 from magnoliawood_server.gateway import upstream_pool
 from magnoliawood_server.peer import pool as pools
 from magnoliawood_server.platform import group_store as group_stores
@@ -110,6 +111,9 @@
                 self._registry,
             ),
             self._quarantine,
+            upstream_announcements.UpstreamAnnouncements(
+                self._cluster_view.directory, self._registry
+            ),
             clock,
             self._registry,
         )
@@ -222,4 +226,5 @@
             await self._upstreams.close_except(upstream_ids)
             await self._upstreams.close_unusable()
             self._selector.retain_only(upstream_ids)
+            self._cluster_view.directory.rate_limits.retain_only(upstream_ids)
             self._quarantine.retain_only(upstream_ids)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 import enum
+import typing
 
 import curio
 
@@ -106,6 +107,28 @@
 Step = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
 
+class ResponseObserver(typing.Protocol):
+    """Learns what upstreams say about themselves in their responses."""
+
+    def record_head(
+        self,
+        upstream: directory.Upstream,
+        response: requests.UpstreamResponse,
+        sent_at: datetime.timedelta,
+    ) -> None:
+        """Record the head of a response.
+
+        :param sent_at: monotonic time before which the request was not sent
+        """
+        ...
+
+    def record_trailers(
+        self, upstream: directory.Upstream, trailers: requests.Headers
+    ) -> None:
+        """Record the trailers of a response."""
+        ...
+
+
 class Exchange:
     """Sends a request to an upstream and forwards the response.
 
@@ -113,7 +136,7 @@
         to the caller; the attempt is abandoned if it raises an error
     :param before_end: called when a stream is complete, before its end is
         sent to the caller
-    :param on_leaving: called if an upstream announces that it is leaving
+    :param observer: learns what upstreams say about themselves
     """
 
     def __init__(
@@ -125,7 +148,7 @@
         delivery: Delivery,
         before_start: Step,
         before_end: Step,
-        on_leaving: collections.abc.Callable[[directory.Upstream], None],
+        observer: ResponseObserver,
     ) -> None:
         self._pool = pool
         self._request = request
@@ -134,7 +157,7 @@
         self._delivery = delivery
         self._before_start = before_start
         self._before_end = before_end
-        self._on_leaving = on_leaving
+        self._observer = observer
 
     async def run(
         self,
@@ -210,14 +233,13 @@
             response = requests.decode_response_head(
                 head.status_code, head.headers
             )
-            if response.is_leaving and not response.is_other_incarnation:
-                self._on_leaving(upstream)
+            sent_at = self._pool.use_of(connection).acquired_at
+            self._observer.record_head(upstream, response, sent_at)
             if response.is_stream and response.status in _SUCCESS:
                 if not response.is_signed:
                     return Result(Ending.FAILED, 'response not signed')
                 result = await self._relay(connection, response)
-                if requests.is_leaving(connection.trailers):
-                    self._on_leaving(upstream)
+                self._observer.record_trailers(upstream, connection.trailers)
                 return result
             body = await connection.read_full_body()
         except OSError as error:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -21,6 +21,7 @@
 from magnoliawood_server.gateway import request_log
 from magnoliawood_server.gateway import stream_guard
 from magnoliawood_server.gateway import turn_guard
+from magnoliawood_server.gateway import upstream_announcements
 from magnoliawood_server.gateway import upstream_pool
 from magnoliawood_server.platform import requests
 
@@ -45,6 +46,7 @@
 
     :param streams: origins of streams
     :param quarantine: requests that crash upstreams
+    :param announcements: what upstreams say about themselves
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         guard: turn_guard.TurnGuard,
         streams: stream_guard.StreamGuard,
         quarantine: quarantines.Quarantine,
+        announcements: upstream_announcements.UpstreamAnnouncements,
         clock: clocks.Clock,
         registry: registries.Registry,
     ) -> None:
@@ -66,6 +69,7 @@
         self._guard = guard
         self._streams = streams
         self._quarantine = quarantine
+        self._announcements = announcements
         self._clock = clock
         self._registry = registry
 
@@ -168,7 +172,7 @@
             job.delivery,
             lambda: self._before_start(job),
             lambda: self._before_end(job),
-            self._record_leaving,
+            self._announcements,
         )
         while True:
             self._check_may_run(job)
@@ -176,6 +180,7 @@
             time_left = job.deadline - self._clock.monotonic()
             if upstream is None or time_left < MIN_ATTEMPT_TIME:
                 raise job.abort_error()
+            self._count_limited(upstream)
             result = await self._attempt(job, exchange, upstream, time_left)
             if result is None:
                 job.attempts += 1
@@ -237,12 +242,6 @@
         if not result.ending.has_not_run:
             self._selector.record_sent_prompt(upstream.id, job.metadata.parts)
 
-    def _record_leaving(self, upstream: directories.Upstream) -> None:
-        """Send an upstream that announces its leave nothing new."""
-        if self._cluster_view.directory.leaving.add(upstream):
-            self._registry.count('leave_announcements_total')
-            request_log.log_leaving(upstream)
-
     def _check_may_run(self, job: jobs.Job) -> None:
         """Reject a request that was quarantined while it was under way.
 
@@ -263,6 +262,12 @@
         allowed = self._quarantine.isolate(job.fingerprints, untried)
         return self._selector.choose(allowed, job.demand)
 
+    def _count_limited(self, upstream: directories.Upstream) -> None:
+        if self._cluster_view.directory.rate_limits.rate(upstream) is not None:
+            self._registry.count(
+                'rate_limited_requests_total', decision='sent'
+            )
+
     def _handle_failure(
         self,
         job: jobs.Job,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/request_log.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/request_log.py
@@ -58,14 +58,6 @@
     )
 
 
-def log_leaving(upstream: directories.Upstream) -> None:
-    """Log that an upstream has announced that it is leaving."""
-    _log.info(
-        'upstream announced in a response that it is leaving',
-        extra={'upstream': upstream.id, 'started_at': upstream.started_at},
-    )
-
-
 def log_served(
     job: jobs.Job,
     upstream: directories.Upstream,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
@@ -9,6 +9,7 @@
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import exchange as exchanges
+from magnoliawood_server.gateway import upstream_announcements
 from magnoliawood_server.gateway import upstream_pool
 
 HEAD = (
@@ -54,15 +55,18 @@
 
 async def _run_exchange(
     data,
-    on_leaving=lambda upstream: None,
+    registry=None,
     repeated=b'',
     pause=0.0,
     timeout=TIMEOUT,
 ):
     """Run one attempt at an upstream that sends the data and closes.
 
+    :param registry: counts what the upstream announces
     :param repeated: data that it sends without end instead of closing
     """
+    clock = clocks.SystemClock()
+    registry = registry or registries.Registry()
     responder = Responder()
     request = callers.CallerRequest(
         'POST', '/stream', [(b'host', b'app')], b'', datetime.timedelta()
@@ -72,16 +76,16 @@
         return
 
     exchange = exchanges.Exchange(
-        upstream_pool.UpstreamPool(
-            clocks.SystemClock(), registries.Registry()
-        ),
+        upstream_pool.UpstreamPool(clock, registry),
         request,
         b'',
         responder,
         exchanges.Delivery(),
         no_step,
         no_step,
-        on_leaving,
+        upstream_announcements.UpstreamAnnouncements(
+            directories.UpstreamDirectory(clock), registry
+        ),
     )
     async with curio.tcp_server_socket('127.0.0.1', 0) as listener:
         port = listener.getsockname()[1]
@@ -149,25 +153,23 @@
     ids=['head of a stream', '503', 'trailers', 'none', 'another upstream'],
 )
 def test_announcement_of_a_leave_is_recognised(data, is_leaving):
-    announced = []
-    curio.run(_run_exchange, data, announced.append)
-    assert bool(announced) == is_leaving
+    registry = registries.Registry()
+    curio.run(_run_exchange, data, registry)
+    assert registry.counter('leave_announcements_total') == is_leaving
 
 
 # Guards against learning of a leave only when the stream that says so ends.
 def test_leave_is_recognised_before_the_stream_ends():
-    announced = []
-    result, _ = curio.run(
-        _run_exchange, LEAVING_STREAM + EVENT[:5], announced.append
-    )
+    registry = registries.Registry()
+    result, _ = curio.run(_run_exchange, LEAVING_STREAM + EVENT[:5], registry)
     assert result.is_connection_lost
-    assert announced
+    assert registry.counter('leave_announcements_total') == 1
 
 
 # Guards against a stream without end that fills the memory of the gateway.
 @pytest.mark.parametrize('repeated', [b'x' * 65536, EVENT * 4096])
 def test_stream_without_an_end_is_cut(repeated):
-    result, responder = curio.run(_run_exchange, HEAD, print, repeated)
+    result, responder = curio.run(_run_exchange, HEAD, None, repeated)
     assert result.ending is exchanges.Ending.FAILED
     assert result.is_malformed
     assert not responder.is_finished
@@ -179,7 +181,7 @@
     result, responder = curio.run(
         _run_exchange,
         start,
-        print,
+        None,
         b'x',
         0.01,
         datetime.timedelta(milliseconds=300),
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
@@ -89,7 +89,16 @@
         crash_list.CrashList(clock), clock, registry
     )
     handler = handlers.RequestHandler(
-        cluster_view, None, None, None, None, None, quarantine, clock, registry
+        cluster_view,
+        None,
+        None,
+        None,
+        None,
+        None,
+        quarantine,
+        None,
+        clock,
+        registry,
     )
     request = _make_job(clock, configurations.RequestKind.SAFE).request
     with pytest.raises(errors.MagnoliawoodError) as caught:
@@ -127,6 +136,7 @@
         None,
         None,
         quarantines.Quarantine(crashes, clock, registry),
+        None,
         clock,
         registry,
     )
@@ -166,6 +176,7 @@
         None,
         None,
         quarantine,
+        None,
         clock,
         registry,
     )
--- a/packages/magnoliawood-server/magnoliawood_server/platform/names.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/names.py
@@ -17,6 +17,8 @@
 SIGNATURE = b'server-stamp'
 # In all responses of an upstream that is leaving.
 LEAVING = b'server-leaving'
+# Requests per second that an upstream takes from all gateways together.
+RATE_LIMIT = b'server-limit'
 EXPECTED_INCARNATION = b'expect-instance'
 NOT_RUN = b'not-executed'
 RETRY_AFTER = b'retry-after'
--- a/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import datetime
+import re
 
 from magnoliawood.fleet import selection
 from magnoliawood_server.platform import names
@@ -95,6 +96,24 @@
     return [*(pair for pair in received if pair[0] not in dropped), *added]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimit:
+    """What a response says about the rate limit of its upstream.
+
+    :param text: the limit as stated; ``None`` if the response states none
+    :param rate: requests per second from all gateways together; ``None`` if
+        the response states none or one that is no decimal number
+    """
+
+    text: str | None = None
+    rate: float | None = None
+
+    @property
+    def is_malformed(self) -> bool:
+        """Whether a limit is stated that is no decimal number."""
+        return self.text is not None and self.rate is None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamResponse:
     """Status and headers of an upstream's response.
@@ -103,6 +122,7 @@
     :param is_signed: whether it carries the upstream's signature
     :param is_other_incarnation: whether another upstream now has the address
     :param is_leaving: whether the upstream announces that it is leaving
+    :param limit: what it says about its rate limit
     """
 
     status: int
@@ -112,8 +132,12 @@
     is_other_incarnation: bool
     is_stream: bool
     is_leaving: bool
+    limit: RateLimit
 
 
+# Greater limits, in requests per second, are the same as this one.
+MAX_RATE = 1e6
+_DECIMAL = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 _MISDIRECTED_STATUS = 421
 _TRUE = b'1'
 
@@ -132,6 +156,7 @@
         is_misdirected,
         content_type.startswith(b'text/event-stream'),
         is_leaving(forwarded),
+        decode_rate_limit(forwarded),
     )
 
 
@@ -140,6 +165,26 @@
     return dict(headers).get(names.LEAVING, b'').strip() == _TRUE
 
 
+def decode_rate_limit(headers: Headers) -> RateLimit:
+    """Return the rate limit in the headers or trailers of a response.
+
+    Examples
+    ========
+
+    >>> decode_rate_limit([(b'server-limit', b'4.9')]).rate
+    4.9
+    >>> decode_rate_limit([(b'server-limit', b'1e3')]).is_malformed
+    True
+    """
+    value = dict(headers).get(names.RATE_LIMIT)
+    if value is None:
+        return RateLimit()
+    text = value.decode('latin-1').strip()
+    if not _DECIMAL.fullmatch(text):
+        return RateLimit(text)
+    return RateLimit(text, min(float(text), MAX_RATE))
+
+
 def refusal_headers(
     request_id: str, retry_after: datetime.timedelta | None
 ) -> list[tuple[bytes, bytes]]:
--- a/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_requests.py
@@ -69,6 +69,37 @@
     assert requests.decode_response_head(status, headers).has_run is has_run
 
 
+# Guards against taking a figure that is no decimal number for a rate limit, or
+# for the end of one.
+@pytest.mark.parametrize(
+    ('text', 'rate'),
+    [
+        ('4.9', 4.9),
+        (' 12 ', 12.0),
+        ('0', 0.0),
+        ('.5', 0.5),
+        ('9' * 400, requests.MAX_RATE),
+        ('', None),
+        ('1e3', None),
+        ('-1', None),
+        ('nan', None),
+        ('inf', None),
+        ('0x10', None),
+        ('4,9', None),
+        ('4.9.1', None),
+        ('.', None),
+        ('\xb2', None),
+        ('ten', None),
+    ],
+)
+def test_rate_limit_is_a_decimal_number(text, rate):
+    response = requests.decode_response_head(
+        200, [(b'server-limit', text.encode('latin-1'))]
+    )
+    assert response.limit.rate == rate
+    assert response.limit.is_malformed == (rate is None)
+
+
 def test_malformed_metadata_counts_as_absent():
     metadata = requests.decode_request_metadata(
         [
--- a/packages/magnoliawood/magnoliawood/fleet/directory.py
+++ b/packages/magnoliawood/magnoliawood/fleet/directory.py
@@ -10,6 +10,7 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.fleet import leaving as leaves
+from magnoliawood.fleet import rate_limits
 from magnoliawood.fleet import upstream as upstreams
 
 # An upstream whose entry expired during a store outage registers again within
@@ -64,6 +65,7 @@
         self._retain_until: dict[str, datetime.timedelta] = {}
         self._revision = 0
         self._leaving = leaves.LeavingUpstreams(clock)
+        self._rate_limits = rate_limits.RateLimits(clock)
 
     @property
     def revision(self) -> int:
@@ -75,6 +77,11 @@
         """Upstreams that have announced that they are leaving."""
         return self._leaving
 
+    @property
+    def rate_limits(self) -> rate_limits.RateLimits:
+        """Rate limits that upstreams name in their responses."""
+        return self._rate_limits
+
     def all(self) -> list[Upstream]:
         """Return every upstream that has not been removed."""
         self._drop_expired()
--- a/packages/magnoliawood/magnoliawood/fleet/leaving.py
+++ b/packages/magnoliawood/magnoliawood/fleet/leaving.py
@@ -62,7 +62,7 @@
         return any(
             mark is not None
             and mark.until > now
-            and _is_same_start(mark.started_at, upstream.started_at)
+            and upstreams.is_same_start(mark.started_at, upstream.started_at)
             for mark in (
                 self._own.get(upstream.id),
                 self._reported.get(upstream.id),
@@ -105,10 +105,3 @@
 
     def _mark(self, started_at: datetime.datetime | None) -> _Mark:
         return _Mark(started_at, self._clock.monotonic() + ANNOUNCEMENT_PERIOD)
-
-
-def _is_same_start(
-    one: datetime.datetime | None, other: datetime.datetime | None
-) -> bool:
-    """Return whether two start times are equal or one of them unknown."""
-    return one is None or other is None or one == other
--- a/packages/magnoliawood/magnoliawood/fleet/upstream.py
+++ b/packages/magnoliawood/magnoliawood/fleet/upstream.py
@@ -24,3 +24,10 @@
     is_leaving: bool = False
     version: str = ''
     started_at: datetime.datetime | None = None
+
+
+def is_same_start(
+    one: datetime.datetime | None, other: datetime.datetime | None
+) -> bool:
+    """Return whether two start times are equal or one of them unknown."""
+    return one is None or other is None or one == other
