--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -176,9 +176,19 @@
 
     def runs_at(self, upstream: str) -> int:
         """Return the number of runs at one upstream."""
-        path = self.folder / f'runs-{upstream}.jsonl'
+        path = self._run_journal(upstream)
         return len(path.read_text().splitlines()) if path.exists() else 0
 
+    def arrivals_at(self, upstream: str) -> list[float]:
+        """Return the monotonic times in s of all requests to an upstream."""
+        path = signed_upstream.arrivals_file(self._run_journal(upstream))
+        if not path.exists():
+            return []
+        return [float(line) for line in path.read_text().splitlines()]
+
+    def _run_journal(self, upstream: str) -> pathlib.Path:
+        return self.folder / f'runs-{upstream}.jsonl'
+
     def body_of(self, request_id: str) -> str:
         """Return the body with which a request ran."""
         for run in self.all_runs():
@@ -368,7 +378,7 @@
                 'listen': address,
                 'incarnation': name,
                 'version': self.upstream_versions[name],
-                'journal': self.folder / f'runs-{name}.jsonl',
+                'journal': self._run_journal(name),
             },
         )
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -33,6 +33,11 @@
     return f'id: {number}\n{named}data: word{number}\n\n'.encode()
 
 
+def arrivals_file(journal: pathlib.Path) -> pathlib.Path:
+    """Return the file with the arrival times of an upstream's requests."""
+    return journal.with_name(f'arrivals-{journal.stem}.txt')
+
+
 class SignedUpstreamFaults(control.Faults):
     """Timing and faults of the upstream.
 
@@ -47,6 +52,7 @@
     :param crash_session: beginning of the sessions whose requests end the
         process when they run
     :param is_leaving: whether all responses announce that it is leaving
+    :param rate_limit: requests per second that all responses name as the limit
     :param forget_idle_seconds: idle time after which a connection is dropped
         at its next request, which does not run; never if 0
     """
@@ -59,6 +65,7 @@
     crash_body: str = 'crash-the-upstream ' * 20
     crash_session: str = 'crash-session'
     is_leaving: bool = False
+    rate_limit: str | None = None
     forget_idle_seconds: float = 0.0
 
 
@@ -87,10 +94,13 @@
         if request.path == '/control/faults':
             self.faults = control.updated_faults(self.faults, request)
             return http_message.Response.from_json({})
+        self._record_arrival()
         await self._drop_if_idle()
         request_id_header = {'request-id': request.header('request-id')}
         if self.faults.is_leaving:
             request_id_header['server-leaving'] = '1'
+        if self.faults.rate_limit is not None:
+            request_id_header['server-limit'] = self.faults.rate_limit
         if request.header('expect-instance') != self._incarnation:
             return http_message.Response(421, request_id_header)
         if self.faults.refusals:
@@ -140,6 +150,10 @@
             parts=self._events(first),
         )
 
+    def _record_arrival(self) -> None:
+        with arrivals_file(self._journal).open('a', encoding='utf-8') as file:
+            file.write(f'{time.monotonic()}\n')
+
     def _record_run(self, request: http_message.Request) -> None:
         entry = {
             'request_id': request.header('request-id'),
