--- a/packages/magnoliawood-server/magnoliawood_server/entry/quarantine_registry.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/quarantine_registry.py
@@ -11,7 +11,7 @@
 from magnoliawood.limits import affinity as affinities
 from magnoliawood.limits import crash_list
 from magnoliawood.limits import crash_record
-from magnoliawood.limits import succeeded
+from magnoliawood.limits import recent_set
 from magnoliawood.platform import store
 from magnoliawood.programs import call as calls
 from magnoliawood.telemetry import registry as registries
@@ -57,7 +57,7 @@
         self._clock = clock
         self._metrics = metrics
         self._crashes = crash_list.CrashList(clock)
-        self._succeeded = succeeded.SucceededRequests()
+        self._succeeded = recent_set.RecentSet()
         self._stored: dict[str, int] = {}
         self._unstored: set[str] = set()
         self._changed = curio.Event()
