Keep all gateways together within the rate limits that upstreams name

Change: each limited upstream has an owner among the gateways, found by rendezvous hashing over those that respond; it keeps a token bucket, and the others ask it before each request, whatever the request is: first attempt, retry, stream that goes on, suspect that is sent to one upstream only. Limits spread with the reports, aged from the question. A gateway that lost peers issues only its part. Less urgent requests leave a reserve; programs in progress come before new ones. Without a token at any upstream the request is refused at once with a time to come back (rate_limited, 503). Why it works: one bucket an upstream bounds the sum whatever the gateways do; what may go wrong is two buckets, and the parts bound these. The model test fails with an owner each (all of its cases with more than one gateway), and without the parts (cut-off gateways); test_permits fails without the relays.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -9,11 +9,14 @@
 from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import selection
 from magnoliawood.limits import crash_list
+from magnoliawood.limits import rate_limiter
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import cluster_view as cluster_views
 from magnoliawood_server.gateway import gossip as gossips
 from magnoliawood_server.gateway import handler as handlers
+from magnoliawood_server.gateway import peer_service as peer_services
+from magnoliawood_server.gateway import permits as permit_clients
 from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.gateway import quarantine_sync as quarantine_syncs
 from magnoliawood_server.gateway import readiness
@@ -98,6 +101,17 @@
             self._peers,
             clock,
         )
+        self._permits = permit_clients.Permits(
+            self._gossip,
+            self._cluster_view.directory.rate_limits,
+            rate_limiter.RateLimiter(clock),
+            self._peers,
+            clock,
+            self._registry,
+        )
+        self._peer_service = peer_services.PeerService(
+            self._gossip, self._permits, self._peers
+        )
         self._handler = handlers.RequestHandler(
             self._cluster_view,
             self._load_tracker,
@@ -114,6 +128,7 @@
             upstream_announcements.UpstreamAnnouncements(
                 self._cluster_view.directory, self._registry
             ),
+            self._permits,
             clock,
             self._registry,
         )
@@ -133,7 +148,7 @@
                 listeners.peer_listener(
                     self._settings.peer_listen,
                     self._clock,
-                    self._gossip.serve,
+                    self._peer_service.serve,
                     None,
                 ).run
             )
@@ -227,4 +242,5 @@
             await self._upstreams.close_unusable()
             self._selector.retain_only(upstream_ids)
             self._cluster_view.directory.rate_limits.retain_only(upstream_ids)
+            self._permits.retain_only(upstream_ids)
             self._quarantine.retain_only(upstream_ids)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -17,7 +17,6 @@
 from magnoliawood_server.gateway import messages
 from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.gateway import record_client as record_clients
-from magnoliawood_server.gateway import relay as relays
 from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import pool as pools
 
@@ -121,6 +120,27 @@
                 self._peers[address] = _Peer(self._clock.monotonic())
                 self._peers_version += 1
 
+    @property
+    def address(self) -> str:
+        """Address of this gateway for peers."""
+        return self._address
+
+    def known_peers(self) -> list[str]:
+        """Return the addresses of gateways that respond or recently did."""
+        return [
+            address
+            for address, peer in self._peers.items()
+            if peer.has_responded
+        ]
+
+    def responsive_peers(self) -> list[str]:
+        """Return the addresses of gateways that answered the last report."""
+        return [
+            address
+            for address, peer in self._peers.items()
+            if peer.has_responded and not peer.is_unresponsive
+        ]
+
     def reachable_peers(self) -> list[str]:
         """Return the addresses of gateways that responded recently."""
         oldest = self._clock.monotonic() - REQUEST_TIMEOUT
@@ -173,10 +193,6 @@
                         self._cluster_view.snapshot(), self._records.group
                     )
                 )
-            case messages.RelayQuestion():
-                await stream.send(
-                    await relays.relay(self._pool, message, REQUEST_TIMEOUT)
-                )
             case _:
                 raise errors.MagnoliawoodError(
                     errors.ErrorCode.MALFORMED_REQUEST,
@@ -201,7 +217,12 @@
         # A report lists peers only if the sender is new or its set of peers
         # has changed; only then does the response list peers too.
         known_peers = list(self._peers) if report.peers else []
-        return messages.ReportTaken(known_peers, is_behind, self._start_id)
+        return messages.ReportTaken(
+            known_peers,
+            is_behind,
+            self._start_id,
+            self._cluster_view.directory.rate_limits.reports(),
+        )
 
     def _apply_crashes(self, report: messages.GatewayReport) -> None:
         """Merge crash records of a peer.
@@ -215,6 +236,7 @@
         self._reporters.add(report.address)
 
     async def _report(self, address: str, peer: _Peer) -> None:
+        asked_at = self._clock.monotonic()
         try:
             new_prompts = self._selector.sent_prompts_after(
                 peer.sent_prompts_reported
@@ -234,6 +256,9 @@
         except errors.MagnoliawoodError as error:
             self._mark_unresponsive(address, peer, str(error))
         else:
+            self._cluster_view.directory.rate_limits.merge(
+                reply.limits, asked_at
+            )
             await self._record_response(address, peer, reply)
         finally:
             peer.is_report_pending = False
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -10,6 +10,7 @@
 from magnoliawood.fleet import directory as directories
 from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import selection
+from magnoliawood.limits import recent_set
 from magnoliawood.routes import table as tables
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import caller as callers
@@ -17,6 +18,7 @@
 from magnoliawood_server.gateway import exchange as exchanges
 from magnoliawood_server.gateway import fingerprint as request_fingerprints
 from magnoliawood_server.gateway import job as jobs
+from magnoliawood_server.gateway import permits as permit_clients
 from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.gateway import request_log
 from magnoliawood_server.gateway import stream_guard
@@ -47,6 +49,7 @@
     :param streams: origins of streams
     :param quarantine: requests that crash upstreams
     :param announcements: what upstreams say about themselves
+    :param permits: permits for requests to upstreams with a rate limit
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         streams: stream_guard.StreamGuard,
         quarantine: quarantines.Quarantine,
         announcements: upstream_announcements.UpstreamAnnouncements,
+        permits: permit_clients.Permits,
         clock: clocks.Clock,
         registry: registries.Registry,
     ) -> None:
@@ -70,6 +74,9 @@
         self._streams = streams
         self._quarantine = quarantine
         self._announcements = announcements
+        self._permits = permits
+        # Programs of which this gateway has served a turn.
+        self._programs = recent_set.RecentSet()
         self._clock = clock
         self._registry = registry
 
@@ -131,6 +138,7 @@
             tables.pick_service(route, jobs.hash_point(metadata)),
             request.arrived + time_left,
             fingerprints,
+            is_program_known=metadata.program_id in self._programs,
         )
 
     async def _serve(self, job: jobs.Job) -> None:
@@ -175,12 +183,11 @@
             self._announcements,
         )
         while True:
+            upstream = await self._take_upstream(job)
             self._check_may_run(job)
-            upstream = self._choose(job)
             time_left = job.deadline - self._clock.monotonic()
             if upstream is None or time_left < MIN_ATTEMPT_TIME:
                 raise job.abort_error()
-            self._count_limited(upstream)
             result = await self._attempt(job, exchange, upstream, time_left)
             if result is None:
                 job.attempts += 1
@@ -251,7 +258,27 @@
             raise job.abort_error()
         self._quarantine.check(job.fingerprints)
 
-    def _choose(self, job: jobs.Job) -> directories.Upstream | None:
+    async def _take_upstream(
+        self, job: jobs.Job
+    ) -> directories.Upstream | None:
+        """Choose an upstream and take a permit if it has a rate limit.
+
+        A stream that has been started waits for a permit; other requests are
+        rejected at once.
+        """
+        while True:
+            candidates = self._candidates(job)
+            upstream = await self._choose(job, candidates)
+            if upstream is not None or not candidates:
+                return upstream
+            wait = self._shortest_wait(job, candidates)
+            time_left = job.deadline - self._clock.monotonic()
+            if not job.responder.is_started or wait > time_left:
+                job.permit_wait = wait
+                return None
+            await curio.sleep(wait.total_seconds())
+
+    def _candidates(self, job: jobs.Job) -> list[directories.Upstream]:
         usable = self._cluster_view.directory.usable(job.service)
         untried = [
             upstream
@@ -259,14 +286,33 @@
             if upstream.id not in job.tried
             and (job.stream is None or job.stream.allows(upstream))
         ]
-        allowed = self._quarantine.isolate(job.fingerprints, untried)
-        return self._selector.choose(allowed, job.demand)
+        return self._quarantine.isolate(job.fingerprints, untried)
 
-    def _count_limited(self, upstream: directories.Upstream) -> None:
-        if self._cluster_view.directory.rate_limits.rate(upstream) is not None:
-            self._registry.count(
-                'rate_limited_requests_total', decision='sent'
-            )
+    async def _choose(
+        self, job: jobs.Job, candidates: list[directories.Upstream]
+    ) -> directories.Upstream | None:
+        """Return the best upstream that may get the request now, if any."""
+        while True:
+            permitted = [
+                upstream
+                for upstream in candidates
+                if self._permits.known_wait(upstream, job.rank) is None
+            ]
+            upstream = self._selector.choose(permitted, job.demand)
+            if upstream is None:
+                return None
+            if await self._permits.take(upstream, job.rank) is None:
+                return upstream
+
+    def _shortest_wait(
+        self, job: jobs.Job, candidates: list[directories.Upstream]
+    ) -> datetime.timedelta:
+        """Return the time until an upstream may get the request."""
+        waits = (
+            self._permits.known_wait(upstream, job.rank)
+            for upstream in candidates
+        )
+        return min(wait or datetime.timedelta() for wait in waits)
 
     def _handle_failure(
         self,
@@ -377,6 +423,8 @@
         now = self._clock.monotonic()
         self._quarantine.record_success(job.fingerprints)
         self._load_tracker.record_success(upstream.id)
+        if job.is_turn:
+            self._programs.add(job.metadata.program_id)
         self._registry.record(
             'request_seconds', now - job.request.arrived, route=job.route.name
         )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
@@ -31,6 +31,9 @@
     :param attempts_not_run: number of attempts that certainly did not run
     :param stream: binding to the origin of the stream, if it is resumable
     :param tried: ids of the upstreams that failed
+    :param is_program_known: whether a turn of its program has been served
+    :param permit_wait: time until an upstream within its rate limit may be
+        available, if the request was rejected for want of one
     """
 
     request: callers.CallerRequest
@@ -50,6 +53,8 @@
     attempts_not_run: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     last_reason: str = ''
+    is_program_known: bool = False
+    permit_wait: datetime.timedelta | None = None
 
     @property
     def is_turn(self) -> bool:
@@ -71,6 +76,20 @@
             self.metadata.parts, self.metadata.output_tokens, key
         )
 
+    @property
+    def rank(self) -> int:
+        """Rank among the requests for a scarce upstream; 0 is the first.
+
+        A stream that the caller already receives comes first. Within a
+        priority, programs in progress come before new ones.
+        """
+        if self.responder.is_started:
+            return 0
+        is_new_program = self.is_turn and not (
+            self.is_program_known or self.metadata.previous_turn_id
+        )
+        return 2 * self.route.rank + is_new_program
+
     @property
     def is_resumable_stream(self) -> bool:
         """Whether the request is for a stream that may be taken up."""
@@ -84,6 +103,13 @@
 
         :param is_timeout: whether its deadline has passed
         """
+        if not self.attempts and self.permit_wait is not None:
+            return errors.MagnoliawoodError(
+                errors.ErrorCode.RATE_LIMITED,
+                'all upstreams are at the rate limits that they name',
+                retry_after=max(RETRY_AFTER, self.permit_wait)
+                + RETRY_SPREAD * random.random(),
+            )
         if not self.attempts:
             return errors.MagnoliawoodError(
                 errors.ErrorCode.UPSTREAM_UNAVAILABLE,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/messages.py
@@ -1,8 +1,10 @@
 """Messages that gateways exchange over the peer protocol."""
 
 import dataclasses
+import datetime
 
 from magnoliawood.fleet import leaving as leaves
+from magnoliawood.fleet import rate_limits
 from magnoliawood.fleet import selection
 from magnoliawood.limits import crash_record
 from magnoliawood.replication import group as groups
@@ -53,11 +55,43 @@
     :param is_behind: whether the receiver has a newer configuration or newer
         upstreams than the sender of the report
     :param start_id: identifies the start of the receiver's process
+    :param limits: rate limits that upstreams have named to the receiver
     """
 
     peers: list[str]
     is_behind: bool
     start_id: str = ''
+    limits: list[rate_limits.LimitReport] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakePermit:
+    """Request to the owner of an upstream for a permit to send a request.
+
+    :param started_at: time at which the upstream's process started, if known
+    :param rate: limit that the sender knows, in requests per second
+    :param rank: urgency of the request; 0 for the most urgent ones
+    :param is_relayed: whether the receiver must not relay it again
+    """
+
+    upstream_id: str
+    started_at: datetime.datetime | None
+    rate: float
+    rank: int
+    is_relayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitReply:
+    """Response to :class:`TakePermit`.
+
+    :param wait_seconds: time until there may be a permit; ``None`` if one was
+        issued
+    """
+
+    wait_seconds: float | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,4 +136,6 @@
     ReportTaken,
     GetSnapshot,
     SnapshotReply,
+    TakePermit,
+    PermitReply,
 )
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/permits_support.py
@@ -0,0 +1,79 @@
+"""Gateways that share rate limits, without sockets."""
+
+from magnoliawood.fleet import rate_limits
+from magnoliawood.limits import rate_limiter
+from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.gateway import permits as permit_clients
+from magnoliawood_server.peer import connection as connections
+
+
+def result_of(coroutine):
+    """Return the result of a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stopped:
+        return stopped.value
+    raise AssertionError('the coroutine waits')
+
+
+class Network:
+    """Links between gateways, some of which may be cut."""
+
+    def __init__(self):
+        self.gateways = {}
+        self.cuts = set()
+        self.questions = 0
+
+    def cut(self, one, other):
+        self.cuts |= {(one, other), (other, one)}
+
+    def is_connected(self, one, other):
+        return other in self.gateways and (one, other) not in self.cuts
+
+
+class Gateway:
+    """The part of a gateway that keeps to rate limits."""
+
+    def __init__(self, network, address, clock):
+        self.address = address
+        self.limits = rate_limits.RateLimits(clock)
+        self.known = set()
+        self.unresponsive = set()
+        self.registry = registries.Registry()
+        self._network = network
+        self._clock = clock
+        self.permits = permit_clients.Permits(
+            self,
+            self.limits,
+            rate_limiter.RateLimiter(clock),
+            self,
+            clock,
+            self.registry,
+        )
+        network.gateways[address] = self
+
+    def responsive_peers(self):
+        return sorted(self.known - self.unresponsive)
+
+    def known_peers(self):
+        return sorted(self.known)
+
+    async def request(self, address, message, timeout):
+        if not self._network.is_connected(self.address, address):
+            raise connections.PeerLost(address)
+        self._network.questions += 1
+        return await self._network.gateways[address].permits.serve(message)
+
+    def exchange_with(self, address):
+        """Learn from a peer what upstreams have said to it."""
+        if not self._network.is_connected(self.address, address):
+            self.unresponsive.add(address)
+            return
+        self.known.add(address)
+        self.unresponsive.discard(address)
+        reports = self._network.gateways[address].limits.reports()
+        self.limits.merge(reports, self._clock.monotonic())
+
+    def take(self, upstream, rank=0):
+        """Return whether a request may be sent."""
+        return result_of(self.permits.take(upstream, rank)) is None
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
@@ -20,6 +20,7 @@
 from magnoliawood_server.gateway import handler as handlers
 from magnoliawood_server.gateway import job as jobs
 from magnoliawood_server.gateway import quarantine as quarantines
+from magnoliawood_server.gateway.tests import permits_support
 from magnoliawood_server.platform import requests
 
 FINGERPRINTS = request_fingerprints.Fingerprints(
@@ -97,6 +98,7 @@
         None,
         quarantine,
         None,
+        None,
         clock,
         registry,
     )
@@ -137,6 +139,9 @@
         None,
         quarantines.Quarantine(crashes, clock, registry),
         None,
+        permits_support.Gateway(
+            permits_support.Network(), 'gateway', clock
+        ).permits,
         clock,
         registry,
     )
@@ -177,6 +182,7 @@
         None,
         quarantine,
         None,
+        None,
         clock,
         registry,
     )
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_rate_limits.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_rate_limits.py
@@ -36,14 +36,15 @@
 
 
 def _limit(deployment, upstream=LIMITED, rate=LIMIT):
-    """Let an upstream name a limit; return the number of its requests."""
+    """Let an upstream name a limit, and wait until all gateways were told.
+
+    :returns: the number of its requests until then
+    """
     deployment.set_upstream_faults(upstream, rate_limit=str(rate))
-    deployment.wait_for(
-        lambda: all(
-            'server-limit' in _send(deployment, gateway).headers
-            for gateway in range(GATEWAYS)
+    for gateway in range(GATEWAYS):
+        deployment.wait_for(
+            lambda at=gateway: 'server-limit' in _send(deployment, at).headers
         )
-    )
     return len(deployment.arrivals_at(upstream))
 
 
