Give the permits of limited upstreams to the requests that gain most

Cause: limited upstreams got what came first, about 6 requests a second each of any length, with 1.5 under way; the two others got 38 a second, of which up to 60 were under way at 48 slots. Change: a permit has a price in ms of expected latency, which the selection adds to the cost of the upstream; where an upstream is limited the cost follows the caller's estimate of the response's length. Requests for what no limit touches are chosen as before.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -298,7 +298,9 @@
                 for upstream in candidates
                 if self._permits.known_wait(upstream, job.rank) is None
             ]
-            upstream = self._selector.choose(permitted, job.demand)
+            prices = self._permits.prices(permitted)
+            demand = job.expected_demand if prices else job.demand
+            upstream = self._selector.choose(permitted, demand, prices)
             if upstream is None:
                 return None
             if await self._permits.take(upstream, job.rank) is None:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
@@ -66,15 +66,21 @@
 
     @property
     def demand(self) -> selection.RequestDemand:
-        """Work that the request causes at an upstream."""
+        """Work that the request causes at an upstream, at most."""
+        return self._demand(self.metadata.output_tokens)
+
+    @property
+    def expected_demand(self) -> selection.RequestDemand:
+        """Work that the request is expected to cause at an upstream."""
+        return self._demand(self.metadata.expected_tokens)
+
+    def _demand(self, output_tokens: int) -> selection.RequestDemand:
         key = (
             self.metadata.affinity
             or self.metadata.session_id
             or self.metadata.request_id
         )
-        return selection.RequestDemand(
-            self.metadata.parts, self.metadata.output_tokens, key
-        )
+        return selection.RequestDemand(self.metadata.parts, output_tokens, key)
 
     @property
     def rank(self) -> int:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/permits.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/permits.py
@@ -14,6 +14,7 @@
 from magnoliawood.fleet import rate_limits
 from magnoliawood.fleet import upstream as upstreams
 from magnoliawood.limits import affinity
+from magnoliawood.limits import permit_prices
 from magnoliawood.limits import rate_limiter
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import messages
@@ -99,6 +100,7 @@
         self._registry = registry
         # By upstream and rank: times until which there is no permit.
         self._denials: dict[str, dict[int, datetime.timedelta]] = {}
+        self._prices = permit_prices.PermitPrices(clock)
 
     def known_wait(
         self, upstream: upstreams.Upstream, rank: int
@@ -117,6 +119,16 @@
         )
         return latest - now if latest > now else None
 
+    def prices(
+        self, candidates: collections.abc.Iterable[upstreams.Upstream]
+    ) -> dict[str, float]:
+        """Return the price of a permit in ms for each that has a limit."""
+        return {
+            upstream.id: self._prices.price(upstream.id)
+            for upstream in candidates
+            if self._limits.rate(upstream) is not None
+        }
+
     async def take(
         self, upstream: upstreams.Upstream, rank: int
     ) -> datetime.timedelta | None:
@@ -151,6 +163,7 @@
     ) -> None:
         """Forget upstreams that are not listed."""
         self._limiter.retain_only(upstream_ids)
+        self._prices.retain_only(upstream_ids)
         self._denials = {
             upstream_id: denials
             for upstream_id, denials in self._denials.items()
@@ -232,6 +245,7 @@
         rank: int,
         wait: datetime.timedelta | None,
     ) -> None:
+        self._prices.record(upstream.id, is_issued=wait is None)
         decision = 'sent' if wait is None else 'denied'
         self._registry.count('rate_limited_requests_total', decision=decision)
         if wait is not None:
--- a/packages/magnoliawood-server/magnoliawood_server/platform/names.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/names.py
@@ -25,6 +25,8 @@
 INCARNATION = b'instance-id'
 # Number of prompt tokens and maximum number of generated tokens.
 TOKENS = b'token-usage'
+# Caller's estimate of the number of generated tokens; often far off.
+LENGTH_HINT = b'length-hint'
 URGENCY = b'request-urgency'
 PROGRAM = b'program-id'
 # Identifies a session, a sequence of turns within a program.
--- a/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
@@ -25,6 +25,8 @@
     :param resumed_id: request that began the stream that this one takes up
     :param parts: parts of the prompt, with their numbers of tokens
     :param output_tokens: maximum number of generated tokens; 0 if not given
+    :param expected_tokens: estimated number of generated tokens, at most
+        ``output_tokens``
     """
 
     request_id: str
@@ -40,6 +42,7 @@
     affinity: str
     parts: tuple[selection.PromptPart, ...]
     output_tokens: int
+    expected_tokens: int
 
 
 def decode_request_metadata(headers: Headers) -> RequestMetadata:
@@ -53,6 +56,8 @@
         return values.get(name, '').strip()
 
     tokens = text(names.TOKENS).split(',')
+    output_tokens = _decode_integer(tokens[-1]) or 0
+    hint = _decode_integer(text(names.LENGTH_HINT))
     return RequestMetadata(
         request_id=text(names.REQUEST_ID),
         host=text(b'host').rsplit(':', 1)[0],
@@ -66,7 +71,8 @@
         resumed_id=text(names.RESUMED),
         affinity=text(names.AFFINITY),
         parts=tuple(_decode_prompt_parts(text(names.PROMPT_PARTS))),
-        output_tokens=_decode_integer(tokens[-1]) or 0,
+        output_tokens=output_tokens,
+        expected_tokens=min(hint or output_tokens, output_tokens),
     )
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_requests.py
@@ -100,6 +100,17 @@
     assert response.limit.is_malformed == (rate is None)
 
 
+@pytest.mark.parametrize(
+    ('hint', 'expected'),
+    [(b'27', 27), (b'900', 592), (b'', 592), (b'0', 592), (b'many', 592)],
+)
+def test_expected_tokens_are_the_hint_of_the_caller(hint, expected):
+    metadata = requests.decode_request_metadata(
+        [(b'token-usage', b'1840,592'), (b'length-hint', hint)]
+    )
+    assert metadata.expected_tokens == expected
+
+
 def test_malformed_metadata_counts_as_absent():
     metadata = requests.decode_request_metadata(
         [
--- a/packages/magnoliawood/magnoliawood/fleet/selection.py
+++ b/packages/magnoliawood/magnoliawood/fleet/selection.py
@@ -125,12 +125,17 @@
         self,
         candidates: collections.abc.Iterable[directories.Upstream],
         demand: RequestDemand,
+        prices: collections.abc.Mapping[str, float] | None = None,
     ) -> directories.Upstream | None:
-        """Return the candidate with the least cost, or ``None`` if empty."""
+        """Return the candidate with the least cost, or ``None`` if empty.
+
+        :param prices: costs in ms that are added, by upstream
+        """
+        added = prices or {}
         return min(
             candidates,
             key=lambda upstream: (
-                self._cost(upstream, demand),
+                self._cost(upstream, demand) + added.get(upstream.id, 0.0),
                 _rendezvous(upstream.id, demand),
             ),
             default=None,
--- a/packages/magnoliawood/magnoliawood/fleet/tests/test_selection.py
+++ b/packages/magnoliawood/magnoliawood/fleet/tests/test_selection.py
@@ -106,3 +106,16 @@
         ).id
         == chosen.id
     )
+
+
+# Guards against permits of an upstream with a rate limit for short responses.
+@pytest.mark.parametrize(('tokens', 'chosen'), [(16, 'e-1'), (512, 'e-2')])
+def test_long_responses_are_worth_the_price_of_an_idle_engine(
+    load_tracker, selector, tokens, chosen
+):
+    engines = [_engine('e-1'), _engine('e-2')]
+    for engine in engines:
+        selector.record_sent_prompt(engine.id, (SHARED,))
+    _begin(load_tracker, 'e-1', 20)
+    demand = selection.RequestDemand((SHARED,), tokens)
+    assert selector.choose(engines, demand, {'e-2': 200.0}).id == chosen
