Let a gateway serve only once it has asked its peers for rate limits

What callers would see: nothing; a gateway that has just started sends limited upstreams what it likes until its first report or their first response. Cause: it was ready as soon as the store and the crash records were read. A price of permits under 1 ms counts as none, so that idle upstreams whose limit has ended are asked again. Tests with real processes: a limit that ends, a figure that is no number, all upstreams limited, a gateway killed or paused while they are.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -213,6 +213,7 @@
         readiness_handler = readiness.ReadinessHandler(
             lambda: (
                 self._handler.is_ready
+                and self._gossip.has_asked_peers
                 and self._records.is_reachable
                 and not self._activity.is_closing
             )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -111,6 +111,8 @@
         self._store_reached_at: datetime.timedelta | None = None
         # Peers that know the start id of this process.
         self._reporters: set[str] = set()
+        # Peers from the settings that have not been asked yet.
+        self._unasked = set(seeds) - {address}
         self.add_peers(seeds)
 
     def add_peers(self, addresses: typing.Iterable[str]) -> None:
@@ -125,6 +127,11 @@
         """Address of this gateway for peers."""
         return self._address
 
+    @property
+    def has_asked_peers(self) -> bool:
+        """Whether each peer in the settings responded or did not in time."""
+        return not self._unasked
+
     def known_peers(self) -> list[str]:
         """Return the addresses of gateways that respond or recently did."""
         return [
@@ -262,6 +269,7 @@
             await self._record_response(address, peer, reply)
         finally:
             peer.is_report_pending = False
+            self._unasked.discard(address)
 
     async def _record_response(
         self, address: str, peer: _Peer, reply: messages.ReportTaken
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_rate_limits.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_rate_limits.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import itertools
+import signal
 
 import pytest
 
@@ -35,23 +36,40 @@
         )
 
 
-def _limit(deployment, upstream=LIMITED, rate=LIMIT):
-    """Let an upstream name a limit, and wait until all gateways were told.
+def _limit(deployment, *names, rate=LIMIT):
+    """Let upstreams name a limit, and wait until all gateways were told.
 
-    :returns: the number of its requests until then
+    :returns: the number of requests of each until then
     """
-    deployment.set_upstream_faults(upstream, rate_limit=str(rate))
-    for gateway in range(GATEWAYS):
-        deployment.wait_for(
-            lambda at=gateway: 'server-limit' in _send(deployment, at).headers
-        )
-    return len(deployment.arrivals_at(upstream))
-
-
-def _excess(deployment, after, upstream=LIMITED, rate=LIMIT):
-    """Return by how many requests an upstream got more than it allows."""
-    arrivals = deployment.arrivals_at(upstream)[after:]
-    return rate_bound.largest_excess(arrivals, rate)
+    for name in names:
+        deployment.set_upstream_faults(name, rate_limit=str(rate))
+        _use_only(deployment, [name])
+        for gateway in range(GATEWAYS):
+            deployment.wait_for(
+                lambda at=gateway: (
+                    'server-limit' in _send(deployment, at).headers
+                )
+            )
+    _use_only(deployment, deployment.upstreams)
+    return {name: len(deployment.arrivals_at(name)) for name in names}
+
+
+def _use_only(deployment, names):
+    """Take all upstreams but some out of service."""
+    for name in deployment.upstreams:
+        state = 'ready' if name in names else 'draining'
+        deployment.set_upstream_state(name, state)
+
+
+def _excess(deployment, after, rate=LIMIT):
+    """Return by how many requests upstreams got more than they allow.
+
+    :param after: number of the requests of each that don't count
+    """
+    return max(
+        rate_bound.largest_excess(deployment.arrivals_at(name)[count:], rate)
+        for name, count in after.items()
+    )
 
 
 # Guards against gateways that send an upstream all requests although it names
@@ -59,7 +77,75 @@
 @pytest.mark.parametrize('path', ['/safe/page', '/turns/stream'])
 def test_gateways_together_keep_to_the_limit_of_an_upstream(path):
     with hosted.HostedDeployment(gateways=GATEWAYS, upstreams=2) as deployment:
-        after = _limit(deployment)
+        after = _limit(deployment, LIMITED)
         responses = _press(deployment, path)
         assert {response.status for response in responses} == {200}
         assert _excess(deployment, after) <= 0
+
+
+# Guards against an upstream that stays limited after it has stopped to say so,
+# or that is freed by a figure that is no decimal number.
+def test_limit_ends_with_the_first_response_that_names_none():
+    with hosted.HostedDeployment(gateways=GATEWAYS, upstreams=1) as deployment:
+        _limit(deployment, LIMITED)
+        assert 503 in {response.status for response in _press(deployment)}
+        deployment.set_upstream_faults(LIMITED, rate_limit='unlimited')
+        assert 503 in {response.status for response in _press(deployment)}
+        deployment.set_upstream_faults(LIMITED, rate_limit=None)
+        deployment.wait_for(
+            lambda: (
+                {
+                    response.status
+                    for response in _press(deployment, requests=9)
+                }
+                == {200}
+            )
+        )
+
+
+# Guards against holding requests that no upstream may get, and against a
+# rejection without a time to come back.
+def test_requests_are_refused_at_once_if_all_upstreams_are_limited():
+    with hosted.HostedDeployment(gateways=GATEWAYS, upstreams=2) as deployment:
+        after = _limit(deployment, *deployment.upstreams)
+        responses = _press(deployment)
+        refused = [
+            response for response in responses if response.status != 200
+        ]
+        assert {response.status for response in refused} == {503}
+        assert all(
+            0 < float(response.headers['retry-after']) <= 3
+            for response in refused
+        )
+        assert _excess(deployment, after) <= 0
+
+
+# Guards against a gateway that starts again, or wakes up, and sends as if it
+# were alone, and against permits that nobody issues while one is away.
+@pytest.mark.parametrize('trouble', ['killed', 'paused'])
+def test_limit_holds_while_a_gateway_is_away(trouble):
+    with hosted.HostedDeployment(gateways=GATEWAYS, upstreams=3) as deployment:
+        after = _limit(deployment, *deployment.upstreams)
+        _press(deployment, requests=REQUESTS_PER_CALLER // 3)
+        away = deployment.gateways[0]
+        if trouble == 'killed':
+            away.kill()
+        else:
+            away.send_signal(signal.SIGSTOP)
+        before = {name: len(deployment.arrivals_at(name)) for name in after}
+        deployment.wait_for(
+            lambda: (
+                _send(deployment, 1).status
+                and all(
+                    len(deployment.arrivals_at(name)) > count
+                    for name, count in before.items()
+                )
+            )
+        )
+        if trouble == 'killed':
+            away.start()
+        else:
+            away.send_signal(signal.SIGCONT)
+        deployment.wait_for(lambda: deployment.is_ready(0))
+        _press(deployment, requests=REQUESTS_PER_CALLER // 3)
+        assert _excess(deployment, after) <= 0
--- a/packages/magnoliawood/magnoliawood/limits/permit_prices.py
+++ b/packages/magnoliawood/magnoliawood/limits/permit_prices.py
@@ -14,6 +14,8 @@
 # Without requests for permits, a price halves in this time.
 HALF_LIFE = datetime.timedelta(seconds=2)
 MAX_PRICE_MS = 2000.0
+# A lower price is none: an idle upstream with a limit is as good as another.
+MIN_PRICE_MS = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,7 +55,8 @@
         if price is None:
             return 0.0
         age = self._clock.monotonic() - price.updated_at
-        return price.value * 0.5 ** (age / HALF_LIFE)
+        value = price.value * 0.5 ** (age / HALF_LIFE)
+        return value if value >= MIN_PRICE_MS else 0.0
 
     def record(self, upstream_id: str, is_issued: bool) -> None:
         """Record whether a permit was issued or denied."""
--- a/packages/magnoliawood/magnoliawood/limits/tests/test_permit_prices.py
+++ b/packages/magnoliawood/magnoliawood/limits/tests/test_permit_prices.py
@@ -49,6 +49,16 @@
     assert prices.price('i-1') == permit_prices.MAX_PRICE_MS / 2
 
 
+# Guards against an idle upstream that nobody asks again whether its limit has
+# ended, since others are never dearer.
+def test_price_falls_to_nothing():
+    clock = clocks.ManualClock()
+    prices = permit_prices.PermitPrices(clock)
+    prices.record('i-1', is_issued=False)
+    clock.advance(10 * permit_prices.HALF_LIFE)
+    assert prices.price('i-1') == 0.0
+
+
 def test_upstreams_that_are_gone_have_no_price():
     prices = permit_prices.PermitPrices(clocks.ManualClock())
     prices.record('i-1', is_issued=False)
