Let upstreams of the soak name rate limits, and check that they are kept

One upstream or all of them name 0.5, 2 or 6 requests per second for ten seconds at a time. Checked are windows of 4 s without a fault from 3 s before: faults excuse gateways, and a stand-in does not see which one sent a request. Callers go on for 24 s after the last fault, so that there are such windows. The draws of earlier seeds stay as they are, since limits are no kind of fault.

--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/__main__.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/__main__.py
@@ -17,6 +17,9 @@
     parser.add_argument(
         '--crashing', action='store_true', help='requests crash upstreams'
     )
+    parser.add_argument(
+        '--limits', action='store_true', help='upstreams name rate limits'
+    )
     options = parser.parse_args()
     generator = random.SystemRandom()
     fresh = [generator.randrange(10**6) for _ in range(options.fresh)]
@@ -24,6 +27,7 @@
         keepers=2 * options.losses + 2,
         losses=options.losses,
         has_crashing_caller=options.crashing,
+        has_limits=options.limits,
     )
     has_problems = False
     for seed in (*options.seeds, *fresh):
@@ -40,6 +44,8 @@
     )
     print(f'seed {report.seed}: {kinds}')
     print(f'  {report.outcomes.total()} requests, {dict(report.outcomes)}')
+    if report.limit_windows:
+        print(f'  {report.limit_windows} windows with rate limits checked')
     for problem in report.problems:
         print(f'  BROKEN {problem}')
     if report.logs:
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
@@ -5,12 +5,14 @@
 import dataclasses
 import pathlib
 import threading
+import time
 
 from magnoliawood_testing.chaos import schedule as schedules
 from magnoliawood_testing.cluster import deployment as deployments
 from magnoliawood_testing.cluster import hosted
 from magnoliawood_testing.soak import crashing
 from magnoliawood_testing.soak import injector as injectors
+from magnoliawood_testing.soak import limiting
 from magnoliawood_testing.soak import promises
 from magnoliawood_testing.soak import traffic
 
@@ -29,6 +31,7 @@
 
     :param losses: number of disks that may fail at once
     :param has_crashing_caller: whether some requests crash upstreams
+    :param has_limits: whether upstreams name rate limits now and then
     :param versions: versions of the software of the upstreams, in turn
     """
 
@@ -38,6 +41,7 @@
     callers: int = 8
     losses: int = 1
     has_crashing_caller: bool = False
+    has_limits: bool = False
     versions: tuple[str, ...] = ('v1', 'v2')
 
 
@@ -48,6 +52,7 @@
     :param outcomes: number of responses with each status; ``None`` stands
         for requests that got no response
     :param logs: folder with the logs if a guarantee was violated
+    :param limit_windows: number of windows in which a rate limit was checked
     """
 
     seed: int
@@ -55,6 +60,7 @@
     outcomes: collections.Counter[int | None]
     problems: list[str]
     logs: pathlib.Path | None
+    limit_windows: int = 0
 
 
 class Experiment:
@@ -71,6 +77,7 @@
         )
         self._checker = promises.GuaranteeChecker(BUDGET_TOKENS)
         self._stop = threading.Event()
+        self._limit_windows = 0
 
     def run(self) -> Report:
         """Run the experiment to its end and return the result."""
@@ -92,7 +99,12 @@
             outcome.status for outcome in self._checker.outcomes
         )
         return Report(
-            self._seed, self._faults, outcomes, self._checker.problems, logs
+            self._seed,
+            self._faults,
+            outcomes,
+            self._checker.problems,
+            logs,
+            self._limit_windows,
         )
 
     def _run(self, deployment: hosted.HostedDeployment) -> None:
@@ -121,12 +133,25 @@
                     target=crashing_caller.run, args=(self._stop,)
                 )
             )
+        limiting_upstreams = limiting.LimitingUpstreams(
+            self._seed, deployment, self._checker, self._faults
+        )
+        if self._size.has_limits:
+            threads.append(
+                threading.Thread(
+                    target=limiting_upstreams.run, args=(self._stop,)
+                )
+            )
         for thread in threads:
             thread.start()
         injector.run(self._faults)
+        if self._size.has_limits:
+            time.sleep(limiting.CALM_SECONDS)
         self._stop.set()
         for thread in threads:
             thread.join()
+        limiting_upstreams.check_arrivals()
+        self._limit_windows = limiting_upstreams.checked_windows
         injector.restart_crashed_upstreams()
         self._check_recovery(deployment, callers)
         runs = deployment.all_runs()
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/tests/test_experiment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/tests/test_experiment.py
@@ -26,6 +26,15 @@
     assert report.outcomes[200] > 0
 
 
+# Guards against gateways that together send more than upstreams allow, after
+# faults of processes, links and the store.
+def test_rate_limits_hold_after_random_faults():
+    size = experiments.Size(has_limits=True)
+    report = experiments.Experiment(SHORT_SEED, FAULTS, size).run()
+    assert report.problems == []
+    assert report.limit_windows > 0
+
+
 # Guards against a check that takes a lost answer of the store for a change
 # that was not made, and against a change that a watch does not deliver.
 @pytest.mark.parametrize('seed', [LOST_ANSWER_SEED, FORGOTTEN_CHANGE_SEED])
