Start a limit that comes again without the tokens of the one before

Cause: the owner kept the bucket, full by then, while no limit held, and what gateways sent before they heard of the limit did not count. Change: buckets, prices and denials go with the limit; a new bucket starts with one token less what all gateways have in progress at the upstream, down to what the limit allows in 2 s.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -105,6 +105,7 @@
             self._gossip,
             self._cluster_view.directory.rate_limits,
             rate_limiter.RateLimiter(clock),
+            self._load_tracker,
             self._peers,
             clock,
             self._registry,
@@ -243,5 +244,5 @@
             await self._upstreams.close_unusable()
             self._selector.retain_only(upstream_ids)
             self._cluster_view.directory.rate_limits.retain_only(upstream_ids)
-            self._permits.retain_only(upstream_ids)
+            self._permits.clean_up(self._cluster_view.directory.all())
             self._quarantine.retain_only(upstream_ids)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/permits.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/permits.py
@@ -11,6 +11,7 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
+from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import rate_limits
 from magnoliawood.fleet import upstream as upstreams
 from magnoliawood.limits import affinity
@@ -88,6 +89,7 @@
         membership: Membership,
         limits: rate_limits.RateLimits,
         limiter: rate_limiter.RateLimiter,
+        load_tracker: loads.LoadTracker,
         pool: Requester,
         clock: clocks.Clock,
         registry: registries.Registry,
@@ -95,6 +97,7 @@
         self._membership = membership
         self._limits = limits
         self._limiter = limiter
+        self._load_tracker = load_tracker
         self._pool = pool
         self._clock = clock
         self._registry = registry
@@ -158,16 +161,24 @@
             None if wait is None else wait.total_seconds()
         )
 
-    def retain_only(
-        self, upstream_ids: collections.abc.Container[str]
+    def clean_up(
+        self, known: collections.abc.Iterable[upstreams.Upstream]
     ) -> None:
-        """Forget upstreams that are not listed."""
-        self._limiter.retain_only(upstream_ids)
-        self._prices.retain_only(upstream_ids)
+        """Forget upstreams that have no limit or are not listed.
+
+        If one names a limit again, that is a new one.
+        """
+        limited_ids = {
+            upstream.id
+            for upstream in known
+            if self._limits.rate(upstream) is not None
+        }
+        self._limiter.retain_only(limited_ids)
+        self._prices.retain_only(limited_ids)
         self._denials = {
             upstream_id: denials
             for upstream_id, denials in self._denials.items()
-            if upstream_id in upstream_ids
+            if upstream_id in limited_ids
         }
 
     async def _take(
@@ -203,7 +214,10 @@
         )
         rate = request.rate if own_rate is None else own_rate
         return self._limiter.take(
-            request.upstream_id, rate * self._own_part(), request.rank
+            request.upstream_id,
+            rate * self._own_part(),
+            request.rank,
+            self._load_tracker.requests(request.upstream_id),
         )
 
     def _own_part(self) -> float:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/permits_support.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/permits_support.py
@@ -1,5 +1,6 @@
 """Gateways that share rate limits, without sockets."""
 
+from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import rate_limits
 from magnoliawood.limits import rate_limiter
 from magnoliawood.telemetry import registry as registries
@@ -40,12 +41,14 @@
         self.known = set()
         self.unresponsive = set()
         self.registry = registries.Registry()
+        self.load_tracker = loads.LoadTracker(clock)
         self._network = network
         self._clock = clock
         self.permits = permit_clients.Permits(
             self,
             self.limits,
             rate_limiter.RateLimiter(clock),
+            self.load_tracker,
             self,
             clock,
             self.registry,
@@ -71,8 +74,11 @@
             return
         self.known.add(address)
         self.unresponsive.discard(address)
-        reports = self._network.gateways[address].limits.reports()
-        self.limits.merge(reports, self._clock.monotonic())
+        peer = self._network.gateways[address]
+        self.limits.merge(peer.limits.reports(), self._clock.monotonic())
+        self.load_tracker.record_from_peer(
+            address, peer.load_tracker.local_requests()
+        )
 
     def take(self, upstream, rank=0):
         """Return whether a request may be sent."""
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_permits_model.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_permits_model.py
@@ -18,6 +18,7 @@
 
 TRAFFIC_SECONDS = 40.0
 GOSSIP_SECONDS = 0.1
+CLEAN_UP_SECONDS = 2.0
 RESPONSE_SECONDS = (0.01, 0.4)
 # From this time after an upstream first named a limit, it holds.
 GRACE_SECONDS = 3.0
@@ -87,6 +88,7 @@
         self._events = []
         self._order = itertools.count()
         self._names = itertools.count()
+        self.at(0.0, self._clean_up)
         for _ in range(gateways):
             self.add_gateway()
 
@@ -144,6 +146,12 @@
     def heal(self):
         self.network.cuts.clear()
 
+    def _clean_up(self):
+        known = [upstream.entry for upstream in self.upstreams]
+        for gateway in self.network.gateways.values():
+            gateway.permits.clean_up(known)
+        self.at(self.now + CLEAN_UP_SECONDS, self._clean_up)
+
     def _gossip(self, name):
         gateway = self.network.gateways.get(name)
         if gateway is not None:
@@ -165,6 +173,7 @@
 
     def _send(self, gateway, upstream):
         upstream.arrivals.append(self.now)
+        gateway.load_tracker.begin(upstream.entry.id)
         delay = self.random.uniform(*RESPONSE_SECONDS)
         self.at(
             self.now + delay,
@@ -175,6 +184,7 @@
         )
 
     def _respond(self, gateway, upstream, sent_at):
+        gateway.load_tracker.end(upstream.entry.id)
         if upstream not in self.upstreams:
             return
         if upstream.limit is None:
@@ -258,6 +268,19 @@
     assert freed > 100
 
 
+# Guards against a burst when an upstream names a limit again: it has done so
+# before, so it need not wait until all gateways have heard.
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('rate', [1.0, 3.0, 8.0])
+def test_limit_that_comes_again_holds_at_once(seed, rate):
+    world = World(seed, demand=60.0)
+    for second, named in ((2.0, rate), (10.0, None), (20.0, rate)):
+        for upstream in world.upstreams:
+            world.at(second, world.name_limit, upstream, named)
+    world.run(30.0)
+    assert world.worst_excess() <= 0
+
+
 # Guards against keeping to the limit of an upstream that has started again
 # under its id, and against ignoring the limit that it names then.
 @pytest.mark.parametrize('seed', range(4))
--- a/packages/magnoliawood/magnoliawood/limits/rate_limiter.py
+++ b/packages/magnoliawood/magnoliawood/limits/rate_limiter.py
@@ -13,8 +13,11 @@
 # of RESERVE_PERIOD more, for urgent ones.
 RESERVE_REQUESTS = 1.0
 RESERVE_PERIOD = datetime.timedelta(milliseconds=250)
-# Level of a new bucket: one urgent request.
+# Level of a new bucket if nothing is in progress: one urgent request.
 START_LEVEL = 1.0
+# Requests that are in progress when a limit becomes known count against it, up
+# to those of this period.
+MAX_DEBT_PERIOD = datetime.timedelta(seconds=2)
 # An upstream that names a lower limit still gets this many requests per
 # second, as only their responses show that the limit has changed.
 MIN_RATE = 0.25
@@ -32,6 +35,22 @@
         self.filled_at = now
 
 
+def start_level(rate: float, in_progress: int) -> float:
+    """Return the level of a new bucket.
+
+    Examples
+    ========
+
+    >>> [start_level(4.0, in_progress) for in_progress in (0, 3, 50)]
+    [1.0, -2.0, -8.0]
+
+    :param rate: limit in requests per second
+    :param in_progress: number of requests of all gateways at the upstream
+    """
+    max_debt = rate * MAX_DEBT_PERIOD.total_seconds()
+    return max(START_LEVEL - in_progress, -max_debt)
+
+
 def needed_level(rate: float, rank: int) -> float:
     """Return the level that a bucket needs for a request of a rank.
 
@@ -74,17 +93,18 @@
         self._buckets: dict[str, _Bucket] = {}
 
     def take(
-        self, upstream_id: str, rate: float, rank: int
+        self, upstream_id: str, rate: float, rank: int, in_progress: int = 0
     ) -> datetime.timedelta | None:
         """Take a token; return the time until there may be one if not.
 
         :param rate: limit in requests per second
         :param rank: 0 for the most urgent requests
+        :param in_progress: number of requests of all gateways at the upstream
         """
         now = self._clock.monotonic()
         rate = max(rate, MIN_RATE)
         bucket = self._buckets.setdefault(
-            upstream_id, _Bucket(START_LEVEL, now)
+            upstream_id, _Bucket(start_level(rate, in_progress), now)
         )
         bucket.fill(rate, now)
         missing = needed_level(rate, rank) - bucket.level
