Take replicas for incomplete in the soak while the store is away

Cause: it read the replica group from the store, which was down, and took the body of the 503 for the group. Change: the deployment's group() raises store_unavailable, and replicas are not known to be complete. Failed before: test_replicas_are_not_known_to_be_complete_without_the_store.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import datetime
+import http
 import http.client
 import itertools
 import json
@@ -253,8 +254,16 @@
         return self.call(gateway, '/turns/stream', name).status == 200
 
     def group(self) -> dict[str, typing.Any]:
-        """Return the specification of the replica group in the store."""
+        """Return the specification of the replica group in the store.
+
+        :raises MagnoliawoodError: if the store does not return it
+        """
         response = self.store('GET', '/objects/copy-groups/main')
+        if response.status != http.HTTPStatus.OK:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.STORE_UNAVAILABLE,
+                f'the store returned status {response.status}',
+            )
         return json.loads(response.body)['spec']
 
     def wait_for_replicas(self) -> None:
@@ -269,7 +278,11 @@
 
     async def _are_replicas_complete(self) -> bool:
         pool = pools.PeerPool(clocks.SystemClock(), None)
-        for member in self.group()['members']:
+        try:
+            members = self.group()['members']
+        except errors.MagnoliawoodError:
+            return False
+        for member in members:
             try:
                 status = await pool.request(
                     member['address'],
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
@@ -425,3 +425,14 @@
     )
     assert is_avoided_by(0)
     fresh.wait_for(lambda: is_avoided_by(1))
+
+
+# Guards against a soak whose thread that is to empty a disk ends with an error
+# because the store is away.
+def test_replicas_are_not_known_to_be_complete_without_the_store(shared):
+    shared.set_store_faults(outage=True)
+    try:
+        assert not shared.are_replicas_complete()
+    finally:
+        shared.set_store_faults(outage=False)
+    shared.wait_for_replicas()
