--- a/packages/magnoliawood/magnoliawood/fleet/rate_limits.py
+++ b/packages/magnoliawood/magnoliawood/fleet/rate_limits.py
@@ -79,6 +79,8 @@
         self, upstream_id: str, started_at: datetime.datetime | None
     ) -> float | None:
         """Return the limit of one start of an upstream."""
+        if not self._own and not self._reported:
+            return None
         statement = self._newest(upstream_id, started_at)
         return None if statement is None else statement.rate
 
