Move the choice of an upstream out of the request handler

The protocol of objects that send a message to a peer stood twice; permits use that of quorum_calls. No change of behaviour, but that a program without an id is not remembered.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -24,6 +24,7 @@
 from magnoliawood_server.gateway import stream_guard
 from magnoliawood_server.gateway import turn_guard
 from magnoliawood_server.gateway import upstream_announcements
+from magnoliawood_server.gateway import upstream_choice
 from magnoliawood_server.gateway import upstream_pool
 from magnoliawood_server.platform import requests
 
@@ -74,7 +75,9 @@
         self._streams = streams
         self._quarantine = quarantine
         self._announcements = announcements
-        self._permits = permits
+        self._choice = upstream_choice.UpstreamChoice(
+            cluster_view, selector, quarantine, permits, clock
+        )
         # Programs of which this gateway has served a turn.
         self._programs = recent_set.RecentSet()
         self._clock = clock
@@ -183,7 +186,7 @@
             self._announcements,
         )
         while True:
-            upstream = await self._take_upstream(job)
+            upstream = await self._choice.take(job)
             self._check_may_run(job)
             time_left = job.deadline - self._clock.monotonic()
             if upstream is None or time_left < MIN_ATTEMPT_TIME:
@@ -258,64 +261,6 @@
             raise job.abort_error()
         self._quarantine.check(job.fingerprints)
 
-    async def _take_upstream(
-        self, job: jobs.Job
-    ) -> directories.Upstream | None:
-        """Choose an upstream and take a permit if it has a rate limit.
-
-        A stream that has been started waits for a permit; other requests are
-        rejected at once.
-        """
-        while True:
-            candidates = self._candidates(job)
-            upstream = await self._choose(job, candidates)
-            if upstream is not None or not candidates:
-                return upstream
-            wait = self._shortest_wait(job, candidates)
-            time_left = job.deadline - self._clock.monotonic()
-            if not job.responder.is_started or wait > time_left:
-                job.permit_wait = wait
-                return None
-            await curio.sleep(wait.total_seconds())
-
-    def _candidates(self, job: jobs.Job) -> list[directories.Upstream]:
-        usable = self._cluster_view.directory.usable(job.service)
-        untried = [
-            upstream
-            for upstream in usable
-            if upstream.id not in job.tried
-            and (job.stream is None or job.stream.allows(upstream))
-        ]
-        return self._quarantine.isolate(job.fingerprints, untried)
-
-    async def _choose(
-        self, job: jobs.Job, candidates: list[directories.Upstream]
-    ) -> directories.Upstream | None:
-        """Return the best upstream that may get the request now, if any."""
-        while True:
-            permitted = [
-                upstream
-                for upstream in candidates
-                if self._permits.known_wait(upstream, job.rank) is None
-            ]
-            prices = self._permits.prices(permitted)
-            demand = job.expected_demand if prices else job.demand
-            upstream = self._selector.choose(permitted, demand, prices)
-            if upstream is None:
-                return None
-            if await self._permits.take(upstream, job.rank) is None:
-                return upstream
-
-    def _shortest_wait(
-        self, job: jobs.Job, candidates: list[directories.Upstream]
-    ) -> datetime.timedelta:
-        """Return the time until an upstream may get the request."""
-        waits = (
-            self._permits.known_wait(upstream, job.rank)
-            for upstream in candidates
-        )
-        return min(wait or datetime.timedelta() for wait in waits)
-
     def _handle_failure(
         self,
         job: jobs.Job,
@@ -425,7 +370,7 @@
         now = self._clock.monotonic()
         self._quarantine.record_success(job.fingerprints)
         self._load_tracker.record_success(upstream.id)
-        if job.is_turn:
+        if job.is_turn and job.metadata.program_id:
             self._programs.add(job.metadata.program_id)
         self._registry.record(
             'request_seconds', now - job.request.arrived, route=job.route.name
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/permits.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/permits.py
@@ -19,6 +19,7 @@
 from magnoliawood.limits import rate_limiter
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import messages
+from magnoliawood_server.gateway import quorum_calls
 
 # Timeout of a question to the owner, and of one that another gateway relays.
 OWNER_TIMEOUT = datetime.timedelta(milliseconds=250)
@@ -49,22 +50,6 @@
         ...
 
 
-class Requester(typing.Protocol):
-    """Sends messages to peers."""
-
-    async def request(
-        self,
-        address: str,
-        message: typing.Any,
-        timeout: datetime.timedelta,
-    ) -> typing.Any:
-        """Send a message and return the response.
-
-        :raises MagnoliawoodError: if there is none
-        """
-        ...
-
-
 class Permits:
     """Takes permits for requests of this gateway, and issues them to peers.
 
@@ -90,7 +75,7 @@
         limits: rate_limits.RateLimits,
         limiter: rate_limiter.RateLimiter,
         load_tracker: loads.LoadTracker,
-        pool: Requester,
+        pool: quorum_calls.Requester,
         clock: clocks.Clock,
         registry: registries.Registry,
     ) -> None:
