--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_upstream_choice.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_upstream_choice.py
@@ -11,12 +11,14 @@
 from magnoliawood.fleet import selection
 from magnoliawood.limits import crash_list
 from magnoliawood.limits import crash_record
+from magnoliawood.limits import rate_limiter
 from magnoliawood.routes import configuration as configurations
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import cluster_view as cluster_views
 from magnoliawood_server.gateway import fingerprint as request_fingerprints
 from magnoliawood_server.gateway import job as jobs
+from magnoliawood_server.gateway import permits as permit_clients
 from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.gateway import upstream_choice
 from magnoliawood_server.platform import requests
@@ -48,9 +50,17 @@
         self.crashes = crash_list.CrashList(clock)
         self.choice = upstream_choice.UpstreamChoice(
             view,
-            selection.Selector(self.gateway.load_tracker, 'dc-1'),
-            quarantines.Quarantine(self.crashes, clock, self.gateway.registry),
-            self.gateway.permits,
+            selection.Selector(load_tracker, 'dc-1'),
+            quarantines.Quarantine(self.crashes, clock, registry),
+            permit_clients.Permits(
+                ALONE,
+                limits,
+                rate_limiter.RateLimiter(clock),
+                load_tracker,
+                None,
+                clock,
+                registry,
+            ),
             clock,
         )
         for upstream in UPSTREAMS:
