--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
@@ -6,6 +6,7 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
+from magnoliawood.fleet import directory as directories
 from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import selection
 from magnoliawood.limits import crash_list
@@ -29,6 +30,7 @@
 STRANGER = request_fingerprints.Fingerprints(
     QUARANTINED, ('stranger',), 'prefix-page'
 )
+ENGINE = directories.Upstream('i-1', 'llm', '10.0.0.1:80', 'dc-1', 8)
 # More records than fit in one report.
 MANY = 3 * crash_list.REPORT_LIMIT
 
@@ -75,11 +77,12 @@
             self.crashes, clock, registries.Registry()
         )
         self.selector = selection.Selector(load_tracker, 'dc-1')
+        self.view = cluster_views.ClusterView(clock)
         self.gossip = gossips.Gossip(
             address,
             address,
             peers,
-            cluster_views.ClusterView(clock),
+            self.view,
             load_tracker,
             self.selector,
             self.crashes,
@@ -175,3 +178,15 @@
     one = Gateway(network, 'one', ())
     with pytest.raises(errors.MagnoliawoodError):
         curio.run(one.gossip.serve(None, object()))
+
+
+# Guards against a gateway that serves before it knows which limits upstreams
+# have named to its peers, and against one that waits for a peer that is gone.
+def test_gateway_that_has_asked_its_peers_knows_their_limits(network):
+    two = Gateway(network, 'two', ())
+    two.view.directory.rate_limits.record(ENGINE, 4.0)
+    one = Gateway(network, 'one', ('two', 'gone'))
+    assert not one.gossip.has_asked_peers
+    curio.run(network.run_until(lambda: one.gossip.has_asked_peers))
+    assert one.gossip.has_asked_peers
+    assert one.view.directory.rate_limits.rate(ENGINE) == 4.0
