Let the test of limits wait until all gateways use the other upstream

Cause: to tell each gateway of the limit the test takes the other upstream out of service for a moment, and sent its requests before all gateways had heard that it is back. Their only upstream was the limited one, so they refused. Change: it waits until each gateway is served by an upstream without a limit. The bound and the requests are the same.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_rate_limits.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_rate_limits.py
@@ -51,9 +51,24 @@
                 )
             )
     _use_only(deployment, deployment.upstreams)
+    if len(names) < len(deployment.upstreams):
+        _wait_for_others(deployment)
     return {name: len(deployment.arrivals_at(name)) for name in names}
 
 
+def _wait_for_others(deployment):
+    """Wait until all gateways use upstreams without a limit again."""
+
+    def is_served_by_another(gateway):
+        response = _send(deployment, gateway)
+        return response.status == 200 and (
+            'server-limit' not in response.headers
+        )
+
+    for gateway in range(GATEWAYS):
+        deployment.wait_for(lambda at=gateway: is_served_by_another(at))
+
+
 def _use_only(deployment, names):
     """Take all upstreams but some out of service."""
     for name in deployment.upstreams:
