Name the time until there is a permit when a request is refused

What callers saw: Retry-After of a refused request was at most 1.3 s, also where an upstream's limit leaves a token every four seconds. Cause: one figure served two ends: when the owner may be asked again, which is capped at 1 s since the limit may change, and when there may be a permit. Evidence: with a limit of 0.25 per second the bucket says 3.98 s and the gateway told 1 s. Change: a denial holds both times. Refusals name the second; a started stream that waits still asks again after the first. Failed before: test_expected_wait_is_the_time_until_there_is_a_permit, with the one figure that there was.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/permits.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/permits.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import dataclasses
 import datetime
 import logging
 import typing
@@ -33,6 +34,18 @@
 _log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Denial:
+    """Denial of a permit; the times are monotonic.
+
+    :param ask_again_at: time until which the owner is not asked again
+    :param permit_at: time at which there may be a permit
+    """
+
+    ask_again_at: datetime.timedelta
+    permit_at: datetime.timedelta
+
+
 class Membership(typing.Protocol):
     """Gateways that share the limits."""
 
@@ -86,25 +99,40 @@
         self._pool = pool
         self._clock = clock
         self._registry = registry
-        # By upstream and rank: times until which there is no permit.
-        self._denials: dict[str, dict[int, datetime.timedelta]] = {}
+        # By upstream and rank.
+        self._denials: dict[str, dict[int, _Denial]] = {}
         self._prices = permit_prices.PermitPrices(clock)
 
     def known_wait(
         self, upstream: upstreams.Upstream, rank: int
     ) -> datetime.timedelta | None:
-        """Return the time for which there is certainly no permit.
+        """Return the time for which the owner is not asked again."""
+        return self._time_until(
+            denial.ask_again_at for denial in self._denials_of(upstream, rank)
+        )
 
-        A denial holds for all requests that are not more urgent.
-        """
+    def expected_wait(
+        self, upstream: upstreams.Upstream, rank: int
+    ) -> datetime.timedelta | None:
+        """Return the time until there may be a permit, if it is known."""
+        return self._time_until(
+            denial.permit_at for denial in self._denials_of(upstream, rank)
+        )
+
+    def _denials_of(
+        self, upstream: upstreams.Upstream, rank: int
+    ) -> list[_Denial]:
+        """Return the denials of requests that were not less urgent."""
         denials = self._denials.get(upstream.id)
         if not denials or self._limits.rate(upstream) is None:
-            return None
+            return []
+        return [denial for denied, denial in denials.items() if denied <= rank]
+
+    def _time_until(
+        self, times: collections.abc.Iterable[datetime.timedelta]
+    ) -> datetime.timedelta | None:
         now = self._clock.monotonic()
-        latest = max(
-            (until for denied, until in denials.items() if denied <= rank),
-            default=now,
-        )
+        latest = max(times, default=now)
         return latest - now if latest > now else None
 
     def prices(
@@ -248,8 +276,10 @@
         decision = 'sent' if wait is None else 'denied'
         self._registry.count('rate_limited_requests_total', decision=decision)
         if wait is not None:
-            until = self._clock.monotonic() + min(wait, MAX_DENIAL)
-            self._denials.setdefault(upstream.id, {})[rank] = until
+            now = self._clock.monotonic()
+            self._denials.setdefault(upstream.id, {})[rank] = _Denial(
+                now + min(wait, MAX_DENIAL), now + wait
+            )
 
 
 def _first(upstream_id: str, addresses: list[str]) -> str:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_permits.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_permits.py
@@ -127,3 +127,15 @@
     one.limits.record(first, RATE)
     assert not all(one.take(first) for _ in range(20))
     assert all(one.take(second) for _ in range(20))
+
+
+# Guards against telling callers to come back long before there is a permit.
+def test_expected_wait_is_the_time_until_there_is_a_permit(network, clock):
+    _name_limit(network, 0.25)
+    one = network.gateways['one']
+    one.take(ENGINE, 4)
+    wait = one.permits.expected_wait(ENGINE, 4)
+    clock.advance(wait - SECOND / 10)
+    assert not one.take(ENGINE, 4)
+    clock.advance(SECOND / 5)
+    assert one.take(ENGINE, 4)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_choice.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_choice.py
@@ -1,5 +1,6 @@
 """Chooses the upstream of each attempt, within the rate limits."""
 
+import collections.abc
 import datetime
 
 import curio
@@ -45,12 +46,18 @@
             upstream = await self._choose(job, candidates)
             if upstream is not None or not candidates:
                 return upstream
-            wait = self._shortest_wait(job, candidates)
+            job.permit_wait = _shortest(
+                self._permits.expected_wait(upstream, job.rank)
+                for upstream in candidates
+            )
             time_left = job.deadline - self._clock.monotonic()
-            if not job.responder.is_started or wait > time_left:
-                job.permit_wait = wait
+            if not job.responder.is_started or job.permit_wait > time_left:
                 return None
-            await curio.sleep(wait.total_seconds())
+            pause = _shortest(
+                self._permits.known_wait(upstream, job.rank)
+                for upstream in candidates
+            )
+            await curio.sleep(pause.total_seconds())
 
     def _candidates(self, job: jobs.Job) -> list[directories.Upstream]:
         usable = self._cluster_view.directory.usable(job.service)
@@ -80,12 +87,9 @@
             if await self._permits.take(upstream, job.rank) is None:
                 return upstream
 
-    def _shortest_wait(
-        self, job: jobs.Job, candidates: list[directories.Upstream]
-    ) -> datetime.timedelta:
-        """Return the time until an upstream may get the request."""
-        waits = (
-            self._permits.known_wait(upstream, job.rank)
-            for upstream in candidates
-        )
-        return min(wait or datetime.timedelta() for wait in waits)
+
+def _shortest(
+    waits: collections.abc.Iterable[datetime.timedelta | None],
+) -> datetime.timedelta:
+    """Return the shortest wait; ``None`` stands for no wait."""
+    return min(wait or datetime.timedelta() for wait in waits)
