Let the model of rate limits report as seldom as gateways do, and try a hundred

The model exchanged reports every 0.1 s whatever the number of gateways; real ones take 10 ms longer for each peer over ten, up to a second. It uses their interval now, and a case with a hundred gateways and limits of 0.5 and 2 requests per second.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_permits_model.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_permits_model.py
@@ -14,10 +14,10 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.fleet import directory as directories
+from magnoliawood_server.gateway import gossip as gossips
 from magnoliawood_server.gateway.tests import permits_support
 
 TRAFFIC_SECONDS = 40.0
-GOSSIP_SECONDS = 0.1
 CLEAN_UP_SECONDS = 2.0
 RESPONSE_SECONDS = (0.01, 0.4)
 # From this time after an upstream first named a limit, it holds.
@@ -114,7 +114,7 @@
     def add_gateway(self):
         name = f'gateway-{next(self._names)}'
         self.start_gateway(name)
-        phase = self.random.uniform(0, GOSSIP_SECONDS)
+        phase = self.random.uniform(0, self._report_seconds())
         self.at(self.now + phase, self._gossip, name)
         return name
 
@@ -158,7 +158,12 @@
             for other in list(self.network.gateways):
                 if other != name:
                     gateway.exchange_with(other)
-        self.at(self.now + GOSSIP_SECONDS, self._gossip, name)
+        self.at(self.now + self._report_seconds(), self._gossip, name)
+
+    def _report_seconds(self):
+        """Return the time between two reports to the same peer."""
+        peers = len(self.network.gateways) - 1
+        return gossips.report_interval(peers).total_seconds()
 
     def _arrive(self):
         name = self.random.choice(list(self.network.gateways))
@@ -220,6 +225,19 @@
         assert steady >= 0.9 * upstream.limit * (TRAFFIC_SECONDS - 10.0)
 
 
+# Guards against a hundred gateways that each take a small limit for their own
+# until they hear of it.
+@pytest.mark.parametrize('rate', [0.5, 2.0])
+def test_hundred_gateways_share_a_small_limit(rate):
+    world = World(1, gateways=100, upstreams=2, demand=200.0)
+    _limit_all(world, (rate, rate))
+    world.run(20.0)
+    assert world.worst_excess() <= 0
+    for upstream in world.upstreams:
+        steady = sum(at > 10.0 for at in upstream.arrivals)
+        assert steady >= 0.8 * rate * 10.0
+
+
 # Guards against a limit that is exceeded while gateways start again, come and
 # go.
 @pytest.mark.parametrize('seed', range(4))
