--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_permits_model.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_permits_model.py
@@ -303,8 +303,9 @@
 # before, so it need not wait until all gateways have heard.
 @pytest.mark.parametrize('seed', range(4))
 @pytest.mark.parametrize('rate', [1.0, 3.0, 8.0])
-def test_limit_that_comes_again_holds_at_once(seed, rate):
-    world = World(seed, demand=60.0)
+@pytest.mark.parametrize('gateways', [5, 20])
+def test_limit_that_comes_again_holds_at_once(seed, rate, gateways):
+    world = World(seed, gateways, demand=60.0)
     for second, named in ((2.0, rate), (10.0, None), (20.0, rate)):
         for upstream in world.upstreams:
             world.at(second, world.name_limit, upstream, named)
