Test limits on each way to an upstream with real processes

Only first attempts of safe requests and turns were played with processes. Added: calls that may run once, resumable streams, and attempts that follow a lost response, a refusal or a cut stream. A first form of the test sent equal requests: after two lost responses they were quarantined (1,432 of 1,440 refusals were "suspected" in a run by hand), so no retry came to the limited upstream. Each request has content of its own.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_rate_limits.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_rate_limits.py
@@ -18,8 +18,12 @@
 
 
 def _send(deployment, gateway, path='/safe/page', **headers):
+    """Send a request with content of its own.
+
+    Equal ones are quarantined where the responses of upstreams are lost.
+    """
     name = f'r{next(_numbers)}'
-    return deployment.call(gateway, path, name, b'page', **headers)
+    return deployment.call(gateway, path, name, name.encode(), **headers)
 
 
 def _press(deployment, path='/safe/page', requests=REQUESTS_PER_CALLER):
@@ -89,7 +93,9 @@
 
 # Guards against gateways that send an upstream all requests although it names
 # a limit in its responses.
-@pytest.mark.parametrize('path', ['/safe/page', '/turns/stream'])
+@pytest.mark.parametrize(
+    'path', ['/safe/page', '/once/page', '/turns/stream', '/streams/stream']
+)
 def test_gateways_together_keep_to_the_limit_of_an_upstream(path):
     with hosted.HostedDeployment(gateways=GATEWAYS, upstreams=2) as deployment:
         after = _limit(deployment, LIMITED)
@@ -98,6 +104,33 @@
         assert _excess(deployment, after) <= 0
 
 
+# Guards against attempts that follow a failed one, and streams that go on at
+# another upstream, beyond the limit.
+@pytest.mark.parametrize(
+    ('path', 'faults', 'requests'),
+    [
+        ('/safe/page', {'lost_answers': 1000}, REQUESTS_PER_CALLER),
+        ('/safe/page', {'refusals': 1000}, REQUESTS_PER_CALLER),
+        # Each of these streams waits for a permit of the limited upstream.
+        ('/streams/stream', {'cut_after': 2}, 12),
+    ],
+    ids=['lost answers', 'refusals', 'cut streams'],
+)
+def test_retries_keep_to_the_limit(path, faults, requests):
+    with hosted.HostedDeployment(gateways=GATEWAYS, upstreams=2) as deployment:
+        after = _limit(deployment, LIMITED)
+        deployment.set_upstream_faults('i-2', **faults)
+        before = len(deployment.arrivals_at('i-2'))
+        deployment.wait_for(
+            lambda: (
+                _press(deployment, path, requests)
+                and len(deployment.arrivals_at(LIMITED)) > after[LIMITED]
+            )
+        )
+        assert len(deployment.arrivals_at('i-2')) > before
+        assert _excess(deployment, after) <= 0
+
+
 # Guards against an upstream that stays limited after it has stopped to say so,
 # or that is freed by a figure that is no decimal number.
 def test_limit_ends_with_the_first_response_that_names_none():
