Split the deployment of the users' platform by subject

They are now daemon, http_call, run_journals and hosted_routes; the tests of evacuation have a file of their own. The properties of Gossip stand before its methods. No change of behaviour: tests differ in names only.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -115,13 +115,6 @@
         self._unasked = set(seeds) - {address}
         self.add_peers(seeds)
 
-    def add_peers(self, addresses: typing.Iterable[str]) -> None:
-        """Add gateways to the set of peers."""
-        for address in addresses:
-            if address != self._address and address not in self._peers:
-                self._peers[address] = _Peer(self._clock.monotonic())
-                self._peers_version += 1
-
     @property
     def address(self) -> str:
         """Address of this gateway for peers."""
@@ -132,6 +125,13 @@
         """Whether each peer in the settings responded or did not in time."""
         return not self._unasked
 
+    def add_peers(self, addresses: typing.Iterable[str]) -> None:
+        """Add gateways to the set of peers."""
+        for address in addresses:
+            if address != self._address and address not in self._peers:
+                self._peers[address] = _Peer(self._clock.monotonic())
+                self._peers_version += 1
+
     def known_peers(self) -> list[str]:
         """Return the addresses of gateways that respond or recently did."""
         return [
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -1,13 +1,9 @@
 """Deployment on the users' platform with real processes on loopback."""
 
-import collections
-import dataclasses
 import datetime
 import http
-import http.client
 import itertools
 import json
-import os
 import pathlib
 import shutil
 import tempfile
@@ -20,47 +16,22 @@
 from magnoliawood_server.keeper import messages
 from magnoliawood_server.peer import pool as pools
 from magnoliawood_server.platform import decoding
+from magnoliawood_testing.cluster import daemon as daemons
 from magnoliawood_testing.cluster import deployment as deployments
+from magnoliawood_testing.cluster import hosted_routes
+from magnoliawood_testing.cluster import http_call
 from magnoliawood_testing.cluster import link as links
 from magnoliawood_testing.cluster import process as processes
+from magnoliawood_testing.cluster import run_journals
 from magnoliawood_testing.standins import metadata_store
 from magnoliawood_testing.standins import signed_upstream
 
-HOST = 'app.example'
 # Prefix of the ids of the requests that check whether turns are served.
 PROBE_ID_PREFIX = 'probe-'
-# Folder with a module that makes processes skip file syncs; its docstring
-# gives the reason.
-_UNSYNCED_FOLDER = pathlib.Path(__file__).parent / 'unsynced'
-_LAUNCH_MODULE = 'magnoliawood_server.platform.launch'
 _WAIT_TIMEOUT_SECONDS = 20.0
-_CALL_TIMEOUT_SECONDS = 10.0
 _REQUEST_TIMEOUT = datetime.timedelta(seconds=1)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Response:
-    """HTTP response; the status is ``None`` if the call failed."""
-
-    status: int | None
-    headers: dict[str, str]
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Run:
-    """One run of a request, as an upstream recorded it in its journal.
-
-    :param version: version of the upstream's software
-    :param stream: id of the request that began the stream, if it is one
-    """
-
-    request_id: str
-    body: str
-    version: str = signed_upstream.DEFAULT_VERSION
-    stream: str = ''
-
-
 class HostedDeployment:
     """Deployment of a store, upstreams, keepers and gateways.
 
@@ -80,6 +51,7 @@
         versions: tuple[str, ...] = (signed_upstream.DEFAULT_VERSION,),
     ) -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp())
+        self.journals = run_journals.RunJournals(self.folder)
         self.losses = losses
         self._probe_numbers = itertools.count()
         self.links = links.Links(self._make_process, proxy_all=proxied)
@@ -133,16 +105,18 @@
     def _proxies(self) -> list[processes.Process]:
         return [link.process for link in self.links.all()]
 
-    def store(self, method: str, target: str, body: object = None) -> Response:
+    def store(
+        self, method: str, target: str, body: object = None
+    ) -> http_call.Response:
         """Send a request to the store."""
-        return _call(self.store_address, method, target, {}, body)
+        return http_call.call(self.store_address, method, target, {}, body)
 
     def upstream(
         self, name: str, target: str, body: object = None
-    ) -> Response:
+    ) -> http_call.Response:
         """Send a request to a control page of an upstream."""
         method = 'GET' if body is None else 'POST'
-        return _call(self.upstreams[name], method, target, {}, body)
+        return http_call.call(self.upstreams[name], method, target, {}, body)
 
     def set_store_faults(self, **faults: object) -> None:
         """Change the faults that the store injects."""
@@ -171,40 +145,6 @@
             shutil.copy(path, folder)
         return folder
 
-    def runs(self) -> dict[str, int]:
-        """Return the number of runs of each request over all upstreams."""
-        return collections.Counter(run.request_id for run in self.all_runs())
-
-    def runs_at(self, upstream: str) -> int:
-        """Return the number of runs at one upstream."""
-        path = self._run_journal(upstream)
-        return len(path.read_text().splitlines()) if path.exists() else 0
-
-    def arrivals_at(self, upstream: str) -> list[float]:
-        """Return the monotonic times in s of all requests to an upstream."""
-        path = signed_upstream.arrivals_file(self._run_journal(upstream))
-        if not path.exists():
-            return []
-        return [float(line) for line in path.read_text().splitlines()]
-
-    def _run_journal(self, upstream: str) -> pathlib.Path:
-        return self.folder / f'runs-{upstream}.jsonl'
-
-    def body_of(self, request_id: str) -> str:
-        """Return the body with which a request ran."""
-        for run in self.all_runs():
-            if run.request_id == request_id:
-                return run.body
-        raise AssertionError(f'{request_id} did not run')
-
-    def all_runs(self) -> list[Run]:
-        """Return all runs of all upstreams, including terminated ones."""
-        return [
-            Run(**json.loads(line))
-            for path in self.folder.glob('runs-*.jsonl')
-            for line in path.read_text(encoding='utf-8').splitlines()
-        ]
-
     def address_for_callers(self, gateway: int) -> str:
         """Return the address at which callers reach a gateway."""
         return self.links.address(
@@ -220,17 +160,17 @@
         request_id: str,
         body: bytes = b'',
         **headers: str,
-    ) -> Response:
+    ) -> http_call.Response:
         """Send a request to a gateway."""
         http_headers = {
             name.replace('_', '-'): text for name, text in headers.items()
         }
-        return _call(
+        return http_call.call(
             self.address_for_callers(gateway),
             'POST',
             path,
             {
-                'Host': HOST,
+                'Host': hosted_routes.HOST,
                 'Request-Id': request_id,
                 'Deadline-Ms': '4000',
                 **http_headers,
@@ -241,7 +181,9 @@
     def is_ready(self, gateway: int) -> bool:
         """Whether a gateway reports that it accepts requests."""
         address = self._address(gateway, 'ready')
-        return _call(address, 'GET', '/readyz', {}, None).status == 200
+        return (
+            http_call.call(address, 'GET', '/readyz', {}, None).status == 200
+        )
 
     def wait_until_ready(self) -> None:
         """Wait until all gateways accept requests and serve turns."""
@@ -349,7 +291,7 @@
         return int(json.loads(response.body)['spec']['version'])
 
     def _register(self) -> None:
-        self.put_configuration(1, standard_routes())
+        self.put_configuration(1, hosted_routes.standard_routes())
         for name in self.upstreams:
             self.store(
                 'POST',
@@ -391,7 +333,7 @@
                 'listen': address,
                 'incarnation': name,
                 'version': self.upstream_versions[name],
-                'journal': self._run_journal(name),
+                'journal': self.journals.path(name),
             },
         )
 
@@ -438,91 +380,9 @@
             'fault_tolerance': {'machines': self.losses},
             'platform': {'address': store},
         }
-        path = self.folder / f'{name}.json'
-        path.write_text(json.dumps(settings), encoding='utf-8')
-        return processes.Process(
-            name,
-            _LAUNCH_MODULE,
-            {},
-            self.folder,
-            role,
-            {
-                'MAGNOLIAWOOD_CONFIG': str(path),
-                'MAGNOLIAWOOD_PEER_BIND': peer_bind,
-                'PYTHONPATH': unsynced_path(),
-                'MAGNOLIAWOOD_METRICS_PORT': processes.free_address().split(
-                    ':'
-                )[1],
-            },
-        )
+        return daemons.make_daemon(self.folder, role, settings, peer_bind)
 
     def _address(self, gateway: int, purpose: str) -> str:
         path = self.folder / f'gateway-{gateway}.json'
         settings = json.loads(path.read_text(encoding='utf-8'))
         return settings['listen'][purpose]
-
-
-def unsynced_path() -> str:
-    """Return a module search path that makes processes skip file syncs."""
-    inherited = os.environ.get('PYTHONPATH')
-    return os.pathsep.join(
-        [str(_UNSYNCED_FOLDER), *([inherited] if inherited else [])]
-    )
-
-
-def standard_routes() -> list[dict[str, typing.Any]]:
-    """Return a safe, an unsafe, a retained and a resumable route."""
-    common = {
-        'host': HOST,
-        'timeout_ms': 4000,
-        'target_latency_ms': 250,
-        'priority': 1,
-        'service': 'llm',
-        'max_attempts': 2,
-    }
-    return [
-        {**common, 'name': 'safe', 'path_prefix': '/safe/', 'kind': 'safe'},
-        {**common, 'name': 'once', 'path_prefix': '/once/', 'kind': 'unsafe'},
-        {
-            **common,
-            'name': 'turns',
-            'path_prefix': '/turns/',
-            'kind': 'streaming',
-            'retain': True,
-            'retain_s': 60,
-        },
-        {
-            **common,
-            'name': 'streams',
-            'path_prefix': '/streams/',
-            'kind': 'streaming',
-            'resumable': True,
-        },
-    ]
-
-
-def _call(
-    address: str,
-    method: str,
-    target: str,
-    headers: dict[str, str],
-    body: object,
-) -> Response:
-    data = body if isinstance(body, bytes) else json.dumps(body).encode()
-    connection = http.client.HTTPConnection(
-        address, timeout=_CALL_TIMEOUT_SECONDS
-    )
-    try:
-        connection.request(
-            method, target, b'' if body is None else data, headers
-        )
-        response = connection.getresponse()
-        return Response(
-            response.status,
-            {name.lower(): value for name, value in response.getheaders()},
-            response.read(),
-        )
-    except (OSError, http.client.HTTPException):
-        return Response(None, {}, b'')
-    finally:
-        connection.close()
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crashing_requests.py
@@ -33,7 +33,8 @@
 
 def _crashes(deployment):
     return sum(
-        run.body.startswith(CRASH_BODY) for run in deployment.all_runs()
+        run.body.startswith(CRASH_BODY)
+        for run in deployment.journals.all_runs()
     )
 
 
@@ -150,7 +151,8 @@
 
 def _page_crashes(deployment):
     return sum(
-        run.request_id.startswith('crash') for run in deployment.all_runs()
+        run.request_id.startswith('crash')
+        for run in deployment.journals.all_runs()
     )
 
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_hosted.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.cluster import hosted_routes
 
 EVENTS = b''.join(
     f'id: {number}\ndata: word{number}\n\n'.encode() for number in range(1, 6)
@@ -77,14 +78,14 @@
         )
         assert response.status == 200
     expected = f'one|{OUTPUT}two|{OUTPUT}three|'
-    assert shared.body_of(third) == expected
+    assert shared.journals.body_of(third) == expected
 
 
 def test_turn_with_unknown_predecessor_is_not_found_and_does_not_run(shared):
     name = _new_id()
     response = _turn(shared, 0, name, b'x', Previous_Turn='no-such-turn')
     assert response.status == 404
-    assert name not in shared.runs()
+    assert name not in shared.journals.runs()
 
 
 def test_token_budget_is_enforced_across_gateways(shared):
@@ -113,7 +114,7 @@
         shared.upstream(upstream, '/control/faults', {'refusals': 0})
     assert response.status == 503
     assert float(response.headers['retry-after']) > 0
-    assert name not in shared.runs()
+    assert name not in shared.journals.runs()
 
 
 def test_unsafe_call_with_a_lost_response_is_not_repeated(shared):
@@ -124,7 +125,7 @@
     for upstream in shared.upstreams:
         shared.upstream(upstream, '/control/faults', {'lost_answers': 0})
     assert response.status == 502
-    assert shared.runs()[name] == 1
+    assert shared.journals.runs()[name] == 1
 
 
 def test_cut_stream_is_resumed_at_another_upstream(shared):
@@ -135,7 +136,7 @@
     for upstream in shared.upstreams:
         shared.upstream(upstream, '/control/faults', {'cut_after': -1})
     assert (response.status, response.body) == (200, EVENTS)
-    assert shared.runs()[name] == 2
+    assert shared.journals.runs()[name] == 2
 
 
 def test_cut_turn_does_not_look_complete(shared):
@@ -146,11 +147,11 @@
     for upstream in shared.upstreams:
         shared.upstream(upstream, '/control/faults', {'cut_after': -1})
     assert response.status is None
-    assert shared.runs()[name] == 1
+    assert shared.journals.runs()[name] == 1
 
 
 def test_new_configuration_is_applied_by_all_gateways(shared):
-    routes = hosted.standard_routes()
+    routes = hosted_routes.standard_routes()
     added = {**routes[0], 'name': 'added', 'path_prefix': '/added/'}
     shared.put_configuration(7, [*routes, added])
     for gateway in range(2):
@@ -186,7 +187,7 @@
             == 200
         )
     )
-    assert fresh.body_of(second) == f'one|{OUTPUT}two|'
+    assert fresh.journals.body_of(second) == f'one|{OUTPUT}two|'
 
 
 def test_history_and_charges_survive_a_kill_of_all_processes(fresh):
@@ -240,29 +241,6 @@
     assert gateway.wait() == 0
 
 
-def test_evacuation_of_a_host_is_reported_as_completed(fresh):
-    first = _new_id()
-    assert _turn(fresh, 0, first, b'one|').status == 200
-    host = fresh.group()['members'][0]['host']
-    body = {'metadata': {'name': host}, 'spec': {'duration_s': 5}}
-    fresh.store('POST', '/objects/retirements', body)
-    fresh.wait_for(
-        lambda: (
-            b'"completed"'
-            in fresh.store('GET', f'/objects/retirements/{host}').body
-        )
-    )
-    members = [member['host'] for member in fresh.group()['members']]
-    assert len(members) == 2
-    assert host not in members
-    fresh.keepers[int(host[-1])].kill()
-    fresh.wait_for(
-        lambda: (
-            _turn(fresh, 1, _new_id(), b'x', Previous_Turn=first).status == 200
-        )
-    )
-
-
 def test_gateways_are_not_ready_while_too_few_replicas_respond(fresh):
     for keeper in fresh.keepers[:2]:
         keeper.kill()
@@ -293,31 +271,6 @@
     assert _turn(shared, 0, _new_id(), b'x').status == 200
 
 
-def test_hosts_are_evacuated_with_a_standby_disk():
-    """The standby disk replaces the member of the evacuated host.
-
-    Guards against a change of the replica group that waits for itself to
-    complete.
-    """
-    with hosted.HostedDeployment(keepers=4) as fresh:
-        first = _new_id()
-        assert _turn(fresh, 0, first, b'one|').status == 200
-        for _ in range(2):
-            host = fresh.group()['members'][0]['host']
-            body = {'metadata': {'name': host}, 'spec': {'duration_s': 5}}
-            fresh.store('POST', '/objects/retirements', body)
-            fresh.wait_for(
-                lambda at=host: (
-                    b'"completed"'
-                    in fresh.store('GET', f'/objects/retirements/{at}').body
-                )
-            )
-            fresh.wait_for_replicas()
-            fresh.keepers[int(host[-1])].kill()
-        response = _turn(fresh, 1, _new_id(), b'x', Previous_Turn=first)
-        assert response.status == 200
-
-
 def _poison(deployment):
     for upstream in deployment.upstreams:
         deployment.set_upstream_faults(upstream, poison='bad')
@@ -414,11 +367,11 @@
 
     def is_avoided_by(gateway):
         """Send requests and return whether none ran at the upstream."""
-        runs = fresh.runs_at('i-1')
+        runs = fresh.journals.runs_at('i-1')
         for _ in range(20):
             response = fresh.call(gateway, '/safe/page', _new_id())
             assert response.status == 200
-        return fresh.runs_at('i-1') == runs
+        return fresh.journals.runs_at('i-1') == runs
 
     fresh.wait_for(
         lambda: fresh.call(0, '/safe/page', _new_id()) and is_announced()
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_platform_commands.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_platform_commands.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.cluster import hosted_routes
 
 
 @pytest.fixture(scope='module')
@@ -53,7 +54,7 @@
 
 def test_in_force_shows_the_configuration_of_each_gateway(deployment):
     addresses = deployment.peer_addresses
-    deployment.put_configuration(7, hosted.standard_routes())
+    deployment.put_configuration(7, hosted_routes.standard_routes())
     deployment.wait_for(
         lambda: all(
             row['configuration'] == 7
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_rate_limits.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_rate_limits.py
@@ -57,7 +57,7 @@
     _use_only(deployment, deployment.upstreams)
     if len(names) < len(deployment.upstreams):
         _wait_for_others(deployment)
-    return {name: len(deployment.arrivals_at(name)) for name in names}
+    return {name: len(deployment.journals.arrivals_at(name)) for name in names}
 
 
 def _wait_for_others(deployment):
@@ -86,7 +86,9 @@
     :param after: number of the requests of each that don't count
     """
     return max(
-        rate_bound.largest_excess(deployment.arrivals_at(name)[count:], rate)
+        rate_bound.largest_excess(
+            deployment.journals.arrivals_at(name)[count:], rate
+        )
         for name, count in after.items()
     )
 
@@ -120,14 +122,15 @@
     with hosted.HostedDeployment(gateways=GATEWAYS, upstreams=2) as deployment:
         after = _limit(deployment, LIMITED)
         deployment.set_upstream_faults('i-2', **faults)
-        before = len(deployment.arrivals_at('i-2'))
+        before = len(deployment.journals.arrivals_at('i-2'))
         deployment.wait_for(
             lambda: (
                 _press(deployment, path, requests)
-                and len(deployment.arrivals_at(LIMITED)) > after[LIMITED]
+                and len(deployment.journals.arrivals_at(LIMITED))
+                > after[LIMITED]
             )
         )
-        assert len(deployment.arrivals_at('i-2')) > before
+        assert len(deployment.journals.arrivals_at('i-2')) > before
         assert _excess(deployment, after) <= 0
 
 
@@ -180,12 +183,14 @@
             away.kill()
         else:
             away.send_signal(signal.SIGSTOP)
-        before = {name: len(deployment.arrivals_at(name)) for name in after}
+        before = {
+            name: len(deployment.journals.arrivals_at(name)) for name in after
+        }
         deployment.wait_for(
             lambda: (
                 _send(deployment, 1).status
                 and all(
-                    len(deployment.arrivals_at(name)) > count
+                    len(deployment.journals.arrivals_at(name)) > count
                     for name, count in before.items()
                 )
             )
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_stream_versions.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_stream_versions.py
@@ -6,6 +6,7 @@
 import pytest
 
 from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.cluster import hosted_routes
 
 VERSIONS = ('v1', 'v2')
 # Number of streams that are begun, broken off and taken up again.
@@ -43,7 +44,7 @@
 
 def _route_single_attempts(deployment):
     """Add a route for streams that allows one attempt for each request."""
-    routes = hosted.standard_routes()
+    routes = hosted_routes.standard_routes()
     single = {**routes[-1], 'name': 'single', 'path_prefix': '/single/'}
     deployment.put_configuration(2, [*routes, {**single, 'max_attempts': 1}])
     for gateway in range(len(deployment.gateways)):
@@ -72,7 +73,7 @@
 def _mixed_streams(deployment):
     """Return the streams that upstreams of several versions have run."""
     versions = collections.defaultdict(set)
-    for run in deployment.all_runs():
+    for run in deployment.journals.all_runs():
         versions[run.stream].add(run.version)
     return {name for name, seen in versions.items() if len(seen) > 1}
 
@@ -81,7 +82,9 @@
 # version than the one that began it.
 def test_stream_is_continued_at_its_version_within_one_response(deployment):
     streams = _begin_all(deployment, '/streams/stream')
-    counts = collections.Counter(run.stream for run in deployment.all_runs())
+    counts = collections.Counter(
+        run.stream for run in deployment.journals.all_runs()
+    )
     assert all(counts[stream] == 2 for stream in streams)
     assert not _mixed_streams(deployment)
 
@@ -137,7 +140,7 @@
     for name, version in deployment.upstream_versions.items():
         if version == VERSIONS[0]:
             deployment.set_upstream_state(name, 'draining')
-    began = {run.stream: run.version for run in deployment.all_runs()}
+    began = {run.stream: run.version for run in deployment.journals.all_runs()}
     for stream in streams:
         expected = 503 if began[stream] == VERSIONS[0] else 200
         deployment.wait_for(
@@ -152,7 +155,9 @@
 def test_unknown_stream_is_rejected_and_does_not_run(deployment):
     _route_single_attempts(deployment)
     assert _take_up(deployment, 0, 'never-begun') == 503
-    assert 'never-begun' not in {run.stream for run in deployment.all_runs()}
+    assert 'never-begun' not in {
+        run.stream for run in deployment.journals.all_runs()
+    }
 
 
 # Guards against a gateway that continues streams although it can't learn at
--- a/packages/magnoliawood-testing/magnoliawood_testing/hosted_demo.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/hosted_demo.py
@@ -38,7 +38,7 @@
             _lose_disk_and_gateway(deployment)
         name, text = f'turn-{number}', f'question {number}|'
         response = _turn(deployment, number % 2, name, previous, text)
-        if deployment.body_of(name) != expected + text:
+        if deployment.journals.body_of(name) != expected + text:
             return False
         expected += text + response
         previous = name
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/crashing.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/crashing.py
@@ -9,6 +9,7 @@
 
 from magnoliawood.limits import crash_record
 from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.cluster import run_journals
 from magnoliawood_testing.soak import attempt as attempts
 from magnoliawood_testing.soak import injector as injectors
 from magnoliawood_testing.soak import promises
@@ -66,7 +67,9 @@
             self._injector.restart_crashed_upstreams()
             time.sleep(_SEND_INTERVAL_SECONDS)
 
-    def check_runs(self, runs: collections.abc.Iterable[hosted.Run]) -> None:
+    def check_runs(
+        self, runs: collections.abc.Iterable[run_journals.Run]
+    ) -> None:
         """Check how many upstreams each request has crashed.
 
         Explanation
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/experiment.py
@@ -154,14 +154,14 @@
         self._limit_windows = limiting_upstreams.checked_windows
         injector.restart_crashed_upstreams()
         self._check_recovery(deployment, callers)
-        runs = deployment.all_runs()
+        runs = deployment.journals.all_runs()
         self._checker.check_runs(runs)
         crashing_caller.check_runs(runs)
 
     def _check_periodically(self, deployment: hosted.HostedDeployment) -> None:
         while not self._stop.wait(_CHECK_SECONDS):
             problem_count = len(self._checker.problems)
-            self._checker.check_runs(deployment.all_runs())
+            self._checker.check_runs(deployment.journals.all_runs())
             if len(self._checker.problems) > problem_count:
                 return
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/injector.py
@@ -8,6 +8,7 @@
 from magnoliawood_server.runtime import stop as stops
 from magnoliawood_testing.chaos import schedule as schedules
 from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.cluster import hosted_routes
 from magnoliawood_testing.cluster import process as processes
 from magnoliawood_testing.soak import promises
 from magnoliawood_testing.standins import signed_upstream
@@ -237,7 +238,7 @@
     def _change_configuration(self) -> None:
         with self._configuration_lock:
             version = self._version + 1
-            routes = hosted.standard_routes()
+            routes = hosted_routes.standard_routes()
             added = {
                 **routes[0],
                 'name': f'added-{version}',
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/limiting.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/limiting.py
@@ -70,7 +70,7 @@
     def check_arrivals(self) -> None:
         """Check the requests of each upstream against its limits."""
         for limit in self._limits:
-            arrivals = self._deployment.arrivals_at(limit.upstream)
+            arrivals = self._deployment.journals.arrivals_at(limit.upstream)
             for start in arrivals:
                 end = start + rate_bound.WINDOW_SECONDS
                 is_held = limit.named_at + _GRACE_SECONDS <= start
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/promises.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/promises.py
@@ -6,6 +6,7 @@
 import threading
 
 from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.cluster import run_journals
 from magnoliawood_testing.soak import attempt as attempts
 from magnoliawood_testing.standins import signed_upstream
 
@@ -73,7 +74,9 @@
         with self._lock:
             self.problems.append(problem)
 
-    def check_runs(self, runs: collections.abc.Iterable[hosted.Run]) -> None:
+    def check_runs(
+        self, runs: collections.abc.Iterable[run_journals.Run]
+    ) -> None:
         """Check the requests that all upstreams have run."""
         runs = list(runs)
         counts = collections.Counter(run.request_id for run in runs)
@@ -135,7 +138,7 @@
                 attempt, f'unknown previous turn {attempt.previous_id}'
             )
 
-    def _check_run(self, run: hosted.Run) -> None:
+    def _check_run(self, run: run_journals.Run) -> None:
         attempt = self._requests.get(run.request_id)
         if attempt is None:
             if not run.request_id.startswith(hosted.PROBE_ID_PREFIX):
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/tests/test_promises.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/tests/test_promises.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.cluster import run_journals
 from magnoliawood_testing.soak import attempt as attempts
 from magnoliawood_testing.soak import promises
 from magnoliawood_testing.standins import signed_upstream
@@ -42,9 +42,9 @@
     checker.record_outcome(second, _success('t2', EVENTS))
     checker.check_runs(
         [
-            hosted.Run('b', 'x'),
-            hosted.Run('t1', 'a|'),
-            hosted.Run('t2', f'a|{REPLY}b|'),
+            run_journals.Run('b', 'x'),
+            run_journals.Run('t1', 'a|'),
+            run_journals.Run('t2', f'a|{REPLY}b|'),
         ]
     )
     assert checker.problems == []
@@ -80,9 +80,9 @@
 @pytest.mark.parametrize(
     'runs',
     [
-        [hosted.Run('b', 'x')] * 2,
-        [hosted.Run('b', 'y')],
-        [hosted.Run('never', 'x')],
+        [run_journals.Run('b', 'x')] * 2,
+        [run_journals.Run('b', 'y')],
+        [run_journals.Run('never', 'x')],
     ],
 )
 def test_wrong_runs_are_detected(runs):
@@ -94,7 +94,7 @@
 def test_run_of_rejected_request_is_detected():
     checker = _checker(BOOKING)
     checker.record_outcome(BOOKING, attempts.Outcome(503))
-    checker.check_runs([hosted.Run('b', 'x')])
+    checker.check_runs([run_journals.Run('b', 'x')])
     assert 'although its status was 503' in checker.problems[0]
 
 
@@ -102,7 +102,7 @@
     second = _turn('t2', 't1', 'b|')
     checker = _checker(_turn('t1'), second)
     checker.record_outcome(_turn('t1'), _success('t1', EVENTS))
-    checker.check_runs([hosted.Run('t2', 'b|')])
+    checker.check_runs([run_journals.Run('t2', 'b|')])
     assert checker.problems
     checker.problems.clear()
     checker.record_outcome(second, attempts.Outcome(404))
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/traffic.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/traffic.py
@@ -8,6 +8,7 @@
 import time
 
 from magnoliawood_testing.cluster import hosted
+from magnoliawood_testing.cluster import hosted_routes
 from magnoliawood_testing.soak import attempt as attempts
 from magnoliawood_testing.soak import promises
 
@@ -203,7 +204,7 @@
 
     def _headers(self, attempt: attempts.Attempt) -> dict[str, str]:
         headers = {
-            'Host': hosted.HOST,
+            'Host': hosted_routes.HOST,
             'Request-Id': attempt.request_id,
             'Deadline-Ms': str(_DEADLINE_MS),
         }
