Run the commands of the docs below a shell also when tests have none

Seen: test_commands_of_a_page_work[docs/cli.md] failed with "Shell not supported" in a run of tests whose starting shell had ended.

Cause: the last command of the page shows the completion of the shell above it. Bash replaces itself with the last command of its script, so there was no shell left above it.

Change: the script ends with a command that Bash runs itself. What is checked is the same.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_docs.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_docs.py
@@ -26,8 +26,10 @@
 @pytest.mark.parametrize('page', PAGES)
 def test_commands_of_a_page_work(deployment, page):
     text = (ROOT / page).read_text(encoding='utf-8')
-    script = '\n'.join(BLOCK.findall(text))
-    assert script
+    blocks = BLOCK.findall(text)
+    assert blocks
+    # Bash replaces itself with the last command, which may look for its shell.
+    script = '\n'.join([*blocks, 'true'])
     binaries = pathlib.Path(sys.executable).parent
     completed = subprocess.run(
         ['bash', '-euo', 'pipefail', '-c', script],
