Let the test proxy refuse connections for a server that is down

The proxy before it went on to accept connections and closed them at once, so each try of a gateway looked like another crash of the upstream. On the users' platform the address of a server that is down refuses connections.

Ruled out: rate limits.

Change: the proxy stops listening while its server refuses connections, before its clients see that their connections ended.

--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/proxy.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/proxy.py
@@ -12,6 +12,7 @@
 
 _READ_SIZE_BYTES = 64 * 1024
 _FREEZE_POLL_SECONDS = 0.02
+_SERVER_POLL_SECONDS = 0.02
 
 Direction = typing.Literal['none', 'to_server', 'to_client', 'both']
 
@@ -59,23 +60,41 @@
 class Proxy:
     """TCP proxy that forwards connections to one server with faults.
 
+    Connections are refused while the server refuses them, as they are without
+    a proxy.
+
+    :param listen: address of the proxy
     :param target: address of the server
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, listen: str, target: str) -> None:
         host, _, port = target.rpartition(':')
         self._host = host
         self._port = int(port)
         self._links: set[_Link] = set()
+        self._listener = listener.Listener(listen, self.serve_client)
+        self._is_server_down = curio.Event()
         self.faults = ProxyFaults()
 
-    async def serve_client(
-        self, client: curio.io.Socket, address: typing.Any
-    ) -> None:
+    async def run(self) -> None:
+        """Forward connections until the task is cancelled."""
+        while True:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._listener.run)
+                await group.spawn(self._is_server_down.wait)
+            while not await self._accepts():
+                await curio.sleep(_SERVER_POLL_SECONDS)
+            self._is_server_down.clear()
+
+    async def serve_client(self, client: curio.io.Socket) -> None:
         """Forward one connection until either side closes it."""
         if self.faults.refuse:
             return
-        server = await curio.open_connection(self._host, self._port)
+        try:
+            server = await curio.open_connection(self._host, self._port)
+        except ConnectionRefusedError:
+            await self._refuse_connections()
+            return
         async with server:
             for sock in (client, server):
                 connections.set_socket_options(sock._socket)
@@ -118,16 +137,35 @@
         target: curio.io.Socket,
         direction: str,
     ) -> None:
+        is_lost = False
         try:
             while chunk := await source.recv(_READ_SIZE_BYTES):
                 if not await self._apply_faults(link, direction):
                     return
                 await target.sendall(chunk)
         except OSError:
+            is_lost = True
+        # Before the client sees the end of the connection and reconnects.
+        if not await self._accepts():
+            await self._refuse_connections()
+        if is_lost:
             link.cut()
         while link.is_frozen(direction) and not link.is_cut:
             await curio.sleep(_FREEZE_POLL_SECONDS)
 
+    async def _refuse_connections(self) -> None:
+        await self._listener.stop()
+        await self._is_server_down.set()
+
+    async def _accepts(self) -> bool:
+        """Return whether the server accepts connections."""
+        try:
+            server = await curio.open_connection(self._host, self._port)
+        except OSError:
+            return False
+        await server.close()
+        return True
+
     async def _apply_faults(self, link: _Link, direction: str) -> bool:
         if self.faults.delay_seconds:
             await curio.sleep(self.faults.delay_seconds)
@@ -141,12 +179,9 @@
 
 
 async def _run(options: argparse.Namespace) -> None:
-    proxy = Proxy(options.target)
-    host, _, port = options.listen.rpartition(':')
+    proxy = Proxy(options.listen, options.target)
     async with curio.TaskGroup() as group:
-        await group.spawn(
-            curio.tcp_server, host, int(port), proxy.serve_client
-        )
+        await group.spawn(proxy.run)
         await group.spawn(listener.serve_http, options.control, proxy.handle)
 
 
