Report at once to a lost peer that has sent a report

Seen: test_crashing_request_is_contained_if_all_that_may_change_does (KNOWN-RED) counted 3 or 4 crashes where 2 are allowed: a gateway let a request run that two others had quarantined half a second before.

Cause: the two had started earlier, found no connection to the third and took it for lost. It came up within 0.1 s and reported to them, but they went on to pause for a second before their next report. All that gateways tell each other was late by as much after each start: crashes, leaves, prompts, and the membership by which owners of rate limits are chosen.

Evidence: in the log of such a run the peers regain the gateway 1.08 s after they lost it; its third crash lies between.

Change: a report from a lost peer ends the pause. The answer to the next report, not the report received, makes it responsive again, so a link that is broken in one direction changes nothing but the number of tries.

Measured: test_peer_that_reports_is_told_of_quarantined_requests_at_once failed before and passes now. Tests of the gateway, crashing requests and rate limits passed.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/gossip.py
@@ -217,6 +217,7 @@
         for sent_prompt in report.prompts:
             self._selector.record_from_peer(sent_prompt)
         self.add_peers([report.address])
+        self._end_backoff(report.address)
         is_behind = (
             report.version < self._cluster_view.version
             or report.revision < self._cluster_view.directory.revision
@@ -231,6 +232,12 @@
             self._cluster_view.directory.rate_limits.reports(),
         )
 
+    def _end_backoff(self, address: str) -> None:
+        """Report at once to a lost peer, since it has sent a report."""
+        peer = self._peers.get(address)
+        if peer is not None and peer.is_unresponsive:
+            peer.next_report = self._clock.monotonic()
+
     def _apply_crashes(self, report: messages.GatewayReport) -> None:
         """Merge crash records of a peer.
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
@@ -123,6 +123,22 @@
     assert two.has_quarantine()
 
 
+# Guards against a gateway that hears nothing from its peers for a while after
+# its start, since they found no connection to it before.
+def test_peer_that_reports_is_told_of_quarantined_requests_at_once(
+    network, monkeypatch
+):
+    monkeypatch.setattr(
+        gossips, 'UNRESPONSIVE_PEER_BACKOFF', datetime.timedelta(hours=1)
+    )
+    one = Gateway(network, 'one', ('two',))
+    one.crashes.record_crashes(QUARANTINED, CRASHES)
+    curio.run(network.run_until(lambda: one.gossip.has_asked_peers))
+    started = Gateway(network, 'two', ('one',))
+    curio.run(network.run_until(started.has_quarantine))
+    assert started.has_quarantine()
+
+
 # Guards against taking a peer that started again for one that still knows
 # what it was told before.
 def test_restarted_peer_is_told_of_quarantined_requests_again(network):
