Test a link between gateways that is broken in one direction

Measured: test_peer_to_which_no_report_gets_stays_lost passes; with a planted fault that lets the report itself make the peer responsive it fails.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_gossip.py
@@ -40,10 +40,14 @@
 
     def __init__(self):
         self.gateways = {}
+        # Addresses to which no message gets.
+        self.unreachable = set()
         self.reports = 0
+        self.failures = 0
 
     async def request(self, address, message, timeout):
-        if address not in self.gateways:
+        if address not in self.gateways or address in self.unreachable:
+            self.failures += 1
             raise connections.PeerLost(address)
         replies = []
 
@@ -139,6 +143,21 @@
     assert started.has_quarantine()
 
 
+# Guards against taking a peer for one that responds because its reports
+# arrive, and against more tries than reports, if a link is broken one way.
+def test_peer_to_which_no_report_gets_stays_lost(network, monkeypatch):
+    monkeypatch.setattr(
+        gossips, 'UNRESPONSIVE_PEER_BACKOFF', datetime.timedelta(hours=1)
+    )
+    one = Gateway(network, 'one', ('two',))
+    two = Gateway(network, 'two', ('one',))
+    network.unreachable.add('two')
+    curio.run(network.run_until(lambda: False, reports=20))
+    assert two.gossip.responsive_peers() == ['one']
+    assert one.gossip.responsive_peers() == []
+    assert 1 < network.failures <= network.reports + 1
+
+
 # Guards against taking a peer that started again for one that still knows
 # what it was told before.
 def test_restarted_peer_is_told_of_quarantined_requests_again(network):
