--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_docs.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_docs.py
@@ -29,7 +29,7 @@
     blocks = BLOCK.findall(text)
     assert blocks
     # Bash replaces itself with the last command, which may look for its shell.
-    script = '\n'.join([*blocks, 'true'])
+    script = '\n'.join([*blocks, 'exit $?'])
     binaries = pathlib.Path(sys.executable).parent
     completed = subprocess.run(
         ['bash', '-euo', 'pipefail', '-c', script],
