--- a/review/common/turns.py
+++ b/review/common/turns.py
@@ -11,9 +11,11 @@
 class Line:
     """One line of turns; each turn carries only its new input."""
 
-    def __init__(self, deployment, number, path='/turns/stream'):
+    def __init__(self, deployment, number, path='/turns/stream',
+                 input_bytes=0):
         self.deployment = deployment
         self.path = path
+        self.input_bytes = input_bytes
         self.program = f'{deployment.prefix}p{number}'
         self.previous = ''
         self.ended_at = 0.0
@@ -38,6 +40,7 @@
         deployment = self.deployment
         request_id = deployment.new_id()
         text = f'input of {request_id}\n'.encode()
+        text += b'.' * (self.input_bytes - len(text))
         sent_at = time.monotonic()
         answer = await deployment.request(
             gateway, self.path, text, request_id=request_id,
