--- a/review/common/turns.py
+++ b/review/common/turns.py
@@ -47,7 +47,8 @@
             deadline_ms=deadline_ms,
             Program_Id=self.program, Session_Id=f'{self.program}s',
             Program_Deadline_Ms=120000,
-            Token_Usage='100,592', Previous_Turn=self.previous, **headers)
+            Previous_Turn=self.previous,
+            **{'Token_Usage': '100,592', **headers})
         self._check_run(request_id, text)
         age = sent_at - self.ended_at
         if answer.status in (404, 410) and self.previous and age < RETAIN_S:
