--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,4 +1,4 @@
-"""Programs return just before their last turn expires."""
+"""A rolling restart of the storage machines, then the chain ages."""
 
 import asyncio
 import pathlib
@@ -9,15 +9,7 @@
 from common import deployment as deployments
 from common import turns
 
-LINES = 40
-# The first turns are spread over this time.
-SPREAD_S = 6.0
-# Pause between the end of a turn and the next turn; retain_s is 60.
-PAUSE_S = 59.0
-CALM_PAUSE_S = 50.0
-# 16 events: a turn of 1.6 s, far inside the client's 4 s; pauses between
-# events are under the route's gap_aim_ms of 300.
-EVENT_S = 0.1
+PROGRAMS = 6
 
 
 async def play(trouble, record):
@@ -31,34 +23,45 @@
 async def run(deployment, trouble):
     deployment.configure(1, [
         deployments.route('turns', 'streaming', 'llm', '/turns/',
-                          retain=True, retain_s=turns.RETAIN_S, sticky=True,
-                          gap_aim_ms=300),
+                          retain=True, retain_s=turns.RETAIN_S, sticky=True),
     ], [deployments.engine_service('llm')])
-    for number in range(6):
-        server = await deployment.add_server('llm', f'zone-{"abc"[number % 3]}')
-        server.event_s = lambda request_id: EVENT_S
+    for zone in ('zone-a', 'zone-b'):
+        await deployment.add_server('llm', zone)
     await deployment.start()
     await deployment.until_ready()
-    lines = [turns.Line(deployment, number) for number in range(LINES)]
+    lines = [turns.Line(deployment, number) for number in range(PROGRAMS)]
+    began = time.monotonic()
 
-    async def converse(number, line):
-        here, there = deployment.gateways
-        await asyncio.sleep(SPREAD_S * number / LINES)
-        await line.turn(here)
-        pause = PAUSE_S if trouble else CALM_PAUSE_S
-        await asyncio.sleep(line.ended_at + pause - time.monotonic())
-        # The program returns within retain_s. Its next turn then arrives
-        # through another zone.
-        await line.turn(here)
-        await asyncio.sleep(7.0)
-        await line.turn(there)
+    def clock():
+        return time.monotonic() - began
 
-    await asyncio.gather(*(
-        converse(number, line) for number, line in enumerate(lines)))
-    returned = sum(line.turns >= 2 for line in lines)
-    deployment.log(f'{returned} of {LINES} programs returned and were served')
-    if returned < LINES * 0.9:
-        raise deployments.CannotRun(f'only {returned} programs were served')
+    async def converse(line):
+        # A turn about each second while the machines are restarted, then
+        # one every 6 s; all of them through one gateway.
+        while clock() < 84:
+            await line.turn(deployment.gateways[0])
+            await asyncio.sleep(0.6 if clock() < 26 else 6.0)
+
+    async def restart():
+        # One machine at a time; the next one only after the one before has
+        # been back for longer than catch_up_s.
+        for keeper in deployment.keepers:
+            await asyncio.sleep(1.0)
+            if trouble:
+                await keeper.stop()
+                await asyncio.sleep(1.5)
+                keeper.start()
+            await asyncio.sleep(deployments.BOUNDS['catch_up_s'] + 0.6)
+
+    await asyncio.gather(restart(), *(converse(line) for line in lines))
+    await asyncio.sleep(max(0.0, 92 - clock()))
+    # The same lines of turns arrive through another zone.
+    for line in lines:
+        await line.turn(deployment.gateways[1])
+    served = sum(line.turns for line in lines)
+    deployment.log(f'{served} turns served in {PROGRAMS} lines')
+    if served < 20 * PROGRAMS:
+        raise deployments.CannotRun(f'only {served} turns were served')
     return [breach for line in lines for breach in line.breaches]
 
 
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,4 +1,4 @@
-"""A long line of turns moves to another gateway."""
+"""Programs return just before their last turn expires."""
 
 import asyncio
 import pathlib
@@ -9,12 +9,15 @@
 from common import deployment as deployments
 from common import turns
 
-# Bytes of the largest new input of a turn on the site (req_bytes, max).
-INPUT_BYTES = 100_000
-# The history is grown to just over this.
-HISTORY_BYTES = 16 * 1024 * 1024
-FIRST_TURNS = 20
-TRIES = 10
+LINES = 40
+# The first turns are spread over this time.
+SPREAD_S = 6.0
+# Pause between the end of a turn and the next turn; retain_s is 60.
+PAUSE_S = 59.0
+CALM_PAUSE_S = 50.0
+# 16 events: a turn of 1.6 s, far inside the client's 4 s; pauses between
+# events are under the route's gap_aim_ms of 300.
+EVENT_S = 0.1
 
 
 async def play(trouble, record):
@@ -28,55 +31,35 @@
 async def run(deployment, trouble):
     deployment.configure(1, [
         deployments.route('turns', 'streaming', 'llm', '/turns/',
-                          retain=True, retain_s=turns.RETAIN_S, sticky=True),
+                          retain=True, retain_s=turns.RETAIN_S, sticky=True,
+                          gap_aim_ms=300),
     ], [deployments.engine_service('llm')])
-    for number in range(2):
-        server = await deployment.add_server('llm', f'zone-{"ab"[number]}')
-        server.event_s = lambda request_id: 0.002
+    for number in range(6):
+        server = await deployment.add_server('llm', f'zone-{"abc"[number % 3]}')
+        server.event_s = lambda request_id: EVENT_S
     await deployment.start()
     await deployment.until_ready()
-    here, there = deployment.gateways
-    line = turns.Line(deployment, 0, input_bytes=INPUT_BYTES)
-    began = time.monotonic()
-    while len(line.history) <= HISTORY_BYTES:
-        if time.monotonic() - began > 55:
-            raise deployments.CannotRun('the history grows too slowly')
-        answer = await line.turn(here)
-        if not answer.served:
-            raise deployments.CannotRun('a turn was not served')
-    deployment.log(f'{line.turns} turns, {len(line.history)} bytes of history')
-    # The same line of turns arrives through another zone.
-    gateway = there if trouble else here
-    others = []
-    tries = 0
-    while tries < TRIES and line.previous:
-        tries += 1
-        turn_count = line.turns
-        answer = await line.turn(gateway, tries=1)
-        if line.turns > turn_count:
-            break
-        for _ in range(FIRST_TURNS // TRIES):
-            other = turns.Line(deployment, len(others) + 1)
-            await other.turn(gateway, tries=1)
-            others.append(other)
-        await asyncio.sleep(0.3)
-    while len(others) < FIRST_TURNS:
-        other = turns.Line(deployment, len(others) + 1)
-        await other.turn(gateway, tries=1)
-        others.append(other)
-    first = sum(other.turns == 1 for other in others)
-    deployment.log(f'{first} of {len(others)} first turns were served')
-    if first < 0.9 * len(others):
-        raise deployments.CannotRun('too few first turns were served')
-    age = time.monotonic() - line.ended_at
-    breaches = list(line.breaches)
-    if answer.served or age > turns.RETAIN_S:
-        return breaches
-    return [*breaches,
-            f'LOST: the turn after {line.previous} (answered whole, '
-            f'{len(line.history)} bytes of history) reached no server in '
-            f'{tries} tries within {age:.1f} s, last answer {answer.status}, '
-            f'while {first} of {len(others)} first turns were served']
+    lines = [turns.Line(deployment, number) for number in range(LINES)]
+
+    async def converse(number, line):
+        here, there = deployment.gateways
+        await asyncio.sleep(SPREAD_S * number / LINES)
+        await line.turn(here)
+        pause = PAUSE_S if trouble else CALM_PAUSE_S
+        await asyncio.sleep(line.ended_at + pause - time.monotonic())
+        # The program returns within retain_s. Its next turn then arrives
+        # through another zone.
+        await line.turn(here)
+        await asyncio.sleep(7.0)
+        await line.turn(there)
+
+    await asyncio.gather(*(
+        converse(number, line) for number, line in enumerate(lines)))
+    returned = sum(line.turns >= 2 for line in lines)
+    deployment.log(f'{returned} of {LINES} programs returned and were served')
+    if returned < LINES * 0.9:
+        raise deployments.CannotRun(f'only {returned} programs were served')
+    return [breach for line in lines for breach in line.breaches]
 
 
 if __name__ == '__main__':
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -104,8 +104,7 @@
 
 
 class Deployment:
-    def __init__(self, record, gateways=2, keepers=3, losses=1,
-                 config=None, server_counts=None):
+    def __init__(self, record, gateways=2, keepers=3, losses=1):
         self.record = pathlib.Path(record).open('w', encoding='utf-8')
         self.began = time.monotonic()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
@@ -133,27 +132,19 @@
                     f'front-{number}', 'front', ip, zone, seeds, first,
                     {key: f'{ip}:{ports[key]}'
                      for key in ('front', 'ready', 'control')}, losses)))
-        self._keeper_parts = (zones, seeds, first, losses)
-        self.keepers = [self.add_keeper() for _ in range(keepers)]
+        self.keepers = []
+        for number in range(keepers):
+            ip = self._ip()
+            name = f'storage-{number}'
+            settings = self._settings(
+                name, 'storage', ip, zones[number % 3], seeds, first, {},
+                losses)
+            settings['data_dir'] = str(self.folder / f'data-{name}')
+            settings['counts_toward_loss'] = True
+            self.keepers.append(Machine(self, name, 'keeper', ip, settings))
         self.numbers = iter(range(1, 1_000_000))
         self.prefix = f'{random.randrange(16**8):08x}'
 
-    def add_keeper(self):
-        zones, seeds, first, losses = self._keeper_parts
-        number = len(getattr(self, 'keepers', ())) or next(self._keeper_ids())
-        ip = self._ip()
-        name = f'storage-{ip.split(".")[-1]}'
-        settings = self._settings(
-            name, 'storage', ip, zones[number % 3], seeds, first, {}, losses)
-        settings['data_dir'] = str(self.folder / f'data-{name}')
-        settings['counts_toward_loss'] = True
-        return Machine(self, name, 'keeper', ip, settings)
-
-    def _keeper_ids(self):
-        if not hasattr(self, '_ids'):
-            self._ids = iter(range(1000))
-        return self._ids
-
     def _settings(self, name, kind, ip, zone, seeds, first, listen, losses):
         return {
             'node_name': name, 'role': kind, 'machine_class': kind,
