--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -52,9 +52,11 @@
         self.settings = settings
         self.process = None
         self.path = deployment.folder / f'{name}.json'
-        self.path.write_text(json.dumps(settings), encoding='utf-8')
 
     def start(self):
+        # Only the first start of the whole system is its bootstrap.
+        self.settings['bootstrap'] = self.process is None
+        self.path.write_text(json.dumps(self.settings), encoding='utf-8')
         run = self.deployment.deploy['roles'][self.role]['run'].split(' ')
         environment = {
             name: os.environ[name]
@@ -112,6 +114,7 @@
             self.deploy = tomllib.load(file)
         if not (ROOT / 'target' / 'deps').is_dir():
             raise CannotRun('target/deps is missing: run the build line')
+        self._ports = {METRICS_PORT}
         self._subnet = self._free_subnet()
         self._ips = iter(range(1, 250))
         self.store = stores.Store()
@@ -180,9 +183,18 @@
         return f'{self._subnet}.{next(self._ips)}'
 
     def _port(self):
-        with socket.socket() as sock:
-            sock.bind((f'{self._subnet}.1', 0))
-            return sock.getsockname()[1] % 10000 + 10000
+        """Return a port that is free on the loopback addresses used here."""
+        for _ in range(200):
+            port = random.randrange(10000, 20000)
+            with socket.socket() as sock:
+                try:
+                    sock.bind((f'{self._subnet}.1', port))
+                except OSError:
+                    continue
+            if port not in self._ports:
+                self._ports.add(port)
+                return port
+        raise CannotRun('no free port')
 
     def log(self, *fields):
         seconds = time.monotonic() - self.began
@@ -305,7 +317,7 @@
 
     try:
         breaches = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, TimeoutError) as error:
+    except Exception as error:  # Not the rule's fault, whatever it is.
         print(f'cannot run: {error!r}')
         sys.exit(2)
     with record.open('a', encoding='utf-8') as file:
