--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -306,10 +306,11 @@
 def main(play, limit_s=115):
     """Run a case: exit 1 if the rule was broken, 0 if it held, 2 if neither.
 
+    The arguments are the file for the record and TROUBLE; run.sh passes them.
     `play(trouble, record)` returns the list of breaches.
     """
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     record = pathlib.Path(sys.argv[1]).resolve()
+    trouble = sys.argv[2] != '0'
 
     async def run():
         async with asyncio.timeout(limit_s):
