Send requests to the replica group in a module of their own

Change: requests to quorums and the tracking of the group's epoch move to group_requests.py; no behaviour changes. Result: tests of the record client and the turn guard pass unchanged.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -1,8 +1,6 @@
 """Client that reads and writes records on the replica group."""
 
 import collections.abc
-import datetime
-import logging
 import typing
 
 import curio
@@ -11,78 +9,50 @@
 from magnoliawood.core import errors
 from magnoliawood.limits import circuit_breaker
 from magnoliawood.replication import group as groups
-from magnoliawood.replication import preference
 from magnoliawood.replication import quorum
 from magnoliawood.turns import ledger as ledgers
 from magnoliawood.turns import records
+from magnoliawood_server.gateway import group_requests
 from magnoliawood_server.gateway import quorum_calls
-from magnoliawood_server.gateway import quorum_log
 from magnoliawood_server.keeper import messages
 from magnoliawood_server.platform import group_store as group_stores
-from magnoliawood_server.platform import objects
-
-REQUEST_TIMEOUT = datetime.timedelta(milliseconds=900)
-RETRY_AFTER = datetime.timedelta(milliseconds=300)
-# After this long without a reply, requests are sent to the other replicas too.
-HEDGE_DELAY = datetime.timedelta(milliseconds=30)
-# Minimum time between two reads of the replica group.
-REFRESH_INTERVAL = datetime.timedelta(milliseconds=400)
-# Tries of one operation: the group may change during the first one.
-MAX_TRIES = 2
 
 # Used for probes; no program has this id.
 _PROBE_PROGRAM_ID = ''
 
-_log = logging.getLogger(__name__)
-
-RequestFactory = collections.abc.Callable[[groups.Member, int], typing.Any]
-
 
 class RecordClient:
     """Reads and writes records on quorums of the replica group.
 
     :param store: store that holds the agreed replica group
+    :param requester: sends messages to keepers
     """
 
     def __init__(
         self,
         store: group_stores.GroupStore,
-        pool: quorum_calls.RoundRequester,
+        requester: quorum_calls.RoundRequester,
         clock: clocks.Clock,
     ) -> None:
-        self._store = store
-        self._pool = pool
-        self._clock = clock
-        self._group: groups.Group | None = None
-        self._refresh_lock = curio.Lock()
-        self._refreshed: datetime.timedelta | None = None
-        self._circuit_breaker = circuit_breaker.CircuitBreaker(clock)
-        self._preference = preference.ReplicaPreference(clock)
-        self._failures = quorum_log.QuorumLog(clock)
+        self._requests = group_requests.GroupRequester(store, requester, clock)
 
     @property
     def group(self) -> groups.Group | None:
         """The newest known replica group, if any."""
-        return self._group
+        return self._requests.group
 
     @property
     def is_reachable(self) -> bool:
         """Whether the last operations reached a quorum of replicas."""
-        return not self._circuit_breaker.is_open
+        return self._requests.is_reachable
 
     def update_group(self, group: groups.Group | None) -> None:
         """Set the replica group if its epoch is newer than the known one."""
-        if group is None:
-            return
-        if self._group is None or group.epoch > self._group.epoch:
-            self._group = group
-            _log.info(
-                'replica group updated',
-                extra={
-                    'epoch': group.epoch,
-                    'members': [member.host for member in group.members],
-                },
-            )
+        self._requests.update_group(group)
+
+    async def refresh(self) -> None:
+        """Read the replica group, unless it was read within the interval."""
+        await self._requests.refresh()
 
     async def write(
         self, new_records: collections.abc.Iterable[records.Record]
@@ -126,7 +96,7 @@
                 epoch, member.disk_id, entries, program_id
             )
 
-        replies = await self._request(
+        replies = await self._requests.request(
             make_request,
             lambda group: group.meeting_quorum,
             sends_to_all=False,
@@ -165,7 +135,7 @@
         def make_request(member: groups.Member, epoch: int) -> typing.Any:
             return messages.ReadCharges(epoch, member.disk_id, program_id)
 
-        return await self._request(
+        return await self._requests.request(
             make_request, lambda group: group.read_quorum, sends_to_all=False
         )
 
@@ -196,7 +166,7 @@
         def make_request(member: groups.Member, epoch: int) -> typing.Any:
             return messages.ReadStream(epoch, member.disk_id, stream_id)
 
-        replies = await self._request(
+        replies = await self._requests.request(
             make_request, lambda group: group.read_quorum, sends_to_all=False
         )
         decoded = [
@@ -221,61 +191,12 @@
         """
         while True:
             await curio.sleep(circuit_breaker.PROBE_INTERVAL.total_seconds())
-            if self._circuit_breaker.is_open:
+            if not self.is_reachable:
                 try:
                     await self.read_charges(_PROBE_PROGRAM_ID)
                 except errors.MagnoliawoodError:
                     continue
 
-    async def refresh(self) -> None:
-        """Read the replica group, unless it was read within the interval."""
-        async with self._refresh_lock:
-            now = self._clock.monotonic()
-            if self._refreshed and now - self._refreshed < REFRESH_INTERVAL:
-                return
-            await self._refresh()
-            self._refreshed = self._clock.monotonic()
-
-    async def _refresh(self) -> None:
-        known_group = self._group
-        if known_group is not None:
-            await self._refresh_from_keepers(known_group)
-            if self._group is not known_group:
-                return
-        try:
-            stored = await self._store.read()
-        except (objects.StoreUnavailable, ValueError) as error:
-            _log.warning(
-                'replica group not read from the store',
-                extra={'error': str(error)},
-            )
-            return
-        if stored is not None:
-            self.update_group(stored.group)
-
-    async def _refresh_from_keepers(self, known_group: groups.Group) -> None:
-        result = await quorum_calls.request_until(
-            self._pool,
-            [
-                quorum_calls.PeerRequest(
-                    member.disk_id,
-                    member.address,
-                    messages.TakeGroup(known_group),
-                )
-                for member in known_group.members
-            ],
-            REQUEST_TIMEOUT / 3,
-            lambda peer_replies: any(
-                peer_reply.reply is not None
-                and peer_reply.reply.group is not None
-                and peer_reply.reply.group.epoch > known_group.epoch
-                for peer_reply in peer_replies
-            ),
-        )
-        for peer_reply in result.peer_replies:
-            if peer_reply.reply is not None:
-                self.update_group(peer_reply.reply.group)
-
     async def _write(
         self,
         new_records: collections.abc.Iterable[records.Record],
@@ -286,7 +207,7 @@
         def make_request(member: groups.Member, epoch: int) -> typing.Any:
             return messages.WriteRecords(epoch, member.disk_id, entries)
 
-        await self._request(
+        await self._requests.request(
             make_request,
             lambda group: group.write_quorum,
             sends_to_all=sends_to_all,
@@ -296,7 +217,7 @@
         def make_request(member: groups.Member, epoch: int) -> typing.Any:
             return messages.ReadChain(epoch, member.disk_id, turn_id)
 
-        replies = await self._request(
+        replies = await self._requests.request(
             make_request,
             lambda group: group.read_quorum,
             is_final=lambda reply: bool(reply.records),
@@ -309,119 +230,3 @@
             for record in decoded
             if isinstance(record, records.TurnRecord)
         ]
-
-    async def _request(
-        self,
-        make_request: RequestFactory,
-        quorum_of: collections.abc.Callable[[groups.Group], int],
-        is_final: collections.abc.Callable[[typing.Any], bool] | None = None,
-        sends_to_all: bool = True,
-        key: str = '',
-    ) -> list[typing.Any]:
-        """Return the replies of a quorum.
-
-        :param is_final: returns whether one reply is sufficient by itself
-        :param sends_to_all: whether requests are sent to all replicas at
-            once, rather than to a quorum first
-        :param key: whoever names the same key asks the same replicas first
-        """
-        if not self._circuit_breaker.allow_request():
-            raise _unavailable()
-        for last_try in (False,) * (MAX_TRIES - 1) + (True,):
-            if self._group is None:
-                await self.refresh()
-            group = self._group
-            if group is not None:
-                replies = await self._request_group(
-                    group,
-                    make_request,
-                    quorum_of(group),
-                    is_final,
-                    sends_to_all,
-                    key,
-                )
-                if replies is not None:
-                    self._record_reachability(True)
-                    return replies
-            if not last_try:
-                await self.refresh()
-        self._record_reachability(False)
-        raise _unavailable()
-
-    def _record_reachability(self, is_reachable: bool) -> None:
-        was_open = self._circuit_breaker.is_open
-        if is_reachable:
-            self._circuit_breaker.record_success()
-        else:
-            self._circuit_breaker.record_failure()
-        if self._circuit_breaker.is_open != was_open:
-            change = 'lost' if self._circuit_breaker.is_open else 'regained'
-            _log.warning(
-                f'quorum of replicas {change}',
-                extra={'epoch': self._group.epoch if self._group else 0},
-            )
-
-    async def _request_group(
-        self,
-        group: groups.Group,
-        make_request: RequestFactory,
-        needed: int,
-        is_final: collections.abc.Callable[[typing.Any], bool] | None,
-        sends_to_all: bool,
-        key: str,
-    ) -> list[typing.Any] | None:
-        def replies_of(
-            peer_replies: list[quorum_calls.PeerReply],
-        ) -> list[typing.Any]:
-            return [
-                peer_reply.reply
-                for peer_reply in peer_replies
-                if peer_reply.error is None
-            ]
-
-        def is_enough(peer_replies: list[quorum_calls.PeerReply]) -> bool:
-            replies = replies_of(peer_replies)
-            failures = len(peer_replies) - len(replies)
-            if len(group.members) - failures < needed:
-                return True
-            if is_final is not None and any(map(is_final, replies)):
-                return True
-            return len(replies) >= needed
-
-        result = await quorum_calls.request_until(
-            self._pool,
-            [
-                quorum_calls.PeerRequest(
-                    member.disk_id,
-                    member.address,
-                    make_request(member, group.epoch),
-                )
-                for member in self._order(group, key)
-            ],
-            REQUEST_TIMEOUT,
-            is_enough,
-            None if sends_to_all else needed,
-            HEDGE_DELAY,
-        )
-        for disk_id in result.slow_peers:
-            self._preference.mark_slow(disk_id)
-        replies = replies_of(result.peer_replies)
-        if len(replies) >= needed or (
-            is_final is not None and any(map(is_final, replies))
-        ):
-            return replies
-        self._failures.log(group, needed, result.peer_replies)
-        return None
-
-    def _order(self, group: groups.Group, key: str) -> list[groups.Member]:
-        if key:
-            return self._preference.order_for(key, group.members)
-        return self._preference.order(group.members)
-
-
-def _unavailable() -> errors.MagnoliawoodError:
-    return errors.MagnoliawoodError(
-        errors.ErrorCode.STORE_UNAVAILABLE,
-        'too few replicas of the records responded',
-        retry_after=RETRY_AFTER,
-    )
