--- a/packages/magnoliawood-server/magnoliawood_server/gateway/group_requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/group_requests.py
@@ -135,6 +135,7 @@
         is_final: collections.abc.Callable[[typing.Any], bool] | None = None,
         sends_to_all: bool = True,
         key: str = '',
+        requester: quorum_calls.RoundRequester | None = None,
     ) -> list[typing.Any]:
         """Return the replies of a quorum.
 
@@ -142,6 +143,7 @@
         :param sends_to_all: whether requests are sent to all replicas at
             once, rather than to a quorum first
         :param key: whoever names the same key asks the same replicas first
+        :param requester: sends the messages in place of the usual one
         """
         if not self._circuit_breaker.allow_request():
             raise _unavailable()
@@ -157,6 +159,7 @@
                     is_final,
                     sends_to_all,
                     key,
+                    requester or self._requester,
                 )
                 if replies is not None:
                     self._record_reachability(True)
@@ -187,6 +190,7 @@
         is_final: collections.abc.Callable[[typing.Any], bool] | None,
         sends_to_all: bool,
         key: str,
+        requester: quorum_calls.RoundRequester,
     ) -> list[typing.Any] | None:
         def replies_of(
             peer_replies: list[quorum_calls.PeerReply],
@@ -207,7 +211,7 @@
             return len(replies) >= needed
 
         result = await quorum_calls.request_until(
-            self._requester,
+            requester,
             [
                 quorum_calls.PeerRequest(
                     member.disk_id,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -12,6 +12,7 @@
 from magnoliawood.replication import quorum
 from magnoliawood.turns import ledger as ledgers
 from magnoliawood.turns import records
+from magnoliawood_server.gateway import chain_writes
 from magnoliawood_server.gateway import group_requests
 from magnoliawood_server.gateway import quorum_calls
 from magnoliawood_server.keeper import messages
@@ -34,6 +35,7 @@
         requester: quorum_calls.RoundRequester,
         clock: clocks.Clock,
     ) -> None:
+        self._requester = requester
         self._requests = group_requests.GroupRequester(store, requester, clock)
 
     @property
@@ -70,6 +72,28 @@
         """
         await self._write(new_records, sends_to_all=True)
 
+    async def write_turn(
+        self,
+        turn: records.TurnRecord,
+        other_records: collections.abc.Iterable[records.Record],
+        read_chain: chain_writes.ChainReader,
+    ) -> None:
+        """Store a turn, with its whole chain, on a write quorum of disks.
+
+        :param other_records: records to store with it
+        :param read_chain: returns the turns that it continues, for disks
+            that lack some of them
+        :raises MagnoliawoodError: with ``store_unavailable`` if too few
+            disks confirmed the records; they may be stored nevertheless
+        """
+        await self._write(
+            [*other_records, turn],
+            sends_to_all=True,
+            requester=chain_writes.ChainRequester(
+                self._requester, turn, read_chain
+            ),
+        )
+
     async def charge(
         self,
         program_id: str,
@@ -201,6 +225,7 @@
         self,
         new_records: collections.abc.Iterable[records.Record],
         sends_to_all: bool,
+        requester: quorum_calls.RoundRequester | None = None,
     ) -> None:
         entries = [records.encode(record) for record in new_records]
 
@@ -211,6 +236,7 @@
             make_request,
             lambda group: group.write_quorum,
             sends_to_all=sends_to_all,
+            requester=requester,
         )
 
     async def _read_turns(self, turn_id: str) -> list[records.TurnRecord]:
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stored_turns.py
@@ -0,0 +1,85 @@
+"""Turns that keepers store must keep their whole chain."""
+
+import datetime
+
+import curio
+import pytest
+
+from magnoliawood.core import errors
+from magnoliawood_server.gateway.tests import keeper_support
+
+
+def _seconds(number):
+    return datetime.timedelta(seconds=number)
+
+
+def test_chain_survives_a_gap_of_each_replica_in_turn(tmp_path):
+    """Guards against a history lost after a rolling restart (issue 41)."""
+
+    async def play():
+        keepers = keeper_support.Keepers(tmp_path)
+        async with keepers.running():
+            gateway = keeper_support.Gateway(keepers)
+            previous_id = ''
+            for name in 'abc':
+                turn_id = f'with-{name}'
+                await gateway.run(turn_id, previous_id)
+                keepers.away = {name}
+                await gateway.run(f'without-{name}', turn_id)
+                keepers.away = set()
+                await keepers.restart(name)
+                previous_id = f'without-{name}'
+                keepers.clock.advance(_seconds(5))
+            for number in range(8):
+                await gateway.run(f'late-{number}', previous_id)
+                previous_id = f'late-{number}'
+                keepers.clock.advance(_seconds(10))
+                await keepers.clean()
+            elsewhere = await keeper_support.Gateway(keepers).run(
+                'elsewhere', previous_id
+            )
+            return elsewhere, keepers
+
+    elsewhere, keepers = curio.run(play)
+    assert elsewhere.history.startswith(b'inwith-ainwithout-ainwith-b')
+    assert len(keepers.turn_ids('a')) == 15
+
+
+def test_turn_counts_as_stored_only_with_its_chain(tmp_path):
+    """A write is not confirmed by a disk that lacks a previous turn."""
+
+    async def play():
+        keepers = keeper_support.Keepers(tmp_path)
+        async with keepers.running():
+            gateway = keeper_support.Gateway(keepers)
+            keepers.away = {'a'}
+            await gateway.run('t1')
+            keepers.away = {'b'}
+            await gateway.run('t2', 't1')
+            assert keepers.turn_ids('a') == {'t1', 't2'}
+            keepers.away = {'b', 'c'}
+            with pytest.raises(errors.MagnoliawoodError) as caught:
+                await gateway.run('t3', 't2')
+            assert caught.value.code is errors.ErrorCode.STORE_UNAVAILABLE
+
+    curio.run(play)
+
+
+def test_replica_that_was_away_is_completed_with_the_next_turn(tmp_path):
+    """Guards against gaps that stay until another replica is lost."""
+
+    async def play():
+        keepers = keeper_support.Keepers(tmp_path)
+        async with keepers.running():
+            gateway = keeper_support.Gateway(keepers)
+            await gateway.run('t1')
+            keepers.away = {'a'}
+            await gateway.run('t2', 't1')
+            await gateway.run('t3', 't2')
+            keepers.away = set()
+            await gateway.run('t4', 't3')
+            async with curio.timeout_after(10):
+                while len(keepers.turn_ids('a')) < 4:
+                    await curio.sleep(0)
+
+    curio.run(play)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -161,7 +161,11 @@
             (now + turn.retention_period).timestamp(),
             turn.account,
         )
-        await self._client.write([*new_records, record])
+
+        async def read_chain() -> tuple[records.TurnRecord, ...]:
+            return (await self._read_chain(turn.previous_id)).turns
+
+        await self._client.write_turn(record, new_records, read_chain)
         turn.is_settled = True
         self._cache.add(record)
 
@@ -255,11 +259,7 @@
         if not route.keeps_history or not metadata.previous_turn_id:
             return b''
         head_id = metadata.previous_turn_id
-        chain = quorum.Chain(head_id).extend(self._cache.chain(head_id))
-        if not chain.is_complete:
-            chain = await self._client.read_chain(chain)
-            for turn in chain.turns:
-                self._cache.add(turn)
+        chain = await self._read_chain(head_id)
         if any(turn.account != account for turn in chain.turns):
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.UNKNOWN_CALL,
@@ -267,6 +267,14 @@
             )
         return chain.body
 
+    async def _read_chain(self, head_id: str) -> quorum.Chain:
+        chain = quorum.Chain(head_id).extend(self._cache.chain(head_id))
+        if not chain.is_complete:
+            chain = await self._client.read_chain(chain)
+            for turn in chain.turns:
+                self._cache.add(turn)
+        return chain
+
     @staticmethod
     def _settlement(
         charge: records.ChargeRecord, tokens: int
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/messages.py
@@ -11,6 +11,9 @@
 class WriteRecords:
     """Request to store records; the response follows once they are on disk.
 
+    Rejected with ``chain_incomplete``, and nothing is stored, if a turn among
+    them continues one that is neither stored nor among them.
+
     :param epoch: epoch of the newest replica group that the sender knows
     :param disk_id: identity of the disk that the request is addressed to
     :param records: encoded records
@@ -67,6 +70,22 @@
     records: list[bytes]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindMissingTurns:
+    """Request for those of the given turns that a replica lacks."""
+
+    epoch: int
+    disk_id: str
+    turn_ids: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MissingTurns:
+    """Response to :class:`FindMissingTurns`."""
+
+    turn_ids: list[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadStream:
     """Request for the origin of a stream."""
@@ -151,6 +170,8 @@
     Charges,
     ReadChain,
     ChainRecords,
+    FindMissingTurns,
+    MissingTurns,
     ReadStream,
     StreamOrigin,
     GetCopyStatus,
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/replica.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/replica.py
@@ -153,31 +153,49 @@
         :raises OSError: if writing or syncing fails
         :raises ValueError: if a record is malformed
         """
-        await self.sync(entries, self.apply(entries))
+        new_records = [records.decode(entry) for entry in entries]
+        self.apply(new_records)
+        await self.sync(entries, new_records)
+
+    def check_chains(
+        self, new_records: collections.abc.Sequence[records.Record]
+    ) -> None:
+        """Reject turns whose chain would not be stored completely.
+
+        Explanation
+        ===========
+
+        A replica drops what no turn that it stores continues, so what it
+        confirms has to be complete. The sender knows the chain and sends
+        what is missing.
+
+        :raises MagnoliawoodError: with ``chain_incomplete``
+        """
+        if not self._table.has_chains_of(new_records):
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.CHAIN_INCOMPLETE,
+                'this replica lacks a turn that the new one continues',
+            )
 
     def apply(
-        self, entries: collections.abc.Sequence[bytes]
-    ) -> list[records.Record]:
-        """Apply records to the table and return them, to be synced next.
+        self, new_records: collections.abc.Sequence[records.Record]
+    ) -> None:
+        """Apply records to the table, to be synced next.
 
         Explanation
         ===========
 
         Records are applied to the table before they are on disk, so a
         charge that is not durable yet already counts against its budget.
-
-        :raises ValueError: if a record is malformed
         """
-        decoded = [records.decode(entry) for entry in entries]
-        for record in decoded:
+        for record in new_records:
             self._table.apply(record)
-        self._unsynced_records.update(decoded)
-        return decoded
+        self._unsynced_records.update(new_records)
 
     async def sync(
         self,
         entries: collections.abc.Sequence[bytes],
-        applied: list[records.Record],
+        applied: collections.abc.Sequence[records.Record],
     ) -> None:
         """Wait until records that were applied are on disk.
 
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
@@ -1,6 +1,5 @@
 """Serves requests of gateways and other keepers to this replica."""
 
-import collections.abc
 import logging
 import typing
 
@@ -13,8 +12,6 @@
 from magnoliawood_server.keeper import replica as replicas
 from magnoliawood_server.peer import connection as connections
 
-_PAGE_BYTES = 256 * 1024
-
 _log = logging.getLogger(__name__)
 
 
@@ -63,6 +60,13 @@
             case messages.ReadChain():
                 self._replica.check_request(message.epoch, message.disk_id)
                 await stream.send(self._chain(message.turn_id))
+            case messages.FindMissingTurns():
+                self._replica.check_request(message.epoch, message.disk_id)
+                await stream.send(
+                    messages.MissingTurns(
+                        self._replica.table.missing_turns(message.turn_ids)
+                    )
+                )
             case messages.ReadStream():
                 self._replica.check_request(message.epoch, message.disk_id)
                 await stream.send(self._stream_origin(message.stream_id))
@@ -83,13 +87,15 @@
         self, message: messages.WriteRecords
     ) -> messages.RecordsWritten:
         self._replica.check_request(message.epoch, message.disk_id)
+        new_records = [records.decode(entry) for entry in message.records]
+        self._replica.check_chains(new_records)
         started_at = self._clock.monotonic()
         try:
-            applied = self._replica.apply(message.records)
+            self._replica.apply(new_records)
             # Listed before anything else runs, so that of two charges that
             # meet at this disk the later one lists the earlier one.
             charges = self._charges(message.program_id)
-            await self._replica.sync(message.records, applied)
+            await self._replica.sync(message.records, new_records)
         except OSError as error:
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.STORE_UNAVAILABLE,
@@ -133,7 +139,7 @@
         self._replica.seal(message.group)
         await stream.send(self._status())
         sent = 0
-        for page in _pages(self._replica.table.records()):
+        for page in records.pages(self._replica.table.records()):
             await stream.send(messages.CopyPage(page, is_last=False))
             sent += len(page)
         await stream.send(messages.CopyPage([], is_last=True))
@@ -141,23 +147,3 @@
             'records sent to a joining replica',
             extra={'epoch': message.group.epoch, 'records': sent},
         )
-
-
-def _pages(
-    unsent_records: collections.abc.Iterable[records.Record],
-) -> collections.abc.Iterator[list[bytes]]:
-    """Encode records and yield them in pages.
-
-    A page ends with the record that reaches ``_PAGE_BYTES``.
-    """
-    entries = map(records.encode, unsent_records)
-    page: list[bytes] = []
-    total = 0
-    for entry in entries:
-        page.append(entry)
-        total += len(entry)
-        if total >= _PAGE_BYTES:
-            yield page
-            page, total = [], 0
-    if page:
-        yield page
--- a/packages/magnoliawood/magnoliawood/core/errors.py
+++ b/packages/magnoliawood/magnoliawood/core/errors.py
@@ -45,6 +45,7 @@
     SUSPECTED = 'suspected'
     STALE_EPOCH = 'stale_epoch'
     COPY_INCOMPLETE = 'copy_incomplete'
+    CHAIN_INCOMPLETE = 'chain_incomplete'
     STALE_INCARNATION = 'stale_incarnation'
     LEAVING = 'leaving'
     CANCELLED = 'cancelled'
--- a/packages/magnoliawood/magnoliawood/turns/records.py
+++ b/packages/magnoliawood/magnoliawood/turns/records.py
@@ -9,6 +9,7 @@
 _TURN = 'turn'
 _CHARGE = 'charge'
 _STREAM = 'stream'
+_PAGE_BYTES = 256 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,6 +101,25 @@
     return _TYPES[kind](*fields)
 
 
+def pages(
+    unsent_records: collections.abc.Iterable[Record],
+) -> collections.abc.Iterator[list[bytes]]:
+    """Encode records and yield them in pages.
+
+    A page ends with the record that reaches ``_PAGE_BYTES``.
+    """
+    page: list[bytes] = []
+    total = 0
+    for entry in map(encode, unsent_records):
+        page.append(entry)
+        total += len(entry)
+        if total >= _PAGE_BYTES:
+            yield page
+            page, total = [], 0
+    if page:
+        yield page
+
+
 _TYPES: dict[str, collections.abc.Callable[..., Record]] = {
     _TURN: TurnRecord,
     _CHARGE: ChargeRecord,
--- a/packages/magnoliawood/magnoliawood/turns/table.py
+++ b/packages/magnoliawood/magnoliawood/turns/table.py
@@ -1,6 +1,8 @@
 """In-memory table of the records of one replica."""
 
+import collections
 import collections.abc
+import dataclasses
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.turns import ledger as ledgers
@@ -28,11 +30,18 @@
         self._streams: dict[str, records.StreamRecord] = {}
 
     def apply(self, record: records.Record) -> None:
-        """Add a record; a duplicate or superseded record is ignored."""
+        """Add a record; a duplicate or superseded record is ignored.
+
+        Of two records of one turn, the content of the first and the later
+        expiry apply.
+        """
         if not self.is_new(record):
             return
         if isinstance(record, records.TurnRecord):
-            self._turns[record.turn_id] = record
+            stored = self._turns.get(record.turn_id, record)
+            self._turns[record.turn_id] = dataclasses.replace(
+                stored, expires_at=record.expires_at
+            )
             return
         if isinstance(record, records.StreamRecord):
             self._streams[record.stream_id] = record
@@ -43,7 +52,8 @@
     def is_new(self, record: records.Record) -> bool:
         """Return whether applying a record would change the table."""
         if isinstance(record, records.TurnRecord):
-            return record.turn_id not in self._turns
+            stored = self._turns.get(record.turn_id)
+            return stored is None or record.expires_at > stored.expires_at
         if isinstance(record, records.StreamRecord):
             origin = self._streams.get(record.stream_id)
             return origin is None or record.attempt > origin.attempt
@@ -64,6 +74,44 @@
             turn_id = turn.previous_id
         return turns
 
+    def missing_turns(
+        self, turn_ids: collections.abc.Iterable[str]
+    ) -> list[str]:
+        """Return those of the given turns that are not stored."""
+        return [turn_id for turn_id in turn_ids if turn_id not in self._turns]
+
+    def has_chains_of(
+        self, new_records: collections.abc.Iterable[records.Record]
+    ) -> bool:
+        """Whether all predecessors of new turns are stored or new as well.
+
+        Examples
+        ========
+
+        >>> table = RecordTable(clocks.ManualClock())
+        >>> first = records.TurnRecord('t1', '', b'hi', b'yes', 2e9)
+        >>> second = records.TurnRecord('t2', 't1', b'so', b'no', 2e9)
+        >>> table.has_chains_of([second])
+        False
+        >>> table.has_chains_of([first, second])
+        True
+        """
+        new_turns = {
+            record.turn_id: record
+            for record in new_records
+            if isinstance(record, records.TurnRecord)
+        }
+        known = collections.ChainMap(self._turns, new_turns)
+        complete_ids = {''}
+        for new_turn in new_turns.values():
+            turn_id = new_turn.turn_id
+            while turn_id not in complete_ids:
+                if turn_id not in known:
+                    return False
+                complete_ids.add(turn_id)
+                turn_id = known[turn_id].previous_id
+        return True
+
     def charges(self, program_id: str) -> list[ledgers.Charge]:
         """Return the charges of a program."""
         return [
@@ -89,7 +137,10 @@
         ===========
 
         A turn is kept as long as any turn that continues it, and the charges
-        of a program as long as the last of them to expire.
+        of a program as long as the last of them to expire. Other replicas may
+        store turns that this one lacks; a turn counts as stored only on
+        replicas that have its whole chain, so it does not depend on what
+        this one drops.
 
         :returns: number of records dropped
         """
