--- a/packages/magnoliawood-server/magnoliawood_server/gateway/chain_writes.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/chain_writes.py
@@ -2,7 +2,7 @@
 
 A keeper confirms a turn only if it stores all turns that the new one
 continues. One that was away lacks some of them, and one that dropped expired
-turns while a turn ran may lack all. The gateway that writes the turn has read
+turns while a turn ran may lack all. The gateway that writes the turn holds
 its chain and sends what is missing.
 """
 
@@ -24,28 +24,24 @@
 
 _log = logging.getLogger(__name__)
 
-ChainReader = collections.abc.Callable[
-    [], collections.abc.Awaitable[collections.abc.Sequence[records.TurnRecord]]
-]
-
 
 class ChainRequester:
     """Sends the write of one turn, and before it what a keeper lacks.
 
     :param requester: sends messages to keepers
     :param turn: the turn that is written
-    :param read_chain: returns the turns that it continues
+    :param chain: turns that it continues, the newest first
     """
 
     def __init__(
         self,
         requester: quorum_calls.RoundRequester,
         turn: records.TurnRecord,
-        read_chain: ChainReader,
+        chain: collections.abc.Sequence[records.TurnRecord],
     ) -> None:
         self._requester = requester
         self._turn = turn
-        self._read_chain = read_chain
+        self._chain = chain
 
     @property
     def direct_timeout(self) -> datetime.timedelta:
@@ -113,16 +109,15 @@
         chains. They get the expiry of the turn that continues them;
         otherwise the keeper could drop them before the last one arrives.
 
-        :raises MagnoliawoodError: if the chain can't be read, or the keeper
-            rejects it or does not respond
+        :raises MagnoliawoodError: if the keeper rejects it or does not
+            respond
         """
-        chain = await self._read_chain()
         reply = await self._requester.request(
             address,
             messages.FindMissingTurns(
                 message.epoch,
                 message.disk_id,
-                [turn.turn_id for turn in chain],
+                [turn.turn_id for turn in self._chain],
             ),
             timeout,
         )
@@ -131,7 +126,7 @@
             dataclasses.replace(
                 turn, expires_at=max(turn.expires_at, self._turn.expires_at)
             )
-            for turn in reversed(chain)
+            for turn in reversed(self._chain)
             if turn.turn_id in missing_ids
         ]
         _log.info(
@@ -140,7 +135,7 @@
                 'keeper': address,
                 'request_id': self._turn.turn_id,
                 'turns': len(missing),
-                'of': len(chain),
+                'of': len(self._chain),
             },
         )
         for page in records.pages(missing):
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -76,12 +76,12 @@
         self,
         turn: records.TurnRecord,
         other_records: collections.abc.Iterable[records.Record],
-        read_chain: chain_writes.ChainReader,
+        chain: collections.abc.Sequence[records.TurnRecord],
     ) -> None:
         """Store a turn, with its whole chain, on a write quorum of disks.
 
         :param other_records: records to store with it
-        :param read_chain: returns the turns that it continues, for disks
+        :param chain: turns that it continues, the newest first, for disks
             that lack some of them
         :raises MagnoliawoodError: with ``store_unavailable`` if too few
             disks confirmed the records; they may be stored nevertheless
@@ -90,7 +90,7 @@
             [*other_records, turn],
             sends_to_all=True,
             requester=chain_writes.ChainRequester(
-                self._requester, turn, read_chain
+                self._requester, turn, chain
             ),
         )
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stored_turns.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stored_turns.py
@@ -6,6 +6,7 @@
 import pytest
 
 from magnoliawood.core import errors
+from magnoliawood_server.gateway import turn_guard
 from magnoliawood_server.gateway.tests import keeper_support
 
 
@@ -65,6 +66,32 @@
     curio.run(play)
 
 
+@pytest.mark.parametrize('cache_bytes', [0, 16 * 1024 * 1024])
+def test_turn_that_ends_after_the_one_before_expired_has_its_chain(
+    tmp_path, monkeypatch, cache_bytes
+):
+    """Guards against a turn stored on top of nothing (issue 41)."""
+    monkeypatch.setattr(turn_guard, '_CACHE_BYTES', cache_bytes)
+
+    async def play():
+        keepers = keeper_support.Keepers(tmp_path)
+        async with keepers.running():
+            gateway = keeper_support.Gateway(keepers)
+            await gateway.run('t1')
+            keepers.clock.advance(_seconds(59))
+            turn = await gateway.begin('t2', 't1')
+            keepers.clock.advance(_seconds(3))
+            await keepers.clean()
+            assert not keepers.turn_ids('a')
+            await gateway.end(turn)
+            keepers.clock.advance(_seconds(7))
+            await keepers.clean()
+            elsewhere = keeper_support.Gateway(keepers)
+            return await elsewhere.begin('t3', 't2')
+
+    assert curio.run(play).history == b'int1int2'
+
+
 def test_replica_that_was_away_is_completed_with_the_next_turn(tmp_path):
     """Guards against gaps that stay until another replica is lost."""
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -33,7 +33,8 @@
     """A turn that was admitted within its budget and may run.
 
     :param charge: maximum that the turn may spend, if it has a budget
-    :param history: previous turns, to be sent before the input of this one
+    :param chain: turns that it continues; replicas may have dropped them by
+        the time it ends
     :param retention_period: time for which the turn is stored; zero if it
         is not stored
     :param account: name of the client account that owns it; empty if none
@@ -43,11 +44,16 @@
     request_id: str
     previous_id: str
     charge: records.ChargeRecord | None
-    history: bytes
+    chain: quorum.Chain
     retention_period: datetime.timedelta
     account: str = ''
     is_settled: bool = False
 
+    @property
+    def history(self) -> bytes:
+        """Text of the previous turns, sent before the input of this one."""
+        return self.chain.body
+
 
 class _TurnCache:
     """Least recently used cache of turns by id."""
@@ -115,27 +121,27 @@
         :raises MagnoliawoodError: with ``budget_exhausted``,
             ``unknown_call`` or ``store_unavailable``; the turn must not run
         """
-        history_task = await curio.spawn(
-            self._try_history, metadata, route, account
+        chain_task = await curio.spawn(
+            self._try_chain, metadata, route, account
         )
         try:
             charge = await self._charge(metadata, account, stream)
         except BaseException:
-            await history_task.cancel()
+            await chain_task.cancel()
             raise
         try:
-            history = await history_task.join()
+            chain = await chain_task.join()
         except curio.CancelledError:
             await self._withdraw(charge)
             raise
-        if isinstance(history, errors.MagnoliawoodError):
+        if isinstance(chain, errors.MagnoliawoodError):
             await self._withdraw(charge)
-            raise history
+            raise chain
         return Turn(
             metadata.request_id,
             metadata.previous_turn_id,
             charge,
-            history,
+            chain,
             route.history_period
             if route.keeps_history
             else datetime.timedelta(),
@@ -161,11 +167,7 @@
             (now + turn.retention_period).timestamp(),
             turn.account,
         )
-
-        async def read_chain() -> tuple[records.TurnRecord, ...]:
-            return (await self._read_chain(turn.previous_id)).turns
-
-        await self._client.write_turn(record, new_records, read_chain)
+        await self._client.write_turn(record, new_records, turn.chain.turns)
         turn.is_settled = True
         self._cache.add(record)
 
@@ -238,41 +240,37 @@
         if charge is not None:
             await self._settlements.add(self._settlement(charge, 0))
 
-    async def _try_history(
+    async def _try_chain(
         self,
         metadata: requests.RequestMetadata,
         route: configurations.Route,
         account: str,
-    ) -> bytes | errors.MagnoliawoodError:
-        """Return the history, or the error that prevented reading it."""
+    ) -> quorum.Chain | errors.MagnoliawoodError:
+        """Return the previous turns, or the error that prevented reading it."""
         try:
-            return await self._read_history(metadata, route, account)
+            return await self._read_chain(metadata, route, account)
         except errors.MagnoliawoodError as error:
             return error
 
-    async def _read_history(
+    async def _read_chain(
         self,
         metadata: requests.RequestMetadata,
         route: configurations.Route,
         account: str,
-    ) -> bytes:
+    ) -> quorum.Chain:
         if not route.keeps_history or not metadata.previous_turn_id:
-            return b''
+            return quorum.Chain('')
         head_id = metadata.previous_turn_id
-        chain = await self._read_chain(head_id)
-        if any(turn.account != account for turn in chain.turns):
-            raise errors.MagnoliawoodError(
-                errors.ErrorCode.UNKNOWN_CALL,
-                f'turn {head_id} is of another client account',
-            )
-        return chain.body
-
-    async def _read_chain(self, head_id: str) -> quorum.Chain:
         chain = quorum.Chain(head_id).extend(self._cache.chain(head_id))
         if not chain.is_complete:
             chain = await self._client.read_chain(chain)
             for turn in chain.turns:
                 self._cache.add(turn)
+        if any(turn.account != account for turn in chain.turns):
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.UNKNOWN_CALL,
+                f'turn {head_id} is of another client account',
+            )
         return chain
 
     @staticmethod
