Drop nothing on a replica that is not complete

What callers would see: a live conversation without its beginning on a disk that has joined the group, and LOST once the disks before it are lost too. Cause: a joining keeper drops expired turns every 5 s while it copies; the first turns of a chain have expired, and the live one arrives later. Change: expiry waits until the replica is complete. Not reproduced with processes.

--- a/packages/magnoliawood-server/magnoliawood_server/keeper/replica.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/replica.py
@@ -224,9 +224,15 @@
     async def clean(self) -> None:
         """Drop expired records, and rewrite a large, mostly outdated log.
 
+        Explanation
+        ===========
+
+        A replica that is not complete drops nothing: the records that are
+        still to be copied may need those that it has.
+
         :raises OSError: if the log cannot be rewritten
         """
-        dropped = self._table.expire()
+        dropped = self._table.expire() if self.is_complete else 0
         if dropped:
             _log.info('records expired', extra={'records': dropped})
             self._unsynced_records = {
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_replica.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_replica.py
@@ -1,5 +1,6 @@
 """Tests for the recovery of records after power failures and disk errors."""
 
+import datetime
 import errno
 import os
 
@@ -88,6 +89,34 @@
     assert caught.value.code is errors.ErrorCode.COPY_INCOMPLETE
 
 
+async def _clean_while_copying(replica, clock, pages):
+    writer = await curio.spawn(replica.run, daemon=True)
+    for page in pages:
+        await replica.write_new([records.encode(record) for record in page])
+        clock.advance(datetime.timedelta(seconds=5))
+        await replica.clean()
+    await replica.mark_complete(3)
+    await replica.clean()
+    await writer.cancel()
+
+
+def test_joining_replica_keeps_expired_turn_until_the_copy_is_complete(
+    tmp_path,
+):
+    """Guards against a chain that is dropped before its last turn arrives."""
+    clock = clocks.ManualClock()
+    now = clock.now().timestamp()
+    replica = replicas.DiskReplica(tmp_path, clock)
+    member = groups.Member(replica.state.disk_id, 'host', '', since=3)
+    replica.update_group(groups.Group(3, 0, (member,)))
+    first = records.TurnRecord('t1', '', b'in', b'out', now + 1)
+    other = records.TurnRecord('t0', '', b'in', b'out', now + 1)
+    pages = [[first, other], [_turn('t2', 't1')]]
+    curio.run(_clean_while_copying, replica, clock, pages)
+    assert [t.turn_id for t in replica.table.chain('t2')] == ['t2', 't1']
+    assert replica.table.chain('t0') == []
+
+
 class _FullDisk:
     """Makes ``os.write`` fail while ``is_full`` is set."""
 
