Confirm no record before all earlier ones are on the disk

What callers would see: after a disk error, a restart and the loss of other disks, a live conversation without a turn of its middle (LOST), or forgotten charges (BUDGET). Cause: a record is in memory before it is on disk; the entries of a batch whose write failed were in no later batch. A later turn or charge was confirmed by what memory held. Change: the entries of a failed batch are written again with the next one; what a failed write left in its segment is cut off. Not reproduced with processes.

--- a/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
@@ -1,6 +1,7 @@
 """Append-only log of records on disk, synced in batches (group commit)."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import logging
 import os
@@ -43,15 +44,22 @@
         yield data
 
 
+def _frames(entries: collections.abc.Iterable[bytes]) -> bytes:
+    return b''.join(map(frame, entries))
+
+
 @dataclasses.dataclass(slots=True)
 class _Batch:
     """Entries that one sync makes durable.
 
+    :param data: new entries
+    :param copies: entries that older segments contain as well
     :param starts_segment: whether the batch is written to a new segment
     :param segment: file that the batch was written to
     """
 
     data: bytearray = dataclasses.field(default_factory=bytearray)
+    copies: bytearray = dataclasses.field(default_factory=bytearray)
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
     starts_segment: bool = False
     segment: pathlib.Path | None = None
@@ -69,6 +77,10 @@
     thread, since the system call that syncs a file always blocks; entries
     that arrive during a sync share the next one.
 
+    An entry is durable only if all entries before it are: those of a batch
+    whose write failed are written again with the next batch. A turn that is
+    confirmed therefore has its chain on the disk, not only in memory.
+
     :param folder: existing folder for the segment files
     """
 
@@ -98,7 +110,9 @@
 
         :raises OSError: if writing or syncing fails
         """
-        await self._wait_durable(self._add_to_batch(entries))
+        batch = self._batch
+        batch.data += _frames(entries)
+        await self._wait_durable(batch)
 
     async def run(self) -> None:
         """Write batches until cancelled."""
@@ -111,6 +125,7 @@
             except OSError as error:
                 _log.error('disk write failed', extra={'error': str(error)})
                 batch.error = error
+                self._batch.data[:0] = batch.data
                 # The content of the segment is unknown after a failed write.
                 self._close_segment()
             await batch.done.set()
@@ -120,7 +135,8 @@
 
         :raises OSError: if writing, syncing or deleting fails
         """
-        batch = self._add_to_batch(entries)
+        batch = self._batch
+        batch.copies += _frames(entries)
         # A write in progress ends in the segment in which it began. That
         # segment is deleted below, so this batch must begin a new one.
         batch.starts_segment = True
@@ -130,15 +146,6 @@
                 self._total_bytes -= path.stat().st_size
                 path.unlink()
 
-    def _add_to_batch(
-        self, entries: collections.abc.Iterable[bytes]
-    ) -> _Batch:
-        """Add entries to the batch that is written next."""
-        batch = self._batch
-        for entry in entries:
-            batch.data += frame(entry)
-        return batch
-
     async def _wait_durable(self, batch: _Batch) -> None:
         """Wait until a batch is on disk.
 
@@ -158,12 +165,25 @@
         if self._descriptor < 0:
             self._open_segment()
         batch.segment = self._segment
-        remainder = memoryview(batch.data)
+        content = batch.copies + batch.data
+        try:
+            self._append_durably(content)
+        except OSError:
+            self._cut_segment()
+            raise
+        self._segment_bytes += len(content)
+        self._total_bytes += len(content)
+
+    def _append_durably(self, content: bytes | bytearray) -> None:
+        remainder = memoryview(content)
         while remainder:
             remainder = remainder[os.write(self._descriptor, remainder) :]
         os.fdatasync(self._descriptor)
-        self._segment_bytes += len(batch.data)
-        self._total_bytes += len(batch.data)
+
+    def _cut_segment(self) -> None:
+        """Remove what a failed write left, so that tries don't add up."""
+        with contextlib.suppress(OSError):
+            os.ftruncate(self._descriptor, self._segment_bytes)
 
     def _open_segment(self) -> None:
         segments = self._segments()
