Store all charges of a program with the newest one

What callers would see: a budget overspent by a program that goes on for over two minutes while keepers are restarted in turn (BUDGET). Cause: a keeper drops the charges of a program by the last one that it stores. After gaps, the disks with the newest charge lack older ones, and those with the older ones have dropped them. Change: if the disks of the second read still list different charges, all are written to a write quorum before the attempt is granted. Why this works: of each granted attempt a write quorum has all charges before it, and keeps them as long as its own. Not reproduced with processes.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -105,7 +105,10 @@
         ===========
 
         One round to a quorum suffices if its replies decide; otherwise the
-        charges are read once more, now that the new one is stored.
+        charges are read once more, now that the new one is stored. If the
+        disks still list different charges, a write quorum is sent all of
+        them: a disk drops the charges of a program by the last one that it
+        stores itself, so those that have the newest need all before it.
 
         :param program_id: program that is charged
         :param new_records: the charge, and records to store with it
@@ -113,6 +116,7 @@
         :raises MagnoliawoodError: with ``store_unavailable`` if too few
             disks confirmed the records; they may be stored nevertheless
         """
+        new_records = list(new_records)
         entries = [records.encode(record) for record in new_records]
 
         def make_request(member: groups.Member, epoch: int) -> typing.Any:
@@ -131,8 +135,14 @@
         ]
         if len(listed) == len(replies) and quorum.is_round_decisive(listed):
             return listed
-        read = await self.read_charges(program_id)
-        return [*listed, *(reply.charges for reply in read)]
+        read = [reply.charges for reply in await self.read_charges(program_id)]
+        if not quorum.is_round_decisive(read):
+            await self._write(
+                quorum.merged_charges(program_id, read, new_records),
+                sends_to_all=False,
+                key=program_id,
+            )
+        return [*listed, *read]
 
     async def settle(self, *settlements: records.ChargeRecord) -> None:
         """Store the tokens that attempts have spent.
@@ -225,6 +235,7 @@
         self,
         new_records: collections.abc.Iterable[records.Record],
         sends_to_all: bool,
+        key: str = '',
         requester: quorum_calls.RoundRequester | None = None,
     ) -> None:
         entries = [records.encode(record) for record in new_records]
@@ -236,6 +247,7 @@
             make_request,
             lambda group: group.write_quorum,
             sends_to_all=sends_to_all,
+            key=key,
             requester=requester,
         )
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/keeper_support.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/keeper_support.py
@@ -159,6 +159,23 @@
             requests.decode_request_metadata(headers), ROUTE
         )
 
+    async def charge(self, turn_id, budget):
+        """Admit a turn of 80 tokens at most of the program ``p``.
+
+        :raises MagnoliawoodError: if the budget does not suffice
+        """
+        return await self._guard.admit(
+            requests.decode_request_metadata(
+                [
+                    (b'request-id', turn_id.encode()),
+                    (b'program-id', b'p'),
+                    (b'token-budget', str(budget).encode()),
+                    (b'token-usage', b'10,80'),
+                ]
+            ),
+            ROUTE,
+        )
+
     async def end(self, turn):
         """Store a turn that has ended."""
         await self._guard.store_turn(turn, b'in', turn.request_id.encode(), 0)
--- a/packages/magnoliawood/magnoliawood/replication/quorum.py
+++ b/packages/magnoliawood/magnoliawood/replication/quorum.py
@@ -98,6 +98,45 @@
     return len(attempts) == 1
 
 
+def merged_charges(
+    program_id: str,
+    replicas: collections.abc.Iterable[
+        collections.abc.Iterable[ledgers.Charge]
+    ],
+    new_records: collections.abc.Iterable[records.Record],
+) -> list[records.ChargeRecord]:
+    """Return records of all charges of a program, for disks that lack some.
+
+    Examples
+    ========
+
+    >>> first, second = [ledgers.Charge(name, 8, False) for name in 'ab']
+    >>> new = [records.ChargeRecord('p', 'b', 8, False, 60.0)]
+    >>> for record in merged_charges('p', [[first], [second]], new):
+    ...     print(record.attempt_id, record.expires_at)
+    a 60.0
+    b 60.0
+
+    :param replicas: charges of the program, by disk
+    :param new_records: the newest charge, as long as which all are kept, and
+        records that were stored with it
+    """
+    ledger = ledgers.Ledger()
+    for charges in replicas:
+        ledger.merge(charges)
+    expires_at = max(record.expires_at for record in new_records)
+    return [
+        records.ChargeRecord(
+            program_id,
+            charge.attempt_id,
+            charge.tokens,
+            charge.is_settled,
+            expires_at,
+        )
+        for charge in ledger.charges
+    ]
+
+
 def decide_origin(
     stored: collections.abc.Iterable[records.StreamRecord],
 ) -> records.StreamRecord | None:
