Answer 503, not 404, if a retained turn lacks its history

What callers would see: 404, which ends the program, for a turn that certainly exists but whose history can't be read whole (gaps that a release before left on disks). 404 means that no such turn exists. Cause: any turn of the chain that a read quorum lacks made the answer 404. Evidence: the new test of test_record_client.py fails on the commit before (404 in place of 503); with an expired head it is 404 as before. Change: while the head of the chain is retained the answer is 503. Result: the tests pass.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -36,6 +36,7 @@
         clock: clocks.Clock,
     ) -> None:
         self._requester = requester
+        self._clock = clock
         self._requests = group_requests.GroupRequester(store, requester, clock)
 
     @property
@@ -176,20 +177,31 @@
     async def read_chain(self, chain: quorum.Chain) -> quorum.Chain:
         """Return a chain with its missing turns read from the replicas.
 
-        :raises MagnoliawoodError: with ``unknown_call`` if a turn of the
-            chain certainly does not exist, with ``store_unavailable`` if too
-            few disks replied to decide
+        :raises MagnoliawoodError: with ``unknown_call`` if the head of the
+            chain certainly does not exist any more, with
+            ``store_unavailable`` if too few disks replied to decide, or if
+            they lack a turn that a retained one continues
         """
         while not chain.is_complete:
             missing_id = chain.missing_id
             chain = chain.extend(await self._read_turns(missing_id))
             if chain.missing_id == missing_id:
-                raise errors.MagnoliawoodError(
-                    errors.ErrorCode.UNKNOWN_CALL,
-                    f'no turn {missing_id}',
-                )
+                raise self._missing_turn(chain)
         return chain
 
+    def _missing_turn(self, chain: quorum.Chain) -> errors.MagnoliawoodError:
+        now = self._clock.now().timestamp()
+        if not chain.turns or chain.turns[0].expires_at <= now:
+            return errors.MagnoliawoodError(
+                errors.ErrorCode.UNKNOWN_CALL, f'no turn {chain.missing_id}'
+            )
+        return errors.MagnoliawoodError(
+            errors.ErrorCode.STORE_UNAVAILABLE,
+            f'turn {chain.missing_id} is missing, but {chain.head_id}, which '
+            'continues it, is retained',
+            retry_after=group_requests.RETRY_AFTER,
+        )
+
     async def read_stream(self, stream_id: str) -> list[records.StreamRecord]:
         """Return the origins of a stream on the disks of a read quorum.
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_record_client.py
@@ -108,6 +108,18 @@
     assert caught.value.status == 404
 
 
+@pytest.mark.parametrize(('expires_at', 'status'), [(4e9, 503), (0.0, 404)])
+def test_turn_is_not_unknown_while_one_that_continues_it_is_retained(
+    expires_at, status
+):
+    """Guards against 404 for a turn that certainly exists (issue 41)."""
+    head = records.TurnRecord('t2', 't1', b'in', b'out', expires_at)
+    client = _client(_Requester(a=_empty, b=_empty, c=_empty))
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        curio.run(client.read_chain, quorum.Chain('t2', (head,)))
+    assert caught.value.status == status
+
+
 def test_too_few_replicas_do_not_make_a_turn_unknown():
     client = _client(_Requester(a=_empty, b=LOST, c=LOST))
     with pytest.raises(errors.MagnoliawoodError) as caught:
