Let no origin of a stream expire before the one it replaces

What callers would see: a stream that is taken up over two minutes after it began goes on at another version (ORDER), where an attempt at one version failed and a disk missed the origin that replaced the planned one. Cause: the planned origin expired after the route's timeout and two minutes, its replacement after two minutes; the disk that had missed the replacement then was the only one that knew any origin. Change: each origin is kept at least as long as the planned one, and as long as a stream of its route may run. Not reproduced with processes.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/stream_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/stream_guard.py
@@ -20,7 +20,7 @@
 from magnoliawood_server.gateway import record_client as record_clients
 from magnoliawood_server.platform import requests
 
-# A stream may be taken up for this long after it began.
+# A stream may be taken up for this long after its route's timeout.
 ORIGIN_RETENTION = datetime.timedelta(minutes=2)
 # Retry delay of a request for a stream whose version does not serve.
 RETRY_AFTER = datetime.timedelta(milliseconds=500)
@@ -38,6 +38,7 @@
     :param write: write of the origin, in progress or done
     :param planned: origin that a new stream will have, if that is known
         before an upstream is chosen
+    :param expires_at: Unix time in seconds before which no origin expires
     """
 
     origin: records.StreamRecord | None = None
@@ -45,6 +46,7 @@
     origins: int = 0
     write: curio.Task | None = None
     planned: records.StreamRecord | None = None
+    expires_at: float = 0.0
 
     def mark_planned_stored(self) -> None:
         """Record that the planned origin is on a write quorum of disks."""
@@ -104,7 +106,11 @@
         """
         if metadata.last_event_id is None:
             self._check_replicas()
-            return StreamBinding(planned=self._plan(metadata, route, service))
+            expires_at = self._clock.now() + route.timeout + ORIGIN_RETENTION
+            return StreamBinding(
+                planned=self._plan(metadata, service, expires_at),
+                expires_at=expires_at.timestamp(),
+            )
         if metadata.resumed_id:
             origin = await self._find(metadata.resumed_id)
         else:
@@ -126,7 +132,15 @@
         request_id: str,
         upstream: directories.Upstream,
     ) -> None:
-        """Start to store the origin of a stream that has no event yet."""
+        """Start to store the origin of a stream that has no event yet.
+
+        Explanation
+        ===========
+
+        A disk may lack the origin and store the one that it replaces. The
+        later one must not expire first, or the stream would seem to have
+        begun at the earlier one.
+        """
         if binding.is_bound or binding.is_origin(upstream):
             return
         binding.origins += 1
@@ -136,7 +150,7 @@
             upstream.service,
             upstream.version,
             binding.origins,
-            expires_at.timestamp(),
+            max(expires_at.timestamp(), binding.expires_at),
         )
         binding.write = await curio.spawn(
             self._try_write, binding.origin, daemon=True
@@ -186,19 +200,15 @@
     def _plan(
         self,
         metadata: requests.RequestMetadata,
-        route: configurations.Route,
         service: str,
+        expires_at: datetime.datetime,
     ) -> records.StreamRecord | None:
-        """Return the origin of a new stream if only one is likely.
-
-        It may begin as late as the timeout of its route allows.
-        """
+        """Return the origin of a new stream if only one is likely."""
         versions = {
             upstream.version for upstream in self._directory.usable(service)
         }
         if len(versions) != 1:
             return None
-        expires_at = self._clock.now() + route.timeout + ORIGIN_RETENTION
         return records.StreamRecord(
             metadata.request_id,
             service,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stream_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stream_guard.py
@@ -142,6 +142,26 @@
     assert [(item.version, item.attempt) for item in client.stored] == written
 
 
+def test_origin_does_not_expire_before_the_one_that_it_replaces(
+    guard, directory, client
+):
+    """Guards against a disk that knows only the replaced one (issue 41)."""
+    directory.replace([OLD], 1, None)
+
+    async def begin():
+        binding = await guard.bind(
+            _metadata(request_id='stream'), _route('llm'), 'llm'
+        )
+        binding.mark_planned_stored()
+        await guard.begin_attempt(binding, 'stream', NEW)
+        await guard.confirm(binding)
+        return binding.planned
+
+    planned = curio.run(begin)
+    [replacement] = client.stored
+    assert replacement.expires_at >= planned.expires_at
+
+
 def test_no_origin_is_planned_while_two_versions_serve(guard, directory):
     directory.replace([OLD, NEW], 1, None)
     binding = curio.run(guard.bind, _metadata(), _route('llm'), 'llm')
