--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -25,6 +25,7 @@
 from magnoliawood_server.gateway import attempts
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import cluster_view as cluster_views
+from magnoliawood_server.gateway import directory_check
 from magnoliawood_server.gateway import gates
 from magnoliawood_server.gateway import gossip as gossips
 from magnoliawood_server.gateway import handler as handlers
@@ -148,6 +149,9 @@
             self._peers,
             clock,
         )
+        self._upstream_watch = store_watch.UpstreamWatch(
+            settings.store, self._cluster_view, self._gossip
+        )
         self._permits = permit_clients.Permits(
             self._gossip,
             self._cluster_view.directory.rate_limits,
@@ -178,6 +182,11 @@
                 self._cluster_view.directory,
                 clock,
                 self._registry,
+                directory_check.DirectoryCheck(
+                    objects.StoreClient(settings.store),
+                    self._upstream_watch,
+                    clock,
+                ),
             ),
             self._quarantine,
             upstream_announcements.UpstreamAnnouncements(
@@ -282,7 +291,7 @@
         _log.info('started')
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._listen_for_readiness)
-            await tasks.spawn(self._listen_for_callers)
+            await tasks.spawn(self._caller_listener.run)
             await tasks.spawn(
                 listeners.peer_listener(
                     self._settings.peer_listen,
@@ -297,11 +306,7 @@
                     store, self._cluster_view, self._gossip, self._clock
                 ).run
             )
-            await tasks.spawn(
-                store_watch.UpstreamWatch(
-                    store, self._cluster_view, self._gossip
-                ).run
-            )
+            await tasks.spawn(self._upstream_watch.run)
             await tasks.spawn(
                 store_watch.StoreProbe(
                     store, self._cluster_view, self._gossip
@@ -340,9 +345,6 @@
         await stop.wait_while(lambda: self._activity.requests > 0)
         await self._guard.flush()
 
-    async def _listen_for_callers(self) -> None:
-        await self._caller_listener.run()
-
     async def _serve_caller(self, sock: curio.io.Socket) -> None:
         await callers.CallerConnection(
             sock,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/store_watch.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/store_watch.py
@@ -220,6 +220,11 @@
     ) -> None:
         super().__init__(address, names.KIND_UPSTREAMS, cluster_view, peers)
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store that the directory reflects."""
+        return self._cluster_view.directory.revision
+
     def apply_listing(self, listing: objects.Listing) -> None:
         """Replace the directory of upstreams by the listed entries."""
         decoded = [
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/stream_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/stream_guard.py
@@ -7,6 +7,7 @@
 import dataclasses
 import datetime
 import logging
+import typing
 
 import curio
 
@@ -67,6 +68,14 @@
         )
 
 
+class DirectoryCheck(typing.Protocol):
+    """Protocol of what confirms that the known upstreams are not outdated."""
+
+    async def confirm(self) -> bool:
+        """Return whether the directory has all that the store has now."""
+        ...
+
+
 class StreamGuard:
     """Stores the origin of streams and finds it when they are taken up.
 
@@ -77,6 +86,10 @@
     quorum of disks before the caller gets the first event, so whoever can
     read a quorum finds it. The write runs while the upstream works on the
     first event.
+
+    :param directory_check: asked before a stream that the caller does not
+        name goes on, since a host that was cut off or stood still does not
+        know the versions that have joined meanwhile
     """
 
     def __init__(
@@ -85,7 +98,9 @@
         directory: directories.UpstreamDirectory,
         clock: clocks.Clock,
         registry: registries.Registry,
+        directory_check: DirectoryCheck,
     ) -> None:
+        self._directory_check = directory_check
         self._client = client
         self._directory = directory
         self._clock = clock
@@ -114,7 +129,7 @@
         if metadata.resumed_id:
             origin = await self._find(metadata.resumed_id)
         else:
-            origin = self._only_origin(service)
+            origin = await self._only_origin(service)
         self._registry.count(
             'streams_taken_up_total',
             stream='named' if metadata.resumed_id else 'unnamed',
@@ -217,8 +232,12 @@
             expires_at.timestamp(),
         )
 
-    def _only_origin(self, service: str) -> records.StreamRecord | None:
+    async def _only_origin(self, service: str) -> records.StreamRecord | None:
         """Return the origin of an unnamed stream if only one is possible."""
+        if self._directory.only_version(service) is None:
+            return None
+        if not await self._directory_check.confirm():
+            return None
         version = self._directory.only_version(service)
         if version is None:
             return None
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stream_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stream_guard.py
@@ -56,10 +56,27 @@
     return directories.UpstreamDirectory(clock)
 
 
+class Check:
+    """Confirms the directory, after it has applied what is missing."""
+
+    def __init__(self):
+        self.is_store_reachable = True
+        self.apply_missing = lambda: None
+
+    async def confirm(self):
+        self.apply_missing()
+        return self.is_store_reachable
+
+
 @pytest.fixture
-def guard(client, directory):
+def check():
+    return Check()
+
+
+@pytest.fixture
+def guard(client, directory, check):
     return stream_guard.StreamGuard(
-        client, directory, clocks.ManualClock(), registries.Registry()
+        client, directory, clocks.ManualClock(), registries.Registry(), check
     )
 
 
@@ -257,3 +274,24 @@
     with pytest.raises(errors.MagnoliawoodError) as caught:
         _take_up(guard)
     assert caught.value.retry_after
+
+
+@pytest.mark.parametrize('is_reachable', [True, False])
+def test_unnamed_stream_is_rejected_where_a_version_joined_unseen(
+    guard, directory, clock, check, is_reachable
+):
+    """Guards against ORDER at a host that was out of step (issue 41).
+
+    It stood still, or was cut off, while the other version joined.
+    """
+    directory.replace([OLD], 1, None)
+    clock.advance(version_history.STREAM_LIFETIME)
+    check.is_store_reachable = is_reachable
+    if is_reachable:
+        joined = directories.UpstreamChange(NEW.id, NEW)
+        left = directories.UpstreamChange(NEW.id, None)
+        check.apply_missing = lambda: directory.apply([joined, left], 2, None)
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        _take_up(guard)
+    assert caught.value.code is errors.ErrorCode.UPSTREAM_UNAVAILABLE
+    assert caught.value.retry_after
--- a/packages/magnoliawood/magnoliawood/fleet/directory.py
+++ b/packages/magnoliawood/magnoliawood/fleet/directory.py
@@ -159,6 +159,8 @@
         for change in changes:
             if change.upstream is not None:
                 self._add_registered(change.upstream)
+                # It may leave again with one of the next changes.
+                self._versions.record([change.upstream])
             else:
                 self._handle_removal(change.id, retain_until)
 
