--- a/packages/magnoliawood-server/magnoliawood_server/platform/decoding.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/decoding.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import datetime
+import ipaddress
 import json
 import logging
 import typing
@@ -15,6 +16,8 @@
 from magnoliawood_server.platform import names
 
 _DEFAULT_ATTEMPTS = 3
+_MAX_PORT = 65535
+_MAX_SLOTS = 1_000_000
 
 _log = logging.getLogger(__name__)
 
@@ -136,18 +139,39 @@
     tenants: list[_AccountFields] | None = None
 
 
+def _check_text(text: str) -> str:
+    """Reject text that cannot be sent or logged."""
+    text.encode()
+    return text
+
+
+_Text = typing.Annotated[str, pydantic.AfterValidator(_check_text)]
+
+
 class _UpstreamFields(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(strict=True)
 
-    service: str
-    address: str = pydantic.Field(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
-    zone: str
+    # It is sent to the upstream in a header.
+    name: str = pydantic.Field(pattern=r'^[!-~]{1,200}$')
+    service: _Text
+    address: str
+    zone: _Text
     state: typing.Literal['ready', 'draining']
-    slots: int = 1
-    version: typing.Any = ''
+    slots: int = pydantic.Field(1, ge=1, le=_MAX_SLOTS)
+    version: _Text | int | float = ''
     # Unix time in ms at which the process started.
     born: typing.Any = None
 
+    @pydantic.field_validator('address')
+    @classmethod
+    def _check_address(cls, address: str) -> str:
+        host, _, port = address.rpartition(':')
+        ipaddress.IPv4Address(host)
+        is_number = port.isascii() and port.isdigit() and len(port) <= 5
+        if not is_number or not 0 < int(port) <= _MAX_PORT:
+            raise ValueError('no valid port')
+        return address
+
 
 def decode_configuration(spec: object) -> configurations.Configuration:
     """Return the configuration that an operator wrote.
@@ -175,11 +199,12 @@
     Other writers may store entries of any form.
     """
     try:
-        fields = _UpstreamFields.model_validate(spec)
+        entry = {**spec, 'name': name} if isinstance(spec, dict) else spec
+        fields = _UpstreamFields.model_validate(entry)
     except pydantic.ValidationError as error:
         _log.warning(
             'entry is not a valid upstream; ignoring it',
-            extra={'entry': name, 'errors': error.error_count()},
+            extra={'entry': ascii(name), 'errors': error.error_count()},
         )
         return None
     return directory.Upstream(
--- a/packages/magnoliawood-server/magnoliawood_server/platform/objects.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/objects.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import datetime
 import json
@@ -12,6 +13,7 @@
 
 from magnoliawood.core import errors
 from magnoliawood_server.http import connection as connections
+from magnoliawood_server.platform import odd_json
 
 CALL_TIMEOUT = datetime.timedelta(seconds=1.5)
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=700)
@@ -136,17 +138,19 @@
             query['after'] = prefix
         while True:
             _, reply = await self._call('GET', _target(kind, '', query))
-            page = [_decode(item) for item in reply.get('items', [])]
+            items = reply.get('items', [])
+            page = [_decode(item) for item in items]
             matching += [
                 stored
                 for stored in page
                 if stored is not None and stored.name.startswith(prefix)
             ]
-            items = reply.get('items', [])
-            is_last = not reply.get('more') or not items
-            if is_last or not _name_of(items[-1]).startswith(prefix):
+            if not reply.get('more') or not items:
+                return Listing(tuple(matching), int(reply['current_rev']))
+            last_name = _last_name(items)
+            if not last_name.startswith(prefix):
                 return Listing(tuple(matching), int(reply['current_rev']))
-            query['after'] = _name_of(items[-1])
+            query['after'] = last_name
 
     async def get(
         self, kind: str, name: str, allow_stale: bool = False
@@ -302,7 +306,7 @@
     if status in (_NOT_FOUND, _GONE):
         return {}
     try:
-        reply = json.loads(data)
+        reply = odd_json.loads(data)
     except ValueError as error:
         raise StoreUnavailable('store response is not JSON') from error
     if not isinstance(reply, dict):
@@ -331,10 +335,23 @@
             item.get('spec'),
             item.get('status'),
         )
-    except (KeyError, TypeError, ValueError, AttributeError):
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ):
         _log.warning('store returned a malformed object')
         return None
 
 
-def _name_of(item: typing.Any) -> str:
-    return str(item['metadata']['name'])
+def _last_name(items: list[typing.Any]) -> str:
+    """Return the last name of a page, after which the next one begins.
+
+    :raises StoreUnavailable: if no item of the page has one
+    """
+    for item in reversed(items):
+        with contextlib.suppress(KeyError, TypeError):
+            return str(item['metadata']['name'])
+    raise StoreUnavailable('a page of the store names no object')
--- a/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_decoding.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_decoding.py
@@ -54,6 +54,42 @@
     assert decoding.decode_upstream('x', spec) is None
 
 
+def _nested(depth):
+    value = 'ready'
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+@pytest.mark.parametrize(
+    ('name', 'field', 'value'),
+    [
+        ('x', 'address', '10.0.0.1:65536'),
+        ('x', 'address', '10.0.0.1:0'),
+        ('x', 'address', '10.0.0.256:80'),
+        ('x', 'address', '10.0.0.1:\u0668\u0660'),
+        ('x', 'slots', 10**400),
+        ('x', 'slots', float('inf')),
+        ('x', 'slots', 0),
+        ('x', 'version', _nested(900)),
+        ('x', 'state', _nested(900)),
+        ('x', 'zone', '\ud800'),
+        ('x\r\nName: value', 'slots', 4),
+        ('', 'slots', 4),
+        ('\ud800', 'slots', 4),
+    ],
+)
+def test_entry_that_names_no_usable_upstream_is_ignored(name, field, value):
+    """Guards against hosts that end, or lose the list, for one odd entry."""
+    spec = {**ENTRY, field: value}
+    assert decoding.decode_upstream(name, spec) is None
+
+
+def test_start_out_of_range_is_unknown():
+    upstream = decoding.decode_upstream('x', {**ENTRY, 'born': 10**400})
+    assert upstream.started_at is None
+
+
 def test_route_may_be_split_between_services():
     spec = {
         'version': 7,
