--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -16,6 +16,7 @@
 from magnoliawood_server.gateway import upstream_pool
 from magnoliawood_server.http import client as http_client
 from magnoliawood_server.http import connection as connections
+from magnoliawood_server.platform import names
 from magnoliawood_server.platform import requests
 
 _SUCCESS = range(200, 300)
@@ -178,7 +179,9 @@
         :raises OSError: if the caller disconnected
         """
         try:
-            connection = await self._pool.acquire(upstream, may_reuse)
+            connection = await self._pool.acquire(
+                upstream, may_reuse, self._request_id()
+            )
         except http_client.ConnectFailed as error:
             return Result(Ending.UNREACHABLE, str(error))
         connection_use = self._pool.use_of(connection)
@@ -194,12 +197,17 @@
                 return await self._classify_failure(
                     result, upstream, connection
                 )
+            if result.ending in (Ending.REFUSED, Ending.MISDIRECTED):
+                connection.mark_refused()
             await self._pool.release_connection(upstream, connection)
             return result
         finally:
             if not connection.can_be_reused:
                 await connection.close()
 
+    def _request_id(self) -> bytes:
+        return dict(self._request.headers).get(names.REQUEST_ID, b'')
+
     async def _classify_failure(
         self,
         result: Result,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
@@ -1,5 +1,7 @@
 import contextlib
 import datetime
+import socket
+import struct
 
 import curio
 import pytest
@@ -60,23 +62,13 @@
                 await curio.sleep(pause)
 
 
-async def _run_exchange(
-    data,
-    registry=None,
-    repeated=b'',
-    pause=0.0,
-    timeout=TIMEOUT,
-):
-    """Run one attempt at an upstream that sends the data and closes.
-
-    :param registry: counts what the upstream announces
-    :param repeated: data that it sends without end instead of closing
-    """
+def _exchange(headers, registry=None):
+    """Return an exchange and what records that its caller receives."""
     clock = clocks.SystemClock()
     registry = registry or registries.Registry()
     responder = Responder()
     request = callers.CallerRequest(
-        'POST', '/stream', [(b'host', b'app')], b'', datetime.timedelta()
+        'POST', '/stream', headers, b'', datetime.timedelta()
     )
 
     async def no_step():
@@ -94,6 +86,22 @@
             directories.UpstreamDirectory(clock), registry
         ),
     )
+    return exchange, responder
+
+
+async def _run_exchange(
+    data,
+    registry=None,
+    repeated=b'',
+    pause=0.0,
+    timeout=TIMEOUT,
+):
+    """Run one attempt at an upstream that sends the data and closes.
+
+    :param registry: counts what the upstream announces
+    :param repeated: data that it sends without end instead of closing
+    """
+    exchange, responder = _exchange([(b'host', b'app')], registry)
     async with curio.tcp_server_socket('127.0.0.1', 0) as listener:
         port = listener.getsockname()[1]
         upstream = directories.Upstream(
@@ -121,12 +129,104 @@
     assert not responder.is_finished
 
 
+async def _serve_refused_twice(listener):
+    """Refuse one request; on the same connection, write that once more."""
+    refusal = (
+        b'HTTP/1.1 503 Full\r\nrequest-id: r\r\nnot-executed: 1\r\n'
+        b'content-length: 0\r\n\r\n'
+    )
+    answer = (
+        b'HTTP/1.1 200 OK\r\nrequest-id: r\r\nserver-stamp: s\r\n'
+        b'content-length: 0\r\n\r\n'
+    )
+    first, _ = await listener.accept()
+    async with first, curio.TaskGroup(wait=any) as tasks:
+        await first.recv(65536)
+        await first.sendall(refusal)
+        await tasks.spawn(_answer, first, refusal)
+        await tasks.spawn(_accept_and_answer, listener, answer)
+
+
+async def _answer(connection, data):
+    await connection.recv(65536)
+    await connection.sendall(data)
+
+
+async def _accept_and_answer(listener, data):
+    connection, _ = await listener.accept()
+    async with connection:
+        await _answer(connection, data)
+
+
+def test_request_is_not_sent_again_on_a_connection_that_refused_it():
+    """Guards against a refusal that is written once more (issue 41).
+
+    It has the id of the second try, which the upstream runs.
+    """
+
+    async def play():
+        exchange, _ = _exchange([(b'host', b'app'), (b'request-id', b'r')])
+        async with curio.tcp_server_socket('127.0.0.1', 0) as listener:
+            upstream = directories.Upstream(
+                'i-1',
+                'llm',
+                f'127.0.0.1:{listener.getsockname()[1]}',
+                'dc-1',
+                8,
+            )
+            async with curio.TaskGroup() as tasks:
+                await tasks.spawn(_serve_refused_twice, listener)
+                return [await exchange.run(upstream, TIMEOUT) for _ in '12']
+
+    first, second = curio.run(play)
+    assert first.ending is exchanges.Ending.REFUSED
+    assert second.ending is exchanges.Ending.DELIVERED
+
+
 def test_stream_without_a_length_is_complete_after_a_whole_event():
     result, responder = curio.run(_run_exchange, HEAD + EVENT)
     assert result.ending is exchanges.Ending.DELIVERED
     assert responder.is_finished
 
 
+async def _reset_after(listener, data):
+    connection, _ = await listener.accept()
+    await connection.recv(65536)
+    await connection.sendall(data)
+    # Closing resets the connection.
+    connection._socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    await connection.close()
+
+
+@pytest.mark.parametrize(
+    'data',
+    [HEAD + EVENT, HEAD.replace(b'text/event-stream', b'text/plain') + b'a'],
+    ids=['stream', 'whole body'],
+)
+def test_answer_without_a_length_that_is_reset_is_not_complete(data):
+    """The last lines of the users' news: such answers end by a close only."""
+
+    async def play():
+        exchange, responder = _exchange([(b'host', b'app')])
+        async with curio.tcp_server_socket('127.0.0.1', 0) as listener:
+            upstream = directories.Upstream(
+                'i-1',
+                'llm',
+                f'127.0.0.1:{listener.getsockname()[1]}',
+                'dc-1',
+                8,
+            )
+            async with curio.TaskGroup() as tasks:
+                await tasks.spawn(_reset_after, listener, data)
+                return await exchange.run(upstream, TIMEOUT), responder
+
+    result, responder = curio.run(play)
+    assert result.ending is exchanges.Ending.FAILED
+    assert not responder.is_finished
+
+
 LEAVING_STREAM = HEAD.replace(b'\r\n\r\n', b'\r\nserver-leaving: 1\r\n\r\n')
 CHUNKED_HEAD = HEAD.replace(
     b'\r\n\r\n', b'\r\ntransfer-encoding: chunked\r\n\r\n'
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_pool.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/upstream_pool.py
@@ -67,6 +67,16 @@
     idle_time: datetime.timedelta | None = None
 
 
+def _pop_usable(
+    idle: list[_IdleConnection], request_id: bytes
+) -> _IdleConnection | None:
+    """Remove and return the last connection that may carry a request."""
+    for position in reversed(range(len(idle))):
+        if not idle[position].connection.has_refused(request_id):
+            return idle.pop(position)
+    return None
+
+
 class UpstreamPool:
     """Pool of connections, by incarnation of the upstream."""
 
@@ -82,19 +92,23 @@
         ] = weakref.WeakKeyDictionary()
 
     async def acquire(
-        self, upstream: directory.Upstream, may_reuse: bool = True
+        self,
+        upstream: directory.Upstream,
+        may_reuse: bool = True,
+        request_id: bytes = b'',
     ) -> connections.ClientConnection:
         """Return an idle connection, or a new one.
 
         :param may_reuse: whether an idle connection may be returned
+        :param request_id: not sent again where it was refused, since the
+            refusal could be written once more
         :raises ConnectFailed: if no connection could be opened
         """
         if not may_reuse:
             return await self._open(upstream, OpenReason.SUSPECTED)
         reason = OpenReason.NONE_IDLE
         idle = self._idle.get(upstream.id, [])
-        while idle:
-            candidate = idle.pop()
+        while candidate := _pop_usable(idle, request_id):
             connection = candidate.connection
             if not self._is_fresh(candidate, upstream.service):
                 reason = OpenReason.IDLE_TOO_LONG
--- a/packages/magnoliawood-server/magnoliawood_server/http/connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/connection.py
@@ -22,6 +22,8 @@
 # Limit on the data that is received for one request. A head, a chunk header
 # and trailers are limited by h11, to 16 KiB.
 RESPONSE_LIMIT_BYTES = 4 * 1024 * 1024
+# A connection on which more requests were refused is not reused.
+_MAX_REFUSALS = 64
 
 Headers = heads.Headers
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
@@ -63,6 +65,8 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._request = heads.request_event('GET')
         self._sent_identity = b''
+        self._is_kept = False
+        self._refused_identities: set[bytes] = set()
         self._idle_limit: datetime.timedelta | None = None
         self._trailers: Headers = []
         self._received_bytes = 0
@@ -118,8 +122,20 @@
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
             and not self._h11.trailing_data[0]
+            and len(self._refused_identities) <= _MAX_REFUSALS
         )
 
+    def mark_refused(self) -> None:
+        """Record that the server refused the last request.
+
+        A faulty server may write the refusal once more.
+        """
+        self._refused_identities.add(self._sent_identity)
+
+    def has_refused(self, identity: bytes) -> bool:
+        """Whether a request with this identity was refused here before."""
+        return identity in self._refused_identities
+
     def is_open_and_idle(self) -> bool:
         """Return whether the connection is open and has no data to read."""
         try:
@@ -140,7 +156,8 @@
         """
         self._received_bytes = 0
         self._trailers = []
-        if self._h11.our_state is h11.DONE:
+        self._is_kept = self._h11.our_state is h11.DONE
+        if self._is_kept:
             self._h11.start_next_cycle()
         framing = (b'content-length', b'%d' % len(body))
         head = heads.request_head(method, target, [*headers, framing])
@@ -161,6 +178,7 @@
 
         A late response to an earlier request is read to its end and
         discarded. It is recognised because it carries another request's id.
+        One without an id may belong to any request of the connection.
 
         :raises OSError: if the connection is lost
         :raises MalformedReply: if the data is not a valid response
@@ -244,6 +262,8 @@
     def _is_response_to_request(self, head: h11.Response) -> bool:
         sent = self._sent_identity
         echoed = _find_header(head.headers, self._identity_header)
+        if sent and not echoed and self._is_kept:
+            raise MalformedReply('the response names no request')
         return not sent or not echoed or sent == echoed
 
     def _update_idle_limit(self, head: h11.Response) -> None:
--- a/packages/magnoliawood-server/magnoliawood_server/http/tests/test_connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/tests/test_connection.py
@@ -42,6 +42,44 @@
     assert curio.run(_exchange, sent) == (200, b'yes', True)
 
 
+REFUSAL = (
+    b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n'
+)
+
+
+async def _second_exchange(sent):
+    """Send a second request on a kept connection; return its status."""
+    ours, theirs = socket.socketpair()
+    connection = connections.ClientConnection(
+        curio.io.Socket(ours), b'request-id'
+    )
+    with theirs:
+        for request_id, data in ((b'first', REFUSAL % b''), (b'mine', sent)):
+            headers = [(b'host', b'h'), (b'request-id', request_id)]
+            await connection.send('POST', '/', headers, b'body')
+            theirs.sendall(data)
+            try:
+                head = await connection.read_head()
+                await connection.read_full_body()
+            except OSError:
+                await connection.close()
+                raise
+        await connection.close()
+    return head.status_code
+
+
+def test_refusal_without_an_id_is_not_taken_for_that_of_a_later_request():
+    """Guards against 'not run' for a request that runs (issue 41)."""
+    sent = REFUSAL % b'' + _complete_response(b'mine')
+    with pytest.raises(connections.MalformedReply):
+        curio.run(_second_exchange, sent)
+
+
+def test_earlier_refusal_that_is_written_once_more_is_discarded():
+    sent = REFUSAL % b'Request-Id: first\r\n' + _complete_response(b'mine')
+    assert curio.run(_second_exchange, sent) == 200
+
+
 def test_connection_with_bytes_after_the_response_is_not_reused():
     sent = _complete_response(b'mine') + b'more'
     assert curio.run(_exchange, sent) == (200, b'yes', False)
