Check the chain of a new turn back to the first one known to be whole

Cause: the check of a turn walked its whole chain on each write. Change: turns whose chain is known to be stored are remembered; none of their predecessors is dropped before them. The tests of the table, of stored turns and the model of turns pass.

--- a/packages/magnoliawood/magnoliawood/turns/table.py
+++ b/packages/magnoliawood/magnoliawood/turns/table.py
@@ -1,6 +1,5 @@
 """In-memory table of the records of one replica."""
 
-import collections
 import collections.abc
 import dataclasses
 
@@ -26,6 +25,9 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._turns: dict[str, records.TurnRecord] = {}
+        # Turns whose predecessors are known to be stored. They stay so, as
+        # no predecessor of a turn is dropped before it.
+        self._whole: set[str] = set()
         self._ledgers: dict[str, dict[str, records.ChargeRecord]] = {}
         self._streams: dict[str, records.StreamRecord] = {}
 
@@ -101,15 +103,15 @@
             for record in new_records
             if isinstance(record, records.TurnRecord)
         }
-        known = collections.ChainMap(self._turns, new_turns)
-        complete_ids = {''}
-        for new_turn in new_turns.values():
-            turn_id = new_turn.turn_id
-            while turn_id not in complete_ids:
-                if turn_id not in known:
+        checked_ids = {''}
+        for turn_id in new_turns:
+            while turn_id not in checked_ids and turn_id not in self._whole:
+                turn = self._turns.get(turn_id) or new_turns.get(turn_id)
+                if turn is None:
                     return False
-                complete_ids.add(turn_id)
-                turn_id = known[turn_id].previous_id
+                checked_ids.add(turn_id)
+                turn_id = turn.previous_id
+        self._whole.update(checked_ids & self._turns.keys())
         return True
 
     def charges(self, program_id: str) -> list[ledgers.Charge]:
@@ -152,6 +154,7 @@
         expired_turns = self._turns.keys() - retained_ids
         for turn_id in expired_turns:
             del self._turns[turn_id]
+        self._whole -= expired_turns
         expired_programs = [
             program_id
             for program_id, charges in self._ledgers.items()
