Share the disks of the two models of retention

Cause: the two models of what replicas may forget had the disks, their loss and the copy to a new one twice. Change: model_disks.py; the checks are the same.

--- a/packages/magnoliawood/magnoliawood/replication/tests/test_charge_retention_model.py
+++ b/packages/magnoliawood/magnoliawood/replication/tests/test_charge_retention_model.py
@@ -11,26 +11,18 @@
 """
 
 import dataclasses
-import datetime
 import itertools
 
 import pytest
 
-from magnoliawood.core import clock as clocks
-from magnoliawood.replication import group as groups
 from magnoliawood.replication import quorum
 from magnoliawood.replication.tests import exploration
+from magnoliawood.replication.tests import model_disks
 from magnoliawood.turns import records
-from magnoliawood.turns import table as tables
 
-GROUP = groups.Group.first(
-    [groups.Member(name, name, '') for name in 'abc'], losses=1
-)
 PROGRAM = 'p'
 COST = 80
 BUDGET = 2 * COST
-# Periods for which a charge is retained; the clock advances by one of them.
-RETENTION = 2
 PERIODS = 5
 MAX_ATTEMPTS = 3
 DEPTH = 12
@@ -48,27 +40,6 @@
     cleans_complete_only: bool = True
 
 
-@dataclasses.dataclass(frozen=True, order=True)
-class _Disk:
-    """Charges of one disk, and those still to be copied to it."""
-
-    charges: tuple = ()
-    uncopied: tuple = ()
-    is_complete: bool = True
-
-    def table(self, now):
-        clock = clocks.ManualClock()
-        clock.advance(datetime.timedelta(seconds=10 * now))
-        table = tables.RecordTable(clock)
-        for fields in self.charges:
-            table.apply(records.ChargeRecord(*fields))
-        return table
-
-    def with_table(self, table, **changes):
-        charges = tuple(sorted(map(dataclasses.astuple, table.records())))
-        return dataclasses.replace(self, charges=charges, **changes)
-
-
 @dataclasses.dataclass(frozen=True)
 class _State:
     """Disks, number of attempts and those that were granted.
@@ -77,25 +48,23 @@
     """
 
     rules: _Rules
-    now: int = 0
+    period: int = 0
     attempts: int = 0
     granted: int = 0
     last: int = 0
-    disks: tuple = (_Disk(), _Disk(), _Disk())
+    disks: tuple = (model_disks.Disk(),) * 3
 
     def steps(self):
-        if self.now < PERIODS:
-            yield 'advance', dataclasses.replace(self, now=self.now + 1)
+        if self.period < PERIODS:
+            yield 'advance', dataclasses.replace(self, period=self.period + 1)
         # An attempt as late as the expiry of the last one begins anew.
-        if self.attempts < MAX_ATTEMPTS and self.now < self.last + RETENTION:
+        goes_on = self.period < self.last + model_disks.RETENTION
+        if self.attempts < MAX_ATTEMPTS and goes_on:
             yield from self._attempts()
-        for number, disk in enumerate(self.disks):
-            yield f'clean {number}', self._clean(number, disk)
-            if disk.uncopied:
-                yield f'copy {number}', self._copy(number, disk)
-        if all(disk.is_complete for disk in self.disks):
-            for number in range(len(self.disks)):
-                yield f'lose {number}', self._lose(number)
+        for step, disks in model_disks.steps(
+            self.disks, self.period, self.rules.cleans_complete_only
+        ):
+            yield step, dataclasses.replace(self, disks=disks)
 
     def violation(self):
         if self.granted * COST > BUDGET:
@@ -103,24 +72,23 @@
         return ''
 
     def _attempts(self):
-        complete = [
-            number
-            for number, disk in enumerate(self.disks)
-            if disk.is_complete
-        ]
+        complete = model_disks.complete(self.disks)
+        group = model_disks.GROUP
         name = f'a{self.attempts + 1}'
-        charge = self._record(name)
-        for charged in itertools.combinations(complete, GROUP.meeting_quorum):
-            for read in itertools.combinations(complete, GROUP.read_quorum):
-                for sent in itertools.combinations(
-                    complete, GROUP.write_quorum
-                ):
-                    yield (
-                        f'{name} on {charged}, read {read}, all on {sent}',
-                        self._attempt(charge, charged, read, sent),
-                    )
-
-    def _attempt(self, charge, charged, read, sent):
+        for charged, read, sent in itertools.product(
+            itertools.combinations(complete, group.meeting_quorum),
+            itertools.combinations(complete, group.read_quorum),
+            itertools.combinations(complete, group.write_quorum),
+        ):
+            yield (
+                f'{name} on {charged}, read {read}, all on {sent}',
+                self._attempt(name, charged, read, sent),
+            )
+
+    def _attempt(self, name, charged, read, sent):
+        charge = records.ChargeRecord(
+            PROGRAM, name, COST, False, model_disks.expiry(self.period)
+        )
         state = self._write([charge], charged)
         listed = state._list(charged)
         if not quorum.is_round_decisive(listed):
@@ -135,66 +103,25 @@
             state,
             attempts=self.attempts + 1,
             granted=self.granted + is_granted,
-            last=self.now if is_granted else self.last,
-        )
-
-    def _record(self, name):
-        start = clocks.ManualClock().now().timestamp()
-        return records.ChargeRecord(
-            PROGRAM, name, COST, False, start + 10 * (self.now + RETENTION) - 5
+            last=self.period if is_granted else self.last,
         )
 
     def _list(self, numbers):
         return [
-            self.disks[number].table(self.now).charges(PROGRAM)
+            self.disks[number].table(self.period).charges(PROGRAM)
             for number in numbers
         ]
 
     def _write(self, charges, numbers):
-        state = self
+        disks = self.disks
         for number in numbers:
-            table = state.disks[number].table(self.now)
+            table = disks[number].table(self.period)
             for charge in charges:
                 table.apply(charge)
-            state = state._with_disk(
-                number, state.disks[number].with_table(table)
+            disks = model_disks.replace(
+                disks, number, disks[number].with_table(table)
             )
-        return state
-
-    def _clean(self, number, disk):
-        if self.rules.cleans_complete_only and not disk.is_complete:
-            return self
-        table = disk.table(self.now)
-        table.expire()
-        return self._with_disk(number, disk.with_table(table))
-
-    def _lose(self, number):
-        uncopied = {
-            fields
-            for other, disk in enumerate(self.disks)
-            if other != number
-            for fields in disk.charges
-        }
-        return self._with_disk(
-            number,
-            _Disk((), tuple(sorted(uncopied)), is_complete=not uncopied),
-        )
-
-    def _copy(self, number, disk):
-        table = disk.table(self.now)
-        first, *uncopied = disk.uncopied
-        table.apply(records.ChargeRecord(*first))
-        return self._with_disk(
-            number,
-            disk.with_table(
-                table, uncopied=tuple(uncopied), is_complete=not uncopied
-            ),
-        )
-
-    def _with_disk(self, number, disk):
-        disks = list(self.disks)
-        disks[number] = disk
-        return dataclasses.replace(self, disks=tuple(disks))
+        return dataclasses.replace(self, disks=disks)
 
 
 def test_budget_holds_as_long_as_its_program_goes_on():
--- a/packages/magnoliawood/magnoliawood/replication/tests/test_turn_retention_model.py
+++ b/packages/magnoliawood/magnoliawood/replication/tests/test_turn_retention_model.py
@@ -9,23 +9,15 @@
 """
 
 import dataclasses
-import datetime
 import itertools
 
 import pytest
 
-from magnoliawood.core import clock as clocks
-from magnoliawood.replication import group as groups
 from magnoliawood.replication import quorum
 from magnoliawood.replication.tests import exploration
+from magnoliawood.replication.tests import model_disks
 from magnoliawood.turns import records
-from magnoliawood.turns import table as tables
 
-GROUP = groups.Group.first(
-    [groups.Member(name, name, '') for name in 'abc'], losses=1
-)
-# Periods for which a turn is retained; the clock advances by one of them.
-RETENTION = 2
 MAX_TURNS = 4
 PERIODS = 4
 DEPTH = 10
@@ -45,39 +37,16 @@
     cleans_complete_only: bool = True
 
 
-@dataclasses.dataclass(frozen=True, order=True)
-class _Disk:
-    """Records of one disk.
+@dataclasses.dataclass(frozen=True)
+class _RunningTurn:
+    """A turn that was admitted and has not ended.
 
-    :param turns: the records, sorted
-    :param uncopied: records still to be copied to it, the next one first
+    :param chain: turns that it continues, as read at its admission
     """
 
-    turns: tuple = ()
-    uncopied: tuple = ()
-    is_complete: bool = True
-
-    def table(self, now):
-        clock = clocks.ManualClock()
-        clock.advance(_periods(now))
-        table = tables.RecordTable(clock)
-        for fields in self.turns:
-            table.apply(records.TurnRecord(*fields))
-        return table
-
-    def with_table(self, table, **changes):
-        turns = tuple(sorted(map(dataclasses.astuple, table.records())))
-        return dataclasses.replace(self, turns=turns, **changes)
-
-
-def _periods(number):
-    # Expiry is checked in the middle between two advances.
-    return datetime.timedelta(seconds=10 * number)
-
-
-def _expiry(now):
-    start = clocks.ManualClock().now().timestamp()
-    return start + 10 * (now + RETENTION) - 5
+    turn_id: str
+    previous_id: str
+    chain: tuple[records.TurnRecord, ...]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,60 +54,53 @@
     """Disks, acknowledged turns and the turn that runs.
 
     :param acknowledged: id and expiry of each turn that a caller got whole
-    :param running: id, predecessor and held chain of the turn that runs
     """
 
     rules: _Rules
-    now: int = 0
+    period: int = 0
     turns: int = 0
-    disks: tuple = (_Disk(), _Disk(), _Disk())
+    disks: tuple = (model_disks.Disk(),) * 3
     acknowledged: tuple = ()
-    running: tuple | None = None
+    running: _RunningTurn | None = None
 
     def steps(self):
         for step, state in self._steps():
-            yield step, state._normalized()
-
-    def _steps(self):
-        if self.now < PERIODS:
-            yield 'advance', dataclasses.replace(self, now=self.now + 1)
-        if self.running is None:
-            yield from self._admissions()
-        else:
-            yield from self._ends()
-        for number, disk in enumerate(self.disks):
-            yield f'clean {number}', self._clean(number, disk)
-            if disk.uncopied:
-                yield f'copy {number}', self._copy(number, disk)
-        if all(disk.is_complete for disk in self.disks):
-            for number in range(len(self.disks)):
-                yield f'lose {number}', self._lose(number)
+            # The disks are alike, so their order makes no difference.
+            disks = tuple(sorted(state.disks))
+            yield step, dataclasses.replace(state, disks=disks)
 
     def violation(self):
-        for turn_id, expires_at in self.acknowledged:
-            if expires_at <= self._time:
-                continue
-            for disks in itertools.combinations(
-                self._complete(), GROUP.read_quorum
+        complete = model_disks.complete(self.disks)
+        for turn_id in self._retained():
+            for numbers in itertools.combinations(
+                complete, model_disks.GROUP.read_quorum
             ):
-                if not self._read(turn_id, disks).is_complete:
+                if not self._read(turn_id, numbers).is_complete:
                     return f'{turn_id} is not whole on a read quorum'
-        if self.running is not None and not any(
-            step.startswith('end') for step, _ in self._ends()
-        ):
-            return f'{self.running[0]} can not be stored'
+        if self.running is not None and not any(self._ends(self.running)):
+            return f'{self.running.turn_id} can not be stored'
         return ''
 
-    @property
-    def _time(self):
-        return (clocks.ManualClock().now() + _periods(self.now)).timestamp()
+    def _steps(self):
+        if self.period < PERIODS:
+            yield 'advance', dataclasses.replace(self, period=self.period + 1)
+        if self.running is not None:
+            yield from self._ends(self.running)
+            yield from self._broken_completions(self.running)
+        elif self.turns < MAX_TURNS:
+            yield from self._admissions()
+        for step, disks in model_disks.steps(
+            self.disks, self.period, self.rules.cleans_complete_only
+        ):
+            yield step, dataclasses.replace(self, disks=disks)
 
-    def _complete(self):
-        return [disk for disk in self.disks if disk.is_complete]
+    def _retained(self):
+        now = model_disks.time_at(self.period)
+        return [name for name, expiry in self.acknowledged if expiry > now]
 
-    def _read(self, turn_id, disks):
+    def _read(self, turn_id, numbers):
         chain = quorum.Chain(turn_id)
-        replies = [disk.table(self.now) for disk in disks]
+        replies = [self.disks[number].table(self.period) for number in numbers]
         missing_id = None
         while chain.missing_id and chain.missing_id != missing_id:
             missing_id = chain.missing_id
@@ -149,77 +111,73 @@
         return chain
 
     def _admissions(self):
-        if self.turns == MAX_TURNS:
-            return
         turn_id = f't{self.turns + 1}'
-        heads = (
-            [name for name, expiry in self.acknowledged if expiry > self._time]
-            if self.turns
-            else ['']
-        )
-        for head_id in heads:
-            chain = (
-                self._read(head_id, self._complete())
-                if head_id
-                else (quorum.Chain(''))
-            )
-            held = tuple(map(dataclasses.astuple, chain.turns))
+        for head_id in self._retained() if self.turns else ['']:
+            chain = self._read(head_id, model_disks.complete(self.disks))
+            running = _RunningTurn(turn_id, head_id, chain.turns)
             yield (
                 f'admit {turn_id} after {head_id or "nothing"}',
                 dataclasses.replace(
-                    self,
-                    turns=self.turns + 1,
-                    running=(turn_id, head_id, held),
+                    self, turns=self.turns + 1, running=running
                 ),
             )
 
-    def _ends(self):
-        turn_id, previous_id, _ = self.running
-        turn = records.TurnRecord(
-            turn_id, previous_id, b'', b'', _expiry(self.now)
-        )
-        complete = [
-            number
-            for number, disk in enumerate(self.disks)
-            if disk.is_complete
-        ]
-        for count in range(GROUP.write_quorum, len(complete) + 1):
+    def _ends(self, running):
+        """Yield the ends of a turn that is stored on some of the disks."""
+        turn = self._record(running)
+        complete = model_disks.complete(self.disks)
+        for count in range(model_disks.GROUP.write_quorum, len(complete) + 1):
             for numbers in itertools.combinations(complete, count):
-                stored = self._store(turn, numbers)
-                if stored is not None:
+                disks = self._store(turn, numbers)
+                if disks is not None:
                     yield (
-                        f'end {turn_id} on {numbers}',
+                        f'end {turn.turn_id} on {numbers}',
                         dataclasses.replace(
-                            stored,
+                            self,
+                            disks=disks,
                             running=None,
                             acknowledged=(
                                 *self.acknowledged,
-                                (turn_id, turn.expires_at),
+                                (turn.turn_id, turn.expires_at),
                             ),
                         ),
                     )
-        for number in complete:
-            # A completion that breaks off after its first turn.
-            first = list(self._missing(turn, self.disks[number]))[:1]
-            if first:
-                table = self.disks[number].table(self.now)
-                table.apply(first[0])
+
+    def _broken_completions(self, running):
+        """Yield completions that end after their first turn."""
+        turn = self._record(running)
+        for number in model_disks.complete(self.disks):
+            table = self.disks[number].table(self.period)
+            for earlier in itertools.islice(self._missing(turn, table), 1):
+                table.apply(earlier)
                 yield (
-                    f'break off {turn_id} on {number}',
-                    self._with_disk(
-                        number, self.disks[number].with_table(table)
+                    f'break off {turn.turn_id} on {number}',
+                    dataclasses.replace(
+                        self,
+                        disks=model_disks.replace(
+                            self.disks,
+                            number,
+                            self.disks[number].with_table(table),
+                        ),
                     ),
                 )
 
-    def _missing(self, turn, disk):
+    def _record(self, running):
+        return records.TurnRecord(
+            running.turn_id,
+            running.previous_id,
+            b'',
+            b'',
+            model_disks.expiry(self.period),
+        )
+
+    def _missing(self, turn, table):
         """Yield what a disk lacks of the chain of a turn, oldest first."""
-        _, previous_id, held = self.running
-        chain = tuple(records.TurnRecord(*fields) for fields in held)
+        chain = self.running.chain
         if not self.rules.holds_chain:
-            chain = self._read(previous_id, self._complete()).turns
-        missing_ids = disk.table(self.now).missing_turns(
-            earlier.turn_id for earlier in chain
-        )
+            complete = model_disks.complete(self.disks)
+            chain = self._read(turn.previous_id, complete).turns
+        missing_ids = table.missing_turns(earlier.turn_id for earlier in chain)
         for earlier in reversed(chain):
             if earlier.turn_id in missing_ids:
                 yield dataclasses.replace(
@@ -228,63 +186,21 @@
                 )
 
     def _store(self, turn, numbers):
-        """Return the state with a turn on some disks, if all confirm it."""
-        state = self
+        """Return the disks with a turn on some, if all of them confirm it."""
+        disks = self.disks
         for number in numbers:
-            disk = self.disks[number]
-            table = disk.table(self.now)
+            table = self.disks[number].table(self.period)
             if self.rules.confirms_whole_chains:
                 if not table.has_chains_of([turn]):
-                    for earlier in self._missing(turn, disk):
+                    for earlier in self._missing(turn, table):
                         table.apply(earlier)
                 if not table.has_chains_of([turn]):
                     return None
             table.apply(turn)
-            state = state._with_disk(number, disk.with_table(table))
-        return state
-
-    def _clean(self, number, disk):
-        if self.rules.cleans_complete_only and not disk.is_complete:
-            return self
-        table = disk.table(self.now)
-        table.expire()
-        return self._with_disk(number, disk.with_table(table))
-
-    def _lose(self, number):
-        sources = [
-            disk for other, disk in enumerate(self.disks) if other != number
-        ]
-        uncopied = {
-            fields[0]: fields for disk in sources for fields in disk.turns
-        }
-        return self._with_disk(
-            number,
-            _Disk(
-                (),
-                tuple(uncopied[name] for name in sorted(uncopied)),
-                is_complete=not uncopied,
-            ),
-        )
-
-    def _copy(self, number, disk):
-        table = disk.table(self.now)
-        first, *uncopied = disk.uncopied
-        table.apply(records.TurnRecord(*first))
-        return self._with_disk(
-            number,
-            disk.with_table(
-                table, uncopied=tuple(uncopied), is_complete=not uncopied
-            ),
-        )
-
-    def _with_disk(self, number, disk):
-        disks = list(self.disks)
-        disks[number] = disk
-        return dataclasses.replace(self, disks=tuple(disks))
-
-    def _normalized(self):
-        """Return the state with its disks, which are alike, in order."""
-        return dataclasses.replace(self, disks=tuple(sorted(self.disks)))
+            disks = model_disks.replace(
+                disks, number, self.disks[number].with_table(table)
+            )
+        return disks
 
 
 def test_retained_turn_is_whole_on_each_read_quorum():
