--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -165,7 +165,7 @@
             self._gossip, self._permits, self._peers
         )
         self._guard = turn_guard.TurnGuard(self._records, clock)
-        self._host_gate = self._make_host_gate(settings.processor_share)
+        self._host_gate = self._make_host_gate()
         self._quotas = self._make_quota_gate()
         self._room_queue = (
             self._make_room_queue() if settings.orders_requests else None
@@ -200,9 +200,8 @@
             self._room_queue,
         )
 
-    def _make_host_gate(
-        self, processor_share: float | None
-    ) -> host_gate.HostGate | None:
+    def _make_host_gate(self) -> host_gate.HostGate | None:
+        processor_share = self._settings.processor_share
         if processor_share is None:
             return None
         return host_gate.HostGate(
