Name one timeout for writes of turns and their completion

Change: names and comments; no behaviour changes. Result: the tests of stored turns and of the turn guard pass.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/chain_writes.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/chain_writes.py
@@ -16,12 +16,10 @@
 
 from magnoliawood.core import errors
 from magnoliawood.turns import records
+from magnoliawood_server.gateway import group_requests
 from magnoliawood_server.gateway import quorum_calls
 from magnoliawood_server.keeper import messages
 
-# Time for each message of a completion.
-COMPLETION_TIMEOUT = datetime.timedelta(milliseconds=900)
-
 _log = logging.getLogger(__name__)
 
 
@@ -200,7 +198,7 @@
         reply, failure = None, None
         try:
             reply = await self._chain_requester.complete(
-                self._address, self._message, COMPLETION_TIMEOUT
+                self._address, self._message, group_requests.REQUEST_TIMEOUT
             )
         except errors.MagnoliawoodError as error:
             failure = error
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -246,7 +246,7 @@
         route: configurations.Route,
         account: str,
     ) -> quorum.Chain | errors.MagnoliawoodError:
-        """Return the previous turns, or the error that prevented reading it."""
+        """Return the previous turns, or why they could not be read."""
         try:
             return await self._read_chain(metadata, route, account)
         except errors.MagnoliawoodError as error:
--- a/packages/magnoliawood-server/magnoliawood_server/http/connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/connection.py
@@ -65,6 +65,7 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._request = heads.request_event('GET')
         self._sent_identity = b''
+        # Whether it carried another request before the current one.
         self._is_kept = False
         self._refused_identities: set[bytes] = set()
         self._idle_limit: datetime.timedelta | None = None
