Echo the request id in the test that counts the work of a request

Change: the answers carry the id; what is counted and its bounds are the same. Result: test_work_counts.py passes.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_work_counts.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_work_counts.py
@@ -22,11 +22,14 @@
 CHUNK = b'%x\r\n%b\r\n' % (len(EVENT), EVENT)
 END = b'0\r\n\r\n'
 STREAM_HEAD = (
-    b'HTTP/1.1 200 OK\r\nserver-stamp: s\r\n'
+    b'HTTP/1.1 200 OK\r\nrequest-id: r\r\nserver-stamp: s\r\n'
     b'content-type: text/event-stream\r\n'
     b'transfer-encoding: chunked\r\n\r\n'
 )
-CALL = b'HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok'
+CALL = (
+    b'HTTP/1.1 200 OK\r\nrequest-id: r\r\nserver-stamp: s\r\n'
+    b'content-length: 2\r\n\r\nok'
+)
 REQUEST = (
     b'POST /a HTTP/1.1\r\nhost: h\r\nrequest-id: r\r\n'
     b'content-length: 17000\r\n\r\n' + b'x' * 17000
