List a chain without a start, which the check of keepers accepts

Cause: has_chains_of ends its walk at any id that it has seen, so a turn that names itself, or two that name each other, count as a whole chain.

--- a/packages/magnoliawood/magnoliawood/turns/tests/test_table.py
+++ b/packages/magnoliawood/magnoliawood/turns/tests/test_table.py
@@ -29,3 +29,15 @@
     assert table.chain('t2') == []
     clock.advance(datetime.timedelta(seconds=5))
     assert table.expire() == 3
+
+
+def test_turns_that_continue_each_other_are_no_whole_chain():
+    """Guards against a chain without a start, which has no end to read.
+
+    A caller that uses an id again may name it as its own previous turn.
+    """
+    table = tables.RecordTable(clocks.ManualClock())
+    assert not table.has_chains_of([_turn('t1', 't1', 4e9)])
+    assert not table.has_chains_of(
+        [_turn('t1', 't2', 4e9), _turn('t2', 't1', 4e9)]
+    )
