Tell from logs why a connection closed in place of an answer, and what a 404 rests on

Change: 'response not completed' with its cause and incomplete_responses_total; the reason of a 404 or 503 for a turn says how many disks lack it and until when its successor is retained; 'too few replicas responded' names the disk of each error. An error of the caller's own connection is told apart by CallerLost; what happens after an error is as before.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -351,6 +351,7 @@
             lambda: self._cluster_view.limits,
             self._activity,
             self._clock,
+            self._registry,
         ).run()
 
     async def _listen_for_readiness(self) -> None:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -10,11 +10,13 @@
 import h11
 
 from magnoliawood.core import clock as clocks
+from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import caller_reader
 from magnoliawood_server.http import connection as connections
 from magnoliawood_server.http import heads
 from magnoliawood_server.http import response_framing
 from magnoliawood_server.http import server_side
+from magnoliawood_server.platform import names
 
 # A caller that accepts no data for this long is taken for disconnected.
 _WRITE_TIMEOUT = datetime.timedelta(seconds=5)
@@ -33,6 +35,10 @@
     """
 
 
+class CallerLost(ConnectionResetError):  # noqa: N818
+    """The caller disconnected, or does not read what it is sent."""
+
+
 @dataclasses.dataclass(slots=True)
 class CallerRequest:
     """Complete request of a caller.
@@ -128,6 +134,7 @@
     """Serves the requests of one connection sequentially.
 
     :param limits: returns the current limits on callers
+    :param registry: counts the responses that were not completed
     """
 
     def __init__(
@@ -137,6 +144,7 @@
         limits: caller_reader.LimitsSource,
         activity: CallerActivity,
         clock: clocks.Clock,
+        registry: registries.Registry | None = None,
     ) -> None:
         connections.set_socket_options(sock._socket)
         self._sock = sock
@@ -145,6 +153,7 @@
         self._limits = limits
         self._activity = activity
         self._clock = clock
+        self._registry = registry or registries.Registry()
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
@@ -184,19 +193,25 @@
     async def send(self, data: bytes | memoryview) -> None:
         """Send data, in a single write if the caller reads it.
 
-        :raises OSError: if the caller disconnected or does not read
+        :raises CallerLost: if the caller disconnected or does not read
         """
         try:
             sent = self._sock._socket.send(data)
         except BlockingIOError:
             sent = 0
-        if sent == len(data):
-            return
-        data = memoryview(data)[sent:]
+        except OSError as error:
+            raise CallerLost(str(error)) from error
+        if sent < len(data):
+            await self._send_rest(memoryview(data)[sent:])
+
+    async def _send_rest(self, data: memoryview) -> None:
         async with curio.ignore_after(_WRITE_TIMEOUT.total_seconds()):
-            await self._sock.sendall(data)
+            try:
+                await self._sock.sendall(data)
+            except OSError as error:
+                raise CallerLost(str(error)) from error
             return
-        raise ConnectionResetError('caller did not read the response in time')
+        raise CallerLost('caller did not read the response in time')
 
     async def _serve_next(self) -> bool:
         try:
@@ -227,18 +242,48 @@
         try:
             await self._handler(request, responder)
         except ResponseAborted as aborted:
+            self._record_incomplete(request, responder, str(aborted), 'abort')
             return aborted
         except OSError as error:
+            is_caller_lost = isinstance(error, CallerLost)
+            cause = 'caller_lost' if is_caller_lost else 'connection_error'
+            self._record_incomplete(request, responder, str(error), cause)
             return ResponseAborted(str(error))
         except Exception as error:
             _log.exception('request handler failed')
             if responder.is_started:
+                self._record_incomplete(
+                    request, responder, str(error), 'failure'
+                )
                 return ResponseAborted(str(error))
             await responder.send_complete(
                 int(http.HTTPStatus.BAD_GATEWAY), [], b''
             )
         return None
 
+    def _record_incomplete(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        reason: str,
+        cause: str,
+    ) -> None:
+        """Record that a connection closes in place of a whole response."""
+        self._registry.count('incomplete_responses_total', cause=cause)
+        request_id = dict(request.headers).get(names.REQUEST_ID, b'')
+        elapsed = self._clock.monotonic() - request.arrived
+        _log.warning(
+            'response not completed',
+            extra={
+                'request_id': request_id.decode('latin-1'),
+                'cause': cause,
+                'reason': reason,
+                'is_started': responder.is_started,
+                'is_stopping': self._activity.is_closing,
+                'elapsed_ms': elapsed // datetime.timedelta(milliseconds=1),
+            },
+        )
+
     async def _read_request(
         self,
     ) -> tuple[CallerRequest, response_framing.ResponseFraming] | None:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quorum_log.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quorum_log.py
@@ -42,7 +42,7 @@
                 'epoch': group.epoch,
                 'needed': needed,
                 'errors': [
-                    str(peer_reply.error)
+                    f'{peer_reply.peer}: {peer_reply.error}'
                     for peer_reply in peer_replies
                     if peer_reply.error
                 ],
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -184,21 +184,35 @@
         """
         while not chain.is_complete:
             missing_id = chain.missing_id
-            chain = chain.extend(await self._read_turns(missing_id))
+            replies = await self._read_turns(missing_id)
+            chain = chain.extend(_longest(replies))
             if chain.missing_id == missing_id:
-                raise self._missing_turn(chain)
+                raise self._missing_turn(chain, len(replies))
         return chain
 
-    def _missing_turn(self, chain: quorum.Chain) -> errors.MagnoliawoodError:
-        now = self._clock.now().timestamp()
-        if not chain.turns or chain.turns[0].expires_at <= now:
+    def _missing_turn(
+        self, chain: quorum.Chain, disks: int
+    ) -> errors.MagnoliawoodError:
+        """Return the error for a chain that could not be read.
+
+        :param disks: number of disks that replied and lack the turn
+        """
+        lacking = f'{disks} disks lack turn {chain.missing_id}'
+        if not chain.turns:
+            return errors.MagnoliawoodError(
+                errors.ErrorCode.UNKNOWN_CALL, lacking
+            )
+        left = chain.turns[0].expires_at - self._clock.now().timestamp()
+        if left <= 0:
             return errors.MagnoliawoodError(
-                errors.ErrorCode.UNKNOWN_CALL, f'no turn {chain.missing_id}'
+                errors.ErrorCode.UNKNOWN_CALL,
+                f'{lacking}; {chain.head_id}, which continues it, expired '
+                f'{-left:.3f} s ago',
             )
         return errors.MagnoliawoodError(
             errors.ErrorCode.STORE_UNAVAILABLE,
-            f'turn {chain.missing_id} is missing, but {chain.head_id}, which '
-            'continues it, is retained',
+            f'{lacking}, but {chain.head_id}, which continues it, is '
+            f'retained for {left:.3f} s',
             retry_after=group_requests.RETRY_AFTER,
         )
 
@@ -263,7 +277,11 @@
             requester=requester,
         )
 
-    async def _read_turns(self, turn_id: str) -> list[records.TurnRecord]:
+    async def _read_turns(
+        self, turn_id: str
+    ) -> list[list[records.TurnRecord]]:
+        """Return a turn and those before it, from each disk that replied."""
+
         def make_request(member: groups.Member, epoch: int) -> typing.Any:
             return messages.ReadChain(epoch, member.disk_id, turn_id)
 
@@ -273,10 +291,19 @@
             is_final=lambda reply: bool(reply.records),
             sends_to_all=False,
         )
-        longest_reply = max(replies, key=lambda reply: len(reply.records))
-        decoded = map(records.decode, longest_reply.records)
-        return [
-            record
-            for record in decoded
-            if isinstance(record, records.TurnRecord)
-        ]
+        return [_decode_turns(reply.records) for reply in replies]
+
+
+def _decode_turns(
+    entries: collections.abc.Iterable[bytes],
+) -> list[records.TurnRecord]:
+    decoded = map(records.decode, entries)
+    return [
+        record for record in decoded if isinstance(record, records.TurnRecord)
+    ]
+
+
+def _longest(
+    chains: collections.abc.Iterable[list[records.TurnRecord]],
+) -> list[records.TurnRecord]:
+    return max(chains, key=len)
