Take turns that continue each other for no whole chain, and read them once

What callers saw: by reading only, a turn that names itself (a caller that uses the id of a stored turn again) could be stored where its first copy is missing; reading it then never ended, in a keeper and in each gateway that asked. Cause: the walk back over a chain stopped at any turn that it had met, its own included, and reading had no such stop at all. Change: the check of a keeper rejects a walk that meets itself; chain, extend and the cache of a gateway read each turn once; a turn with the id of one that it continues is refused with malformed_request before it runs. Works since every loop over previous ids is now bounded by the number of stored turns.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_turn_guard.py
@@ -1,5 +1,6 @@
 """Tests of the admission of turns, with one disk and no network."""
 
+import dataclasses
 import datetime
 
 import curio
@@ -32,6 +33,14 @@
             self.table.apply(record)
         return [self.table.charges(program_id)]
 
+    async def read_chain(self, chain):
+        extended = chain.extend(self.table.chain(chain.missing_id))
+        if extended.is_complete:
+            return extended
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.STORE_UNAVAILABLE, 'a part is missing'
+        )
+
     async def settle(self, *charges):
         self.settled.append(charges)
         for charge in charges:
@@ -114,3 +123,21 @@
         assert not client.settled
 
     curio.run(run)
+
+
+@pytest.mark.parametrize('stored_previous', ['', 'unknown', 't'])
+def test_turn_that_continues_itself_is_rejected(
+    guard, client, stored_previous
+):
+    """Guards against reading without an end, and a chain without a start."""
+    client.table.apply(
+        records.TurnRecord('t', stored_previous, b'in', b'out', 4e9)
+    )
+    route = dataclasses.replace(
+        _route(), keeps_history=True, history_period=SECOND
+    )
+    metadata = dataclasses.replace(_metadata(), previous_turn_id='t')
+    with pytest.raises(errors.MagnoliawoodError) as caught:
+        curio.run(guard.admit, metadata, route)
+    expected = 503 if stored_previous else 400
+    assert caught.value.status == expected
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -74,12 +74,14 @@
             self._bytes -= _size(evicted)
 
     def chain(self, turn_id: str) -> list[records.TurnRecord]:
-        chain_turns = []
-        while turn := self._turns.get(turn_id):
+        chain_turns: dict[str, records.TurnRecord] = {}
+        while turn_id not in chain_turns and (
+            turn := self._turns.get(turn_id)
+        ):
             self._turns.move_to_end(turn_id)
-            chain_turns.append(turn)
+            chain_turns[turn_id] = turn
             turn_id = turn.previous_id
-        return chain_turns
+        return list(chain_turns.values())
 
 
 def _size(turn: records.TurnRecord) -> int:
@@ -119,7 +121,9 @@
         :param stream: stream of the turn, whose planned origin is stored
             with the charge
         :raises MagnoliawoodError: with ``budget_exhausted``,
-            ``unknown_call`` or ``store_unavailable``; the turn must not run
+            ``unknown_call``, ``store_unavailable`` or, for a turn with the
+            id of one that it continues, ``malformed_request``; the turn must
+            not run
         """
         chain_task = await curio.spawn(
             self._try_chain, metadata, route, account
@@ -266,6 +270,11 @@
             chain = await self._client.read_chain(chain)
             for turn in chain.turns:
                 self._cache.add(turn)
+        if any(turn.turn_id == metadata.request_id for turn in chain.turns):
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.MALFORMED_REQUEST,
+                f'turn {head_id} continues a turn with the id of this request',
+            )
         if any(turn.account != account for turn in chain.turns):
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.UNKNOWN_CALL,
--- a/packages/magnoliawood/magnoliawood/replication/quorum.py
+++ b/packages/magnoliawood/magnoliawood/replication/quorum.py
@@ -201,11 +201,25 @@
     def extend(
         self, replica_turns: collections.abc.Iterable[records.TurnRecord]
     ) -> 'Chain':
-        """Return the chain extended by the turns of one replica."""
+        """Return the chain extended by the turns of one replica.
+
+        Examples
+        ========
+
+        Turns that continue each other are read once; the chain has no
+        start, so it stays incomplete.
+
+        >>> looped = records.TurnRecord('t1', 't1', b'in', b'out', 60.0)
+        >>> chain = Chain('t1').extend([looped]).extend([looped])
+        >>> len(chain.turns), chain.is_complete
+        (1, False)
+        """
         by_id = {turn.turn_id: turn for turn in replica_turns}
+        for turn in self.turns:
+            by_id.pop(turn.turn_id, None)
         turns = list(self.turns)
         missing_id = self.missing_id
-        while missing_id and missing_id in by_id:
-            turns.append(by_id[missing_id])
-            missing_id = turns[-1].previous_id
+        while missing_id and (turn := by_id.pop(missing_id, None)):
+            turns.append(turn)
+            missing_id = turn.previous_id
         return Chain(self.head_id, tuple(turns))
--- a/packages/magnoliawood/magnoliawood/turns/table.py
+++ b/packages/magnoliawood/magnoliawood/turns/table.py
@@ -68,13 +68,13 @@
         """Return a turn and its predecessors, as far as they are stored.
 
         :returns: the newest first; the last one may continue a turn that
-            is not stored
+            is not stored, or one that is listed already
         """
-        turns = []
-        while turn := self._turns.get(turn_id):
-            turns.append(turn)
+        turns: dict[str, records.TurnRecord] = {}
+        while turn_id not in turns and (turn := self._turns.get(turn_id)):
+            turns[turn_id] = turn
             turn_id = turn.previous_id
-        return turns
+        return list(turns.values())
 
     def missing_turns(
         self, turn_ids: collections.abc.Iterable[str]
@@ -87,6 +87,9 @@
     ) -> bool:
         """Whether all predecessors of new turns are stored or new as well.
 
+        Turns that continue each other have no first one, so they are no
+        whole chain.
+
         Examples
         ========
 
@@ -105,12 +108,14 @@
         }
         checked_ids = {''}
         for turn_id in new_turns:
+            chain_ids: set[str] = set()
             while turn_id not in checked_ids and turn_id not in self._whole:
                 turn = self._turns.get(turn_id) or new_turns.get(turn_id)
-                if turn is None:
+                if turn is None or turn_id in chain_ids:
                     return False
-                checked_ids.add(turn_id)
+                chain_ids.add(turn_id)
                 turn_id = turn.previous_id
+            checked_ids |= chain_ids
         self._whole.update(checked_ids & self._turns.keys())
         return True
 
--- a/packages/magnoliawood/magnoliawood/turns/tests/test_table.py
+++ b/packages/magnoliawood/magnoliawood/turns/tests/test_table.py
@@ -41,3 +41,12 @@
     assert not table.has_chains_of(
         [_turn('t1', 't2', 4e9), _turn('t2', 't1', 4e9)]
     )
+
+
+def test_stored_turns_that_continue_each_other_are_read_once():
+    """Guards against a reading that never ends; an earlier release kept them."""
+    table = tables.RecordTable(clocks.ManualClock())
+    for record in (_turn('t1', 't2', 4e9), _turn('t2', 't1', 4e9)):
+        table.apply(record)
+    assert [turn.turn_id for turn in table.chain('t1')] == ['t1', 't2']
+    assert not table.has_chains_of([_turn('t3', 't1', 4e9)])
