--- a/packages/magnoliawood/magnoliawood/turns/tests/test_table.py
+++ b/packages/magnoliawood/magnoliawood/turns/tests/test_table.py
@@ -44,7 +44,7 @@
 
 
 def test_stored_turns_that_continue_each_other_are_read_once():
-    """Guards against a reading that never ends; an earlier release kept them."""
+    """Guards against reading without an end what earlier releases stored."""
     table = tables.RecordTable(clocks.ManualClock())
     for record in (_turn('t1', 't2', 4e9), _turn('t2', 't1', 4e9)):
         table.apply(record)
