Type the turns that extend a chain as the type checker asks

Cause: mypy refused the default of pop in the commit on chains without a start. Change: the walk takes turns by their id, each once. Result: mypy and the doctest pass.

--- a/packages/magnoliawood/magnoliawood/replication/quorum.py
+++ b/packages/magnoliawood/magnoliawood/replication/quorum.py
@@ -214,12 +214,15 @@
         >>> len(chain.turns), chain.is_complete
         (1, False)
         """
-        by_id = {turn.turn_id: turn for turn in replica_turns}
-        for turn in self.turns:
-            by_id.pop(turn.turn_id, None)
+        read_ids = {turn.turn_id for turn in self.turns}
+        by_id = {
+            turn.turn_id: turn
+            for turn in replica_turns
+            if turn.turn_id not in read_ids
+        }
         turns = list(self.turns)
         missing_id = self.missing_id
-        while missing_id and (turn := by_id.pop(missing_id, None)):
-            turns.append(turn)
-            missing_id = turn.previous_id
+        while missing_id and missing_id in by_id:
+            turns.append(by_id.pop(missing_id))
+            missing_id = turns[-1].previous_id
         return Chain(self.head_id, tuple(turns))
