--- a/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
@@ -2,6 +2,7 @@
 
 import datetime
 import logging
+import typing
 
 import curio
 
@@ -12,7 +13,9 @@
 from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import pool as pools
 
-COPY_TIMEOUT = datetime.timedelta(seconds=3)
+# A source that sends nothing for this long is given up. The whole copy has no
+# limit: a larger one takes longer.
+PROGRESS_TIMEOUT = datetime.timedelta(seconds=3)
 
 _log = logging.getLogger(__name__)
 
@@ -63,9 +66,8 @@
         if source.disk_id == state.disk_id:
             return state.copied_epoch >= source.since
         try:
-            async with curio.timeout_after(COPY_TIMEOUT.total_seconds()):
-                return await self._transfer(group, source)
-        except (errors.MagnoliawoodError, curio.TaskTimeout) as error:
+            return await self._transfer(group, source)
+        except errors.MagnoliawoodError as error:
             _log.warning(
                 'copying from a source replica failed',
                 extra={'host': source.host, 'error': str(error)},
@@ -78,7 +80,7 @@
         stream = await self._pool.open_stream(source.address)
         try:
             await stream.send(messages.CopyAll(source.disk_id, group))
-            status = await stream.receive()
+            status = await _receive_in_time(stream)
             await self._receive_pages(stream)
             return status.copied_epoch >= source.since
         finally:
@@ -86,8 +88,18 @@
 
     async def _receive_pages(self, stream: connections.Stream) -> None:
         while True:
-            page = await stream.receive()
+            page = await _receive_in_time(stream)
             if page.records:
                 await self._replica.write_new(page.records)
             if page.is_last:
                 return
+
+
+async def _receive_in_time(stream: connections.Stream) -> typing.Any:
+    """Return the next message of a source.
+
+    :raises PeerLost: if the connection is lost or the source sends nothing
+    """
+    async with curio.ignore_after(PROGRESS_TIMEOUT.total_seconds()):
+        return await stream.receive()
+    raise connections.PeerLost('the source sent no part of its records')
