--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -24,6 +24,9 @@
 # The charges of a program are retained for this long after its last attempt
 # was charged.
 CHARGE_RETENTION = datetime.timedelta(minutes=2)
+# Clocks of two hosts differ by less than this: a turn is stamped by the clock
+# of a gateway and dropped by that of a keeper.
+CLOCK_TOLERANCE = datetime.timedelta(seconds=5)
 # Size limit of the cache of turns that this process has read or stored.
 _CACHE_BYTES = 16 * 1024 * 1024
 
@@ -35,8 +38,8 @@
     :param charge: maximum that the turn may spend, if it has a budget
     :param chain: turns that it continues; replicas may have dropped them by
         the time it ends
-    :param retention_period: time for which the turn is stored; zero if it
-        is not stored
+    :param retention_period: time for which the turn is stored, counted from
+        before it is; zero if it is not stored
     :param account: name of the client account that owns it; empty if none
     :param is_settled: whether the tokens that it spent have been stored
     """
@@ -96,6 +99,20 @@
     return f'{account}/{program_id}' if account else program_id
 
 
+def _retention_period(route: configurations.Route) -> datetime.timedelta:
+    """Return how long a turn is stored; zero if it is not.
+
+    Explanation
+    ===========
+
+    A turn is retained from the end of its response, which comes after its
+    write and within the timeout of its route.
+    """
+    if not route.keeps_history:
+        return datetime.timedelta()
+    return route.history_period + route.timeout + CLOCK_TOLERANCE
+
+
 class TurnGuard:
     """Admits turns within their budget and stores those to be retained."""
 
@@ -146,9 +163,7 @@
             metadata.previous_turn_id,
             charge,
             chain,
-            route.history_period
-            if route.keeps_history
-            else datetime.timedelta(),
+            _retention_period(route),
             account,
         )
 
