--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -32,6 +32,7 @@
 from magnoliawood_server.gateway import host_gate
 from magnoliawood_server.gateway import peer_service as peer_services
 from magnoliawood_server.gateway import permits as permit_clients
+from magnoliawood_server.gateway import planned_stop
 from magnoliawood_server.gateway import quarantine as quarantines
 from magnoliawood_server.gateway import quarantine_sync as quarantine_syncs
 from magnoliawood_server.gateway import quota_gate
@@ -58,12 +59,6 @@
 
 CLEANUP_INTERVAL = datetime.timedelta(seconds=2)
 OVERDUE_INTERVAL = datetime.timedelta(milliseconds=250)
-# The load balancer may still send connections for this long after the
-# readiness check has begun to fail.
-STOP_NOTICE = datetime.timedelta(seconds=2.5)
-# Requests that are still in progress are aborted this long before the end of
-# the stop limit.
-STOP_RESERVE = datetime.timedelta(seconds=0.5)
 
 _log = logging.getLogger(__name__)
 
@@ -165,6 +160,13 @@
             self._gossip, self._permits, self._peers
         )
         self._guard = turn_guard.TurnGuard(self._records, clock)
+        self._stop = planned_stop.PlannedStop(
+            settings.stop_limit,
+            self._activity,
+            self._caller_listener.stop,
+            self._guard.flush,
+            clock,
+        )
         self._host_gate = self._make_host_gate()
         self._quotas = self._make_quota_gate()
         self._room_queue = (
@@ -213,7 +215,7 @@
         )
 
     def _make_gates(self) -> gates.Gates:
-        listed: list[gates.Gate] = []
+        listed: list[gates.Gate] = [self._stop]
         if self._host_gate is not None:
             listed.append(self._host_gate)
         listed.append(self._quotas)
@@ -325,25 +327,13 @@
                 await tasks.spawn(self._host_gate.run)
             await tasks.spawn(self._check_overdue_forever)
             await tasks.spawn(reloads.run)
-            stopping = await tasks.spawn(self._wait_for_stop, signals)
+            stopping = await tasks.spawn(self._stop.run, signals)
         return int(stopping.result)
 
     def _reload(self, settings: settings_files.HostSettings) -> None:
         """Apply the settings that may change while the process runs."""
         self._gossip.add_peers(settings.seeds)
 
-    async def _wait_for_stop(self, signals: stop.StopSignals) -> int:
-        limit = self._settings.stop_limit - STOP_RESERVE
-        return int(await stop.drain(signals, self._drain, limit))
-
-    async def _drain(self) -> None:
-        self._activity.is_closing = True
-        await curio.sleep(STOP_NOTICE.total_seconds())
-        await self._caller_listener.stop()
-        await self._activity.close_idle()
-        await stop.wait_while(lambda: self._activity.requests > 0)
-        await self._guard.flush()
-
     async def _serve_caller(self, sock: curio.io.Socket) -> None:
         await callers.CallerConnection(
             sock,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -22,6 +22,7 @@
 _WRITE_TIMEOUT = datetime.timedelta(seconds=5)
 
 CallerActivity = caller_reader.CallerActivity
+RequestCut = caller_reader.RequestCut
 _CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 _log = logging.getLogger(__name__)
@@ -188,7 +189,10 @@
             if not self._reader.has_caller_left:
                 raise
         finally:
-            await reading.cancel()
+            try:
+                await reading.cancel()
+            finally:
+                self._reader.stop()
 
     async def send(self, data: bytes | memoryview) -> None:
         """Send data, in a single write if the caller reads it.
@@ -221,13 +225,11 @@
             return False
         if received is None:
             return False
-        self._activity.requests += 1
-        self._reader.is_serving = True
+        self._reader.begin_serving()
         try:
             aborted = await self._run_handler(*received)
         finally:
-            self._reader.is_serving = False
-            self._activity.requests -= 1
+            self._reader.end_serving()
         if aborted is not None:
             raise aborted
         return server_side.start_next_cycle(self._h11)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller_reader.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller_reader.py
@@ -17,20 +17,43 @@
 LimitsSource = collections.abc.Callable[[], configurations.CallerLimits]
 
 
+class RequestCut(curio.TaskCancelled):  # noqa: N818
+    """The process ends before the request does."""
+
+
 @dataclasses.dataclass(slots=True)
 class CallerActivity:
     """State shared by the caller connections of this process.
 
-    :param requests: number of requests whose response is not complete
+    Each connection is in one of the sets at most.
+
     :param is_closing: whether each connection closes after its next response
     :param is_closed: whether no further request is read
     :param waiting: tasks of idle connections, which wait for a request
+    :param reading: tasks of connections that have read a part of a request
+    :param serving: tasks of requests whose response is not complete
     """
 
-    requests: int = 0
     is_closing: bool = False
     is_closed: bool = False
     waiting: set[curio.Task] = dataclasses.field(default_factory=set)
+    reading: set[curio.Task] = dataclasses.field(default_factory=set)
+    serving: set[curio.Task] = dataclasses.field(default_factory=set)
+
+    @property
+    def requests(self) -> int:
+        """Number of requests whose response is not complete."""
+        return len(self.serving)
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is read or served."""
+        return bool(self.reading or self.serving)
+
+    async def cut_requests(self) -> None:
+        """End the requests in progress; each gets the answer that is true."""
+        for task in list(self.serving):
+            await task.cancel(exc=RequestCut, blocking=False)
 
     async def close_idle(self) -> None:
         """Close idle connections and read no further requests."""
@@ -68,7 +91,7 @@
         self._activity = activity
         self._clock = clock
         # Whether a request is served, so that nobody waits for data.
-        self.is_serving = False
+        self._is_serving = False
         self._has_caller_left = False
         self._server: curio.Task | None = None
         self._news = curio.Event()
@@ -82,6 +105,25 @@
         """Whether the serving task was cancelled since the caller left."""
         return self._has_caller_left
 
+    def begin_serving(self) -> None:
+        """Record that a whole request has been read and is served."""
+        assert self._server is not None  # Set by start.
+        self._is_serving = True
+        self._activity.reading.discard(self._server)
+        self._activity.serving.add(self._server)
+
+    def end_serving(self) -> None:
+        """Record that the response is complete, or never will be."""
+        assert self._server is not None  # Set by start.
+        self._is_serving = False
+        self._activity.serving.discard(self._server)
+
+    def stop(self) -> None:
+        """Record that the connection serves no further request."""
+        if self._server is not None:
+            self._stop_idling()
+            self._activity.reading.discard(self._server)
+
     async def start(self) -> curio.Task:
         """Read in a new task, on behalf of the task that calls this."""
         self._server = await curio.current_task()
@@ -101,6 +143,7 @@
         if self._is_between_requests():
             await self._wait_for_request()
         else:
+            self._mark_reading()
             limit = self._limits().header_timeout
             async with curio.ignore_after(limit.total_seconds()):
                 await self._news.wait()
@@ -126,6 +169,9 @@
         again.
         """
         assert self._server is not None  # Set by start.
+        if self._activity.is_closed:
+            raise ConnectionResetError('connection closed while idle')
+        self._activity.reading.discard(self._server)
         self._idle_since = self._clock.monotonic()
         self._activity.waiting.add(self._server)
         try:
@@ -137,6 +183,11 @@
         finally:
             self._stop_idling()
 
+    def _mark_reading(self) -> None:
+        """Record that a part of a request has been read."""
+        if self._server is not None and not self._is_serving:
+            self._activity.reading.add(self._server)
+
     def _stop_idling(self) -> None:
         """Protect the connection from being closed as an idle one."""
         self._idle_since = None
@@ -188,12 +239,14 @@
             except BlockingIOError:
                 continue
             self._stop_idling()
+            if data:
+                self._mark_reading()
             return data
 
     async def _end(self, error: OSError | None = None) -> None:
         """Report the end of the stream; a request in progress is cancelled."""
         assert self._server is not None  # Set by start.
-        if self.is_serving:
+        if self._is_serving:
             self._has_caller_left = True
             await self._server.cancel(blocking=False)
             return
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -117,6 +117,8 @@
             self._gates.admit(job)
             try:
                 await self._serve(job)
+            except callers.RequestCut:
+                raise job.cut_error() from None
             finally:
                 self._gates.end(job)
         except errors.MagnoliawoodError as error:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
@@ -174,6 +174,19 @@
             errors.verdicts.Verdict.MAY_HAVE_RUN,
         )
 
+    def cut_error(self) -> errors.MagnoliawoodError:
+        """Return the error with which a stop of the process ends it."""
+        reason = 'the process stops before the request has ended'
+        if self.runs:
+            return errors.MagnoliawoodError(
+                errors.ErrorCode.OUTCOME_UNKNOWN,
+                reason,
+                errors.verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        return errors.MagnoliawoodError(
+            errors.ErrorCode.LEAVING, reason, retry_after=RETRY_AFTER
+        )
+
 
 def hash_point(metadata: requests.RequestMetadata) -> float:
     """Hash the session to a point in [0, 1).
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -42,6 +42,7 @@
     """Timing and faults of the upstream.
 
     :param event_seconds: time between two events
+    :param answer_seconds: time from a run to a response that is no stream
     :param refusals: number of requests to reject without running them
     :param lost_answers: number of responses to lose after the request ran
     :param cut_after: number of events after which each stream is cut; none
@@ -58,6 +59,7 @@
     """
 
     event_seconds: float = 0.005
+    answer_seconds: float = 0.0
     refusals: int = 0
     lost_answers: int = 0
     cut_after: int = -1
@@ -108,7 +110,10 @@
             return http_message.Response(
                 503, {**request_id_header, 'not-executed': '1'}
             )
-        return self._run(request, request_id_header)
+        response = self._run(request, request_id_header)
+        if self.faults.answer_seconds and response.parts is None:
+            await curio.sleep(self.faults.answer_seconds)
+        return response
 
     async def _drop_if_idle(self) -> None:
         connection = (await curio.current_task()).id
