Let a repeated SIGTERM cut nothing at a gateway

What callers could see: streams and requests cut at once when a gateway that is stopping gets SIGTERM once more. Cause: any second stop signal interrupted the drain, which suits Ctrl-C and not a platform that ends the process itself after grace_s. Change: the handler tells which signal came, and a gateway's drain is interrupted by SIGINT only; other processes are as before.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/planned_stop.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/planned_stop.py
@@ -9,6 +9,7 @@
 import datetime
 import logging
 import random
+import signal
 
 import curio
 
@@ -25,6 +26,8 @@
 RESERVE = datetime.timedelta(seconds=0.5)
 # Time in which requests that are cut get their answer.
 ANSWER_TIME = datetime.timedelta(seconds=0.25)
+# A repeated SIGTERM is no reason to end sooner than the platform allows.
+_INTERRUPTING = frozenset({signal.SIGINT})
 
 _log = logging.getLogger(__name__)
 
@@ -57,7 +60,9 @@
 
     async def run(self, signals: stop.StopSignals) -> stop.ExitCode:
         """Wait for a stop signal, then end what is in progress."""
-        return await stop.drain(signals, self._drain, self._limit)
+        return await stop.drain(
+            signals, self._drain, self._limit, _INTERRUPTING
+        )
 
     def admit(self, job: jobs.Job) -> None:
         """Refuse a request whose deadline is after the end of the process.
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/signals.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/signals.py
@@ -27,10 +27,11 @@
         for number in numbers:
             signal.signal(number, self._handle_signal)
 
-    async def wait(self) -> None:
-        """Wait for the next signal."""
-        await self._reader.recv(1)
+    async def wait(self) -> signal.Signals:
+        """Wait for the next signal and return it."""
+        received = await self._reader.recv(1)
+        return signal.Signals(received[0])
 
     def _handle_signal(self, number: int, frame: object) -> None:
         with contextlib.suppress(BlockingIOError):
-            self._writer.send(b'\0')
+            self._writer.send(bytes([number]))
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/stop.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/stop.py
@@ -11,6 +11,7 @@
 from magnoliawood_server.runtime import signals
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_ALL_SIGNALS = frozenset(SIGNALS)
 POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 
 _log = logging.getLogger(__name__)
@@ -37,19 +38,26 @@
     stop_signals: StopSignals,
     steps: collections.abc.Callable[[], collections.abc.Awaitable[None]],
     limit: datetime.timedelta,
+    interrupting: frozenset[signal.Signals] = _ALL_SIGNALS,
 ) -> ExitCode:
     """Wait for a stop signal, then drain the process.
 
     :param steps: drains the process; returns once no work is in progress
-    :param limit: longest time that ``steps`` may take; a second signal
-        interrupts them as well
+    :param limit: longest time that ``steps`` may take
+    :param interrupting: signals of which a second one interrupts the steps
     :returns: whether the drain was complete or was interrupted
     """
     await stop_signals.wait()
     _log.info('stopping', extra={'limit_seconds': limit.total_seconds()})
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(_run_and_return, ExitCode.DRAINED, steps)
-        await group.spawn(_run_and_return, ExitCode.CUT, stop_signals.wait)
+        await group.spawn(
+            _run_and_return,
+            ExitCode.CUT,
+            _wait_for_one_of,
+            stop_signals,
+            interrupting,
+        )
         await group.spawn(
             _run_and_return, ExitCode.CUT, curio.sleep, limit.total_seconds()
         )
@@ -57,6 +65,13 @@
     return group.result
 
 
+async def _wait_for_one_of(
+    stop_signals: StopSignals, numbers: frozenset[signal.Signals]
+) -> None:
+    while (number := await stop_signals.wait()) not in numbers:
+        _log.info('already stopping', extra={'signal': number.name})
+
+
 async def _run_and_return(
     code: ExitCode,
     function: collections.abc.Callable[..., collections.abc.Awaitable[None]],
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/tests/test_stop.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/tests/test_stop.py
@@ -44,6 +44,24 @@
     assert curio.run(stop.drain, signals, steps, limit) is code
 
 
+def test_only_the_interrupting_signals_end_a_drain(signals):
+    """Guards against a repeated SIGTERM that cuts what is in progress."""
+    for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT):
+        os.kill(os.getpid(), number)
+    interrupting = frozenset({signal.SIGINT})
+    code = curio.run(stop.drain, signals, _wait_forever, LONG, interrupting)
+    assert code is stop.ExitCode.CUT
+
+    os.kill(os.getpid(), signal.SIGTERM)
+    os.kill(os.getpid(), signal.SIGTERM)
+
+    async def finish_later():
+        await curio.sleep(0.05)
+
+    code = curio.run(stop.drain, signals, finish_later, LONG, interrupting)
+    assert code is stop.ExitCode.DRAINED
+
+
 def test_drain_does_not_start_without_signal(signals):
     async def main():
         task = await curio.spawn(stop.drain, signals, _finish_at_once, LONG)
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_gateway_stops.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_gateway_stops.py
@@ -132,6 +132,20 @@
     assert response.result().status == 504
 
 
+def test_repeated_sigterm_cuts_no_stream(deployment, pool):
+    """Guards against a second SIGTERM that ends the process at once."""
+    _slow_down(deployment, event_seconds=0.5)
+    name = _new_id()
+    response = pool.submit(_call, deployment, '/streams/stream', name, LONG_MS)
+    _wait_for_run(deployment, name)
+    _begin_stop(deployment)
+    deployment.gateways[0].send_signal(signal.SIGTERM)
+    deployment.gateways[0].send_signal(signal.SIGHUP)
+    assert response.result().status == 200
+    assert response.result().body.count(b'data:') == 5
+    assert deployment.gateways[0].wait() == 0
+
+
 def test_request_that_is_still_read_is_served_before_the_process_ends(
     deployment,
 ):
