--- a/deploy/magnoliawoodd.py
+++ b/deploy/magnoliawoodd.py
@@ -1,7 +1,12 @@
 """Launcher of magnoliawood on the users' platform, from a source checkout."""
 
-import pathlib
-import sys
+import signal
+
+# Held until its handler is installed; its default action ends the process.
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+import pathlib  # noqa: E402
+import sys  # noqa: E402
 
 ROOT = pathlib.Path(__file__).parents[1]
 PACKAGES = ('packages/magnoliawood', 'packages/magnoliawood-server')
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/reload.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/reload.py
@@ -29,6 +29,8 @@
         self._load = load
         self._apply = apply
         self._signals = signals.SignalWaiter(signal.SIGHUP)
+        # The launcher holds the signal while the program is loaded.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
     async def run(self) -> None:
         """Reload the settings at each signal until cancelled."""
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_gateway_stops.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_gateway_stops.py
@@ -5,13 +5,20 @@
 import http.client
 import itertools
 import json
+import os
+import pathlib
 import signal
+import subprocess
+import sys
 
 import pytest
 
+from magnoliawood_testing.cluster import deployment as deployments
 from magnoliawood_testing.cluster import hosted
 from magnoliawood_testing.cluster import hosted_routes
+from magnoliawood_testing.cluster import process as processes
 
+LAUNCHER = pathlib.Path(__file__).parents[5] / 'deploy' / 'magnoliawoodd.py'
 GRACE_SECONDS = 5
 # Longer than what is left of a stop when it begins.
 LONG_MS = 9000
@@ -174,3 +181,62 @@
         for line in log.read_text().splitlines()
         if line.startswith('{')
     ]
+
+
+def _blocks_sighup(pid):
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    [blocked] = [
+        line.split()[1]
+        for line in status.splitlines()
+        if line.startswith('SigBlk')
+    ]
+    return int(blocked, 16) >> (signal.SIGHUP - 1) & 1
+
+
+@pytest.mark.parametrize('role', ['gateway', 'keeper'])
+def test_sighup_while_a_process_loads_its_code_ends_nothing(role, tmp_path):
+    """Guards against a process that the change of its settings ends."""
+    addresses = {
+        name: processes.free_address()
+        for name in ('front', 'ready', 'control', 'store', 'metrics')
+    }
+    settings = tmp_path / 'settings.json'
+    settings.write_text(
+        json.dumps(
+            {
+                'node_name': role,
+                'ip': '127.0.0.1',
+                'zone': 'zone-1',
+                'listen': addresses,
+                'port_range': [1, 1],
+                'data_dir': str(tmp_path / 'data'),
+                'platform': {'address': addresses['store']},
+            }
+        )
+    )
+    log = tmp_path / 'log'
+    with log.open('wb') as output:
+        process = subprocess.Popen(
+            [sys.executable, str(LAUNCHER), role],
+            stdout=output,
+            stderr=output,
+            env={
+                **os.environ,
+                'MAGNOLIAWOOD_CONFIG': str(settings),
+                'MAGNOLIAWOOD_METRICS_PORT': addresses['metrics'][10:],
+            },
+        )
+    try:
+        deployments.wait_until(
+            lambda: _blocks_sighup(process.pid), 'the launcher runs', 20
+        )
+        process.send_signal(signal.SIGHUP)
+        deployments.wait_until(
+            lambda: 'settings read again' in log.read_text(),
+            'the settings are read again',
+            20,
+        )
+        assert process.poll() is None
+    finally:
+        process.kill()
+        process.wait()
