--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -243,12 +243,9 @@
         responder = Responder(self, framing)
         try:
             await self._handler(request, responder)
-        except ResponseAborted as aborted:
-            self._record_incomplete(request, responder, str(aborted), 'abort')
-            return aborted
-        except OSError as error:
-            is_caller_lost = isinstance(error, CallerLost)
-            cause = 'caller_lost' if is_caller_lost else 'connection_error'
+        except (ResponseAborted, CallerLost) as error:
+            is_aborted = isinstance(error, ResponseAborted)
+            cause = 'abort' if is_aborted else 'caller_lost'
             self._record_incomplete(request, responder, str(error), cause)
             return ResponseAborted(str(error))
         except Exception as error:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_caller.py
@@ -128,6 +128,23 @@
     assert not received.endswith(b'0\r\n\r\n')
 
 
+def test_lost_connection_elsewhere_is_not_taken_for_a_caller_that_left():
+    """Guards against a kept connection closed in place of an answer."""
+
+    async def fail_once(request, responder):
+        if request.body == b'hi':
+            raise ConnectionResetError('a connection of the gateway broke')
+        await _echo(request, responder)
+
+    served = _ServedConnection(fail_once)
+    served.peer.sendall(REQUEST + REQUEST.replace(b'hi', b'yo'))
+    served.peer.shutdown(socket.SHUT_WR)
+    curio.run(served.run)
+    received = served.read()
+    assert received.startswith(b'HTTP/1.1 502')
+    assert received.endswith(b'yo')
+
+
 @pytest.mark.parametrize(
     ('sent', 'status'),
     [
