Count a caller that is lost in a stream against no upstream

What callers could see: a resumable stream was run at a second upstream though its caller had left or did not read, and the first upstream counted as failed and as crashed by the request. Cause: an error of sending to the caller was raised within the block that takes every OSError for the upstream's. Change: CallerLost passes through. Result: the new test fails before (no error raised, the attempt 'failed') and passes after.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -261,6 +261,8 @@
                 self._observer.record_trailers(upstream, connection.trailers)
                 return result
             body = await connection.read_full_body()
+        except callers.CallerLost:
+            raise
         except OSError as error:
             return _failed(error)
         return await self._deliver_complete(response, body)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
@@ -322,3 +322,17 @@
     assert delivery.events == 2
     assert delivery.last_event_id == 1
     assert delivery.output == (b'a\na\n' if keeps_output else b'')
+
+
+def test_caller_that_is_lost_in_a_stream_is_no_failure_of_the_upstream(
+    monkeypatch,
+):
+    """Guards against a stream run again, and a crash counted, for nobody."""
+
+    async def lose(responder, data):
+        raise callers.CallerLost('gone')
+
+    monkeypatch.setattr(Responder, 'send_part', lose)
+    monkeypatch.setattr(Responder, 'is_started', True)
+    with pytest.raises(callers.CallerLost):
+        curio.run(_run_exchange, HEAD + EVENT)
