--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -139,7 +139,7 @@
             await self._try_upstreams(job, body)
         finally:
             if job.turn is not None:
-                await self._guard.settle(job.turn, self._tokens_spent(job))
+                await self._guard.settle(job.turn, job.tokens_spent)
 
     async def _bind_stream(self, job: jobs.Job) -> None:
         """Bind a stream that is taken up to where it began.
@@ -327,7 +327,7 @@
                 job.turn,
                 job.request.body,
                 bytes(job.delivery.output),
-                self._tokens_spent(job),
+                job.tokens_spent,
             )
         except errors.MagnoliawoodError as error:
             _log.error(
@@ -341,14 +341,6 @@
                 'the turn could not be stored'
             ) from error
 
-    def _tokens_spent(self, job: jobs.Job) -> int:
-        table = self._cluster_view.table
-        service = table.service(job.service) if table else None
-        event_tokens = 1
-        if service is not None and service.engine is not None:
-            event_tokens = service.engine.tokens_per_event
-        return job.delivery.events * event_tokens
-
     async def _reject(
         self,
         request: callers.CallerRequest,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
@@ -9,6 +9,7 @@
 from magnoliawood.core import errors
 from magnoliawood.fleet import selection
 from magnoliawood.routes import configuration as configurations
+from magnoliawood.routes import table as tables
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import exchange as exchanges
 from magnoliawood_server.gateway import fingerprint as request_fingerprints
@@ -27,6 +28,8 @@
     """State of a request in progress.
 
     :param deadline: monotonic time at which the request is aborted
+    :param table: routes and services of the configuration under which it was
+        admitted
     :param admitted: monotonic time at which it was first ready to be sent
     :param attempts: number of attempts that may have run
     :param runs: number of attempts that an upstream may have run, delivered
@@ -53,6 +56,7 @@
     service: str
     deadline: datetime.timedelta
     fingerprints: request_fingerprints.Fingerprints
+    table: tables.RouteTable | None = None
     turn: turn_guard.Turn | None = None
     stream: stream_guard.StreamBinding | None = None
     admitted: datetime.timedelta | None = None
@@ -71,6 +75,18 @@
     permit_wait: datetime.timedelta | None = None
     room_wait: datetime.timedelta | None = None
 
+    @property
+    def tokens_spent(self) -> int:
+        """Tokens of the events that were sent to the caller.
+
+        They count as the configuration says under which the request was
+        admitted; a later one may have no such service any more.
+        """
+        service = self.table.service(self.service) if self.table else None
+        if service is None or service.engine is None:
+            return self.delivery.events
+        return self.delivery.events * service.engine.tokens_per_event
+
     @property
     def is_turn(self) -> bool:
         """Whether the request is a turn with a budget or a history."""
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job_factory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job_factory.py
@@ -80,6 +80,7 @@
             tables.pick_service(route, jobs.hash_point(metadata)),
             request.arrived + time_left,
             fingerprints,
+            table,
             is_program_known=is_program_known,
             identity=identity,
         )
