--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_job_factory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_job_factory.py
@@ -39,7 +39,7 @@
 
 
 def test_tokens_count_as_when_the_request_was_admitted():
-    """Guards against a budget overspent since a service has gone (review/5)."""
+    """Guards against a budget overspent since a service left (review/5)."""
     clock = clocks.ManualClock()
     cluster_view = cluster_views.ClusterView(clock)
     cluster_view.apply_configuration(_configuration(1, 'first'), 'test')
