--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stored_turns.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stored_turns.py
@@ -6,9 +6,12 @@
 import pytest
 
 from magnoliawood.core import errors
+from magnoliawood.replication import quorum
+from magnoliawood.turns import records
 from magnoliawood_server.gateway import record_client
 from magnoliawood_server.gateway.tests import keeper_support
 from magnoliawood_server.keeper import messages
+from magnoliawood_server.peer import frame as frames
 
 
 def _seconds(number):
@@ -158,3 +161,42 @@
                     await curio.sleep(0)
 
     curio.run(play)
+
+
+class _Frames:
+    """Keepers whose replies must fit into a frame, as on a connection."""
+
+    def __init__(self, keepers):
+        self._keepers = keepers
+        self.direct_timeout = keepers.direct_timeout
+
+    async def begin(self, address, message, listener):
+        return None
+
+    async def request(self, address, message, timeout):
+        reply = await self._keepers.request(address, message, timeout)
+        frames.encode(frames.Frame(1, False, reply))
+        return reply
+
+
+def test_chain_that_is_longer_than_a_frame_is_read_in_parts(tmp_path):
+    """Guards against 503 for good where it must be read (review/4)."""
+    turns = 5
+    text = b'x' * (frames.FRAME_LIMIT_BYTES // (turns - 1))
+
+    async def play():
+        keepers = keeper_support.Keepers(tmp_path)
+        async with keepers.running():
+            client = record_client.RecordClient(
+                keepers, _Frames(keepers), keepers.clock
+            )
+            for number in range(turns):
+                previous = f't{number - 1}' if number else ''
+                turn = records.TurnRecord(
+                    f't{number}', previous, text, b'', 4e9
+                )
+                await client.write_turn(turn, [], [])
+            return await client.read_chain(quorum.Chain(f't{turns - 1}'))
+
+    chain = curio.run(play)
+    assert len(chain.body) == turns * len(text)
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
@@ -12,6 +12,10 @@
 from magnoliawood_server.keeper import replica as replicas
 from magnoliawood_server.peer import connection as connections
 
+# Limit on the turns of one reply, unless the first of them is longer. A frame
+# may be four times as long.
+_CHAIN_REPLY_BYTES = 4 * 1024 * 1024
+
 _log = logging.getLogger(__name__)
 
 
@@ -114,8 +118,18 @@
         return self._replica.table.charges(program_id)
 
     def _chain(self, turn_id: str) -> messages.ChainRecords:
-        turns = self._replica.table.chain(turn_id)
-        return messages.ChainRecords([records.encode(turn) for turn in turns])
+        """Return a turn and those before it, as far as one reply may hold.
+
+        The gateway asks for the next one that is missing.
+        """
+        entries: list[bytes] = []
+        size = 0
+        for entry in map(records.encode, self._replica.table.chain(turn_id)):
+            size += len(entry)
+            if entries and size > _CHAIN_REPLY_BYTES:
+                break
+            entries.append(entry)
+        return messages.ChainRecords(entries)
 
     def _stream_origin(self, stream_id: str) -> messages.StreamOrigin:
         record = self._replica.table.stream(stream_id)
