Cut a long response only when its caller stops reading

What callers could see: a response of some megabytes cut after 5 s on a slow link, though the caller read all the time (LOST, kept connections; MIXED holds, it doesn't look complete). Change: each write has the limit. Works since each returns once a part was taken; the deadline of the request still bounds the whole. Result: the new test fails before for a caller that reads slowly and passes after; one that doesn't read is cut before and after.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -209,13 +209,16 @@
             await self._send_rest(memoryview(data)[sent:])
 
     async def _send_rest(self, data: memoryview) -> None:
-        async with curio.ignore_after(_WRITE_TIMEOUT.total_seconds()):
-            try:
-                await self._sock.sendall(data)
-            except OSError as error:
-                raise CallerLost(str(error)) from error
-            return
-        raise CallerLost('caller did not read the response in time')
+        while data:
+            sent = 0
+            async with curio.ignore_after(_WRITE_TIMEOUT.total_seconds()):
+                try:
+                    sent = await self._sock.send(data)
+                except OSError as error:
+                    raise CallerLost(str(error)) from error
+            if not sent:
+                raise CallerLost('caller did not read the response in time')
+            data = data[sent:]
 
     async def _serve_next(self) -> bool:
         try:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_caller.py
@@ -2,6 +2,7 @@
 
 import datetime
 import socket
+import time
 
 import curio
 import pytest
@@ -248,3 +249,41 @@
     served.peer.sendall(sent)
     curio.run(served.run)
     assert served.read() == b''
+
+
+def _read_slowly(peer, parts, pause):
+    """Read a part of what was sent after each pause, and then the rest."""
+    received = b''
+    for _ in range(parts):
+        time.sleep(pause)
+        received += peer.recv(65536)
+    while part := peer.recv(65536):
+        received += part
+    return received
+
+
+@pytest.mark.parametrize('reads', [True, False])
+def test_caller_is_lost_when_it_stops_reading_not_when_it_is_slow(
+    monkeypatch, reads
+):
+    """Guards against a long response cut while its caller reads it."""
+    limit = datetime.timedelta(milliseconds=400)
+    monkeypatch.setattr(callers, '_WRITE_TIMEOUT', limit)
+    body = b'x' * (4 * 1024 * 1024)
+
+    async def respond(request, responder):
+        await responder.send_complete(200, [], body)
+
+    served = _ServedConnection(respond)
+    served.peer.sendall(REQUEST.replace(b'Host', b'Connection: close\r\nHost'))
+
+    async def run():
+        running = await curio.spawn(served.run)
+        if reads:
+            received = await curio.run_in_thread(
+                _read_slowly, served.peer, 8, limit.total_seconds() / 4
+            )
+        await running.join()
+        return received if reads else await curio.run_in_thread(served.read)
+
+    assert curio.run(run).endswith(body) is reads
