Wait for no more sources of a copy than it needs

Cause: the copy waited for all sources, though a read quorum of them suffices. Change: it ends with the last source that it needs and cancels the others. Works since the records of the needed sources are on disk or written by mark_complete. Result: the new test runs into its limit before (20 s) and passes after.

--- a/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
@@ -40,12 +40,15 @@
         :raises OSError: if the records cannot be written to the disk
         """
         self._replica.seal(group)
-        async with curio.TaskGroup() as tasks:
-            source_tasks = [
+        copied_sources = 0
+        # Once enough sources are copied, none of the others is waited for.
+        async with curio.TaskGroup(wait=None) as tasks:
+            for source in group.sources:
                 await tasks.spawn(self._copy_from_source, group, source)
-                for source in group.sources
-            ]
-        copied_sources = sum(task.result for task in source_tasks)
+            async for task in tasks:
+                copied_sources += task.result
+                if copied_sources >= group.sources_needed:
+                    break
         _log.info(
             'records copied from source replicas',
             extra={
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_copier.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_copier.py
@@ -14,6 +14,8 @@
 
 PAGE_INTERVAL = datetime.timedelta(milliseconds=100)
 PAGES = 8
+# Longer than any copy here takes, also on a busy machine.
+HANGING = datetime.timedelta(seconds=20)
 
 
 class _SlowStream:
@@ -45,12 +47,26 @@
         pass
 
 
+class _EndlessStream(_SlowStream):
+    """Stream of a source that goes on without an end."""
+
+    async def receive(self):
+        message, self._next = self._next, None
+        if message is not None:
+            return message
+        await curio.sleep(PAGE_INTERVAL.total_seconds())
+        return messages.CopyPage([], False)
+
+
 class _Pool:
+    """Sources by address; one called ``endless`` never gets done."""
+
     def __init__(self, pages):
         self._pages = pages
 
     async def open_stream(self, address):
-        return _SlowStream(address, self._pages)
+        kind = _EndlessStream if address == 'endless' else _SlowStream
+        return kind(address, self._pages)
 
 
 @pytest.fixture(autouse=True)
@@ -61,16 +77,18 @@
         monkeypatch.setattr(copiers, name, limit, raising=False)
 
 
-def _copy(folder, pages):
+def _copy(folder, pages, sources=('a',), losses=0):
     """Return whether a copy ended, and the table of the joining disk."""
     replica = replicas.DiskReplica(folder, clocks.ManualClock())
-    source = groups.Member('a', 'a', 'a')
-    joining = groups.Member(replica.state.disk_id, 'b', 'b')
-    group = groups.Group.first([source], 0).replace('a', joining)
+    members = [groups.Member(name, name, name) for name in sources]
+    joining = groups.Member(replica.state.disk_id, 'new', 'new')
+    group = groups.Group.first(members, losses).replace(sources[-1], joining)
 
     async def run():
         writer = await curio.spawn(replica.run, daemon=True)
-        copied = await copiers.Copier(replica, _Pool(pages)).complete(group)
+        async with curio.timeout_after(HANGING.total_seconds()):
+            copier = copiers.Copier(replica, _Pool(pages))
+            copied = await copier.complete(group)
         await writer.cancel()
         return copied
 
@@ -90,3 +108,10 @@
 def test_copy_from_a_source_that_falls_silent_is_given_up(tmp_path):
     copied, _ = _copy(tmp_path, 2)
     assert not copied
+
+
+def test_copy_does_not_wait_for_more_sources_than_it_needs(tmp_path):
+    """Guards against a replaced member that keeps a copy from its end."""
+    copied, table = _copy(tmp_path, PAGES, ('a', 'b', 'endless'), losses=1)
+    assert copied
+    assert len([*table.records()]) == PAGES
