Close the connection of every attempt that does not return it

What callers saw: nothing; the garbage collector closed it (ResourceWarning in a test). Cause: an attempt that ended with a lost caller, a cut or an unsigned answer neither returned its connection nor closed it if it could have been used again. Change: what is not released is closed. No test of its own, since the collector hides the difference.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -186,6 +186,7 @@
             return Result(Ending.UNREACHABLE, str(error))
         connection_use = self._pool.use_of(connection)
         events_before = self._delivery.events
+        is_released = False
         try:
             result = await self._run(connection, upstream, time_left)
             result = dataclasses.replace(
@@ -199,10 +200,11 @@
                 )
             if result.ending in (Ending.REFUSED, Ending.MISDIRECTED):
                 connection.mark_refused()
+            is_released = True
             await self._pool.release_connection(upstream, connection)
             return result
         finally:
-            if not connection.can_be_reused:
+            if not is_released:
                 await connection.close()
 
     def _request_id(self) -> bytes:
