--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
@@ -62,7 +62,7 @@
                 await curio.sleep(pause)
 
 
-def _exchange(headers, registry=None):
+def _exchange(headers, registry=None, before_end=None):
     """Return an exchange and what records that its caller receives."""
     clock = clocks.SystemClock()
     registry = registry or registries.Registry()
@@ -81,7 +81,7 @@
         responder,
         exchanges.Delivery(),
         no_step,
-        no_step,
+        before_end or no_step,
         upstream_announcements.UpstreamAnnouncements(
             directories.UpstreamDirectory(clock), registry
         ),
@@ -95,13 +95,14 @@
     repeated=b'',
     pause=0.0,
     timeout=TIMEOUT,
+    before_end=None,
 ):
     """Run one attempt at an upstream that sends the data and closes.
 
     :param registry: counts what the upstream announces
     :param repeated: data that it sends without end instead of closing
     """
-    exchange, responder = _exchange([(b'host', b'app')], registry)
+    exchange, responder = _exchange([(b'host', b'app')], registry, before_end)
     async with curio.tcp_server_socket('127.0.0.1', 0) as listener:
         port = listener.getsockname()[1]
         upstream = directories.Upstream(
@@ -336,3 +337,39 @@
     monkeypatch.setattr(Responder, 'is_started', True)
     with pytest.raises(callers.CallerLost):
         curio.run(_run_exchange, HEAD + EVENT)
+
+
+PLAIN_HEAD = HEAD.replace(b'text/event-stream', b'text/plain')
+
+
+@pytest.mark.parametrize(
+    ('data', 'stored'),
+    [
+        (HEAD + EVENT, [False]),
+        (HEAD, [False]),
+        (PLAIN_HEAD + b'a', [False]),
+        (PLAIN_HEAD.replace(b'200 OK', b'500 Failed') + b'a', []),
+    ],
+    ids=['events', 'no events', 'whole body', 'failure'],
+)
+def test_turn_is_stored_before_the_end_of_any_success(
+    monkeypatch, data, stored
+):
+    """Guards against 404 for a turn that was answered without an event."""
+    ended = []
+    finished = []
+
+    async def store():
+        ended.append(bool(finished))
+
+    async def send_complete(responder, status, headers, body):
+        finished.append(status)
+        responder.is_finished = True
+
+    monkeypatch.setattr(Responder, 'send_complete', send_complete)
+    result, responder = curio.run(
+        lambda: _run_exchange(data, before_end=store)
+    )
+    assert result.ending is exchanges.Ending.DELIVERED
+    assert responder.is_finished
+    assert ended == stored
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
@@ -206,3 +206,49 @@
     assert result is None
     quarantine.record_unreachable(UPSTREAMS[0])
     assert quarantine.is_suspected(FINGERPRINTS) != is_started
+
+
+class UnreachableGuard:
+    """Replaces what stores turns; too few replicas respond."""
+
+    async def store_turn(self, turn, input_bytes, output, tokens):
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.STORE_UNAVAILABLE, 'injected fault'
+        )
+
+
+@pytest.mark.parametrize(
+    ('is_started', 'error_type'),
+    [(False, errors.MagnoliawoodError), (True, callers.ResponseAborted)],
+)
+def test_turn_that_is_not_stored_is_answered_if_nothing_was_sent(
+    is_started, error_type
+):
+    """Guards against a connection closed in place of an answer.
+
+    The answer must not promise that the turn has not run.
+    """
+    clock = clocks.ManualClock()
+    handler = handlers.RequestHandler(
+        None,
+        None,
+        None,
+        None,
+        None,
+        UnreachableGuard(),
+        None,
+        None,
+        None,
+        None,
+        clock,
+        registries.Registry(),
+    )
+    job = _make_job(clock, configurations.RequestKind.STREAMING)
+    job.responder.is_started = is_started
+    job.turn = types.SimpleNamespace(
+        retention_period=datetime.timedelta(seconds=1)
+    )
+    with pytest.raises(error_type) as caught:
+        curio.run(handler._before_end(job))
+    if not is_started:
+        assert caught.value.code is errors.ErrorCode.OUTCOME_UNKNOWN
