Keep the charges of a program for as long as its turns

What callers see: on a route whose retain_s is longer than two minutes, a program that was stopped and comes back within retain_s gets its whole budget once more (BUDGET). A turn that runs for longer than two minutes has no charge any more at its end.

Cause: charges were kept for two minutes after the last one, a bound that neither the route nor the request names.

Why it works: the charge of a turn is stored for what its turn is, by the same sum (retain_s, the timeout of the route, the difference of clocks), and for two minutes at least. Not closed: turns of one program on routes that differ in retain_s follow the route of the last one.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/keeper_support.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/keeper_support.py
@@ -164,7 +164,7 @@
             requests.decode_request_metadata(headers), ROUTE
         )
 
-    async def charge(self, turn_id, budget):
+    async def charge(self, turn_id, budget, route=ROUTE):
         """Admit a turn of 80 tokens at most of the program ``p``.
 
         :raises MagnoliawoodError: if the budget does not suffice
@@ -178,7 +178,7 @@
                     (b'token-usage', b'10,80'),
                 ]
             ),
-            ROUTE,
+            route,
         )
 
     async def end(self, turn):
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -21,8 +21,8 @@
 from magnoliawood_server.gateway import stream_guard
 from magnoliawood_server.platform import requests
 
-# The charges of a program are retained for this long after its last attempt
-# was charged.
+# The charges of a program are retained for this long at least after its last
+# attempt was charged.
 CHARGE_RETENTION = datetime.timedelta(minutes=2)
 # Clocks of two hosts differ by less than this: a turn is stamped by the clock
 # of a gateway and dropped by that of a keeper.
@@ -113,6 +113,18 @@
     return route.history_period + route.timeout + CLOCK_TOLERANCE
 
 
+def _charge_retention(route: configurations.Route) -> datetime.timedelta:
+    """Return how long the charge of a turn is stored.
+
+    A program may come back for as long as its turns are stored, and its
+    budget applies to it until then.
+    """
+    return max(
+        CHARGE_RETENTION,
+        route.history_period + route.timeout + CLOCK_TOLERANCE,
+    )
+
+
 class TurnGuard:
     """Admits turns within their budget and stores those to be retained."""
 
@@ -146,7 +158,7 @@
             self._try_chain, metadata, route, account
         )
         try:
-            charge = await self._charge(metadata, account, stream)
+            charge = await self._charge(metadata, route, account, stream)
         except BaseException:
             await chain_task.cancel()
             raise
@@ -209,6 +221,7 @@
     async def _charge(
         self,
         metadata: requests.RequestMetadata,
+        route: configurations.Route,
         account: str,
         stream: stream_guard.StreamBinding | None,
     ) -> records.ChargeRecord | None:
@@ -223,7 +236,7 @@
             attempt_id,
             metadata.output_tokens,
             False,
-            (self._clock.now() + CHARGE_RETENTION).timestamp(),
+            (self._clock.now() + _charge_retention(route)).timestamp(),
         )
         planned = []
         if stream is not None and stream.planned is not None:
