Let only the caller and the route limit the time of a request

What callers see: a request without Deadline-Ms on a route whose timeout is longer than 30 s is ended after 30 s: 504, or a stream that breaks off. And one with Deadline-Ms 0 is passed on with up to 30 s, since 0 was taken for none.

The timeout of the route is always known and is the limit that the operator wants.

Evidence: test_only_caller_and_route_limit_the_time_of_a_request fails on without a deadline (30 s in place of 90 s) and with 0 (30 s).

Why it works: the deadline is that of the route, or the caller's if it is earlier; nothing else is left that sets it.

Result: test_job_factory.py, 4 passed.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job_factory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job_factory.py
@@ -15,8 +15,6 @@
 
 # Retry delay while the configuration or the upstreams are not known yet.
 START_RETRY_AFTER = datetime.timedelta(milliseconds=500)
-# Timeout of a request that states none.
-DEFAULT_REQUEST_TIMEOUT = datetime.timedelta(seconds=30)
 
 
 class JobFactory:
@@ -67,9 +65,9 @@
                 errors.ErrorCode.NOT_FOUND, 'no route matches the request'
             )
         identity = self._identify(table, route, metadata)
-        time_left = min(
-            metadata.time_left or DEFAULT_REQUEST_TIMEOUT, route.timeout
-        )
+        time_left = route.timeout
+        if metadata.time_left is not None:
+            time_left = min(metadata.time_left, time_left)
         fingerprints = request_fingerprints.fingerprints_of(request, metadata)
         self._quarantine.check(fingerprints)
         return jobs.Job(
