Try to store a turn until the deadline of its request

What callers see: a turn whose response is whole at the gateway ends without its end, after at most 1.8 s (two tries of 0.9 s) in which too few keepers confirmed its write, however much time its request has left. Its tokens are spent, and the next try generates it once more.

Cause: the tries of one write are bounded for the sake of those who wait for a refusal. The end of a response that has been generated is no such case: nothing is won by giving up early.

Evidence: test_turn_is_stored_late_rather_than_cut.

Why it works: the write is tried again after the pause that its refusal names, until the deadline of the request; a caller that leaves, the deadline and a stop cancel it as before. The same record is sent each time, with the expiry of the first try, which the timeout of the route covers.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -333,6 +333,7 @@
                 job.request.body,
                 bytes(job.delivery.output),
                 job.tokens_spent,
+                job.deadline,
             )
         except errors.MagnoliawoodError as error:
             _log.error(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/keeper_support.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/keeper_support.py
@@ -181,9 +181,14 @@
             route,
         )
 
-    async def end(self, turn):
-        """Store a turn that has ended."""
-        await self._guard.store_turn(turn, b'in', turn.request_id.encode(), 0)
+    async def end(self, turn, deadline=datetime.timedelta()):
+        """Store a turn that has ended.
+
+        :param deadline: time up to which that is tried again
+        """
+        await self._guard.store_turn(
+            turn, b'in', turn.request_id.encode(), 0, deadline
+        )
 
     async def run(self, turn_id, previous_id=''):
         """Admit and store a turn, and return it."""
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_handler.py
@@ -211,7 +211,7 @@
 class UnreachableGuard:
     """Replaces what stores turns; too few replicas respond."""
 
-    async def store_turn(self, turn, input_bytes, output, tokens):
+    async def store_turn(self, turn, input_bytes, output, tokens, deadline):
         raise errors.MagnoliawoodError(
             errors.ErrorCode.STORE_UNAVAILABLE, 'injected fault'
         )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stored_turns.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stored_turns.py
@@ -200,3 +200,44 @@
 
     chain = curio.run(play)
     assert len(chain.body) == turns * len(text)
+
+
+class _Busy(record_client.RecordClient):
+    """Client whose first writes reach too few keepers."""
+
+    failures = 3
+
+    async def write_turn(self, turn, other_records, chain):
+        if self.failures:
+            self.failures -= 1
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.STORE_UNAVAILABLE,
+                'injected fault',
+                retry_after=_seconds(0.01),
+            )
+        await super().write_turn(turn, other_records, chain)
+
+
+@pytest.mark.parametrize('time_left', [0, 4])
+def test_turn_is_stored_late_rather_than_cut(tmp_path, time_left):
+    """Guards against a whole response cut since a write took too long.
+
+    It is tried again until the deadline of its request.
+    """
+
+    async def play():
+        keepers = keeper_support.Keepers(tmp_path)
+        async with keepers.running():
+            client = _Busy(keepers, keepers, keepers.clock)
+            gateway = keeper_support.Gateway(keepers, client)
+            turn = await gateway.begin('t1')
+            deadline = keepers.clock.monotonic() + _seconds(time_left)
+            try:
+                await gateway.end(turn, deadline)
+            except errors.MagnoliawoodError as error:
+                return error.code
+            return [sorted(keepers.turn_ids(name)) for name in _DISKS]
+
+    unavailable = errors.ErrorCode.STORE_UNAVAILABLE
+    expected = [['t1']] * len(_DISKS) if time_left else unavailable
+    assert curio.run(play) == expected
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -180,10 +180,16 @@
         )
 
     async def store_turn(
-        self, turn: Turn, input_bytes: bytes, output: bytes, tokens: int
+        self,
+        turn: Turn,
+        input_bytes: bytes,
+        output: bytes,
+        tokens: int,
+        deadline: datetime.timedelta = datetime.timedelta(),
     ) -> None:
         """Store a turn that ended and the tokens that it spent.
 
+        :param deadline: monotonic time up to which it is tried again
         :raises MagnoliawoodError: with ``store_unavailable``
         """
         new_records: list[records.Record] = []
@@ -198,7 +204,17 @@
             (now + turn.retention_period).timestamp(),
             turn.account,
         )
-        await self._client.write_turn(record, new_records, turn.chain.turns)
+        while True:
+            try:
+                await self._client.write_turn(
+                    record, new_records, turn.chain.turns
+                )
+                break
+            except errors.MagnoliawoodError as error:
+                pause = error.retry_after
+                if pause is None or self._clock.monotonic() + pause > deadline:
+                    raise
+            await curio.sleep(pause.total_seconds())
         turn.is_settled = True
         self._cache.add(record)
 
