Read heads within the newest limit, on older connections too

What callers see: on a connection that was accepted before the configuration was known (16 KiB then) or under an earlier one, a longer head that the newest configuration allows is answered 431, which is final, and the connection closed.

Cause: the parser of a connection kept the limit of the moment at which the connection was accepted. Body, idle time and the time for a head already follow the newest limits.

A head within one read of 64 KiB passes either way, so only heads that arrive in parts are hit.

Why it works: the limit is looked up each time a part is parsed.

Result: test_caller.py, 18 passed, 3 of 3 runs.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -155,9 +155,7 @@
         self._activity = activity
         self._clock = clock
         self._registry = registry or registries.Registry()
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits().header_bytes
-        )
+        self._h11 = h11.Connection(h11.SERVER)
         self._reader = caller_reader.CallerReader(
             sock, self._h11, limits, activity, clock
         )
@@ -317,6 +315,9 @@
     async def _next_event(self) -> connections.Event:
         while True:
             self._reader.forget_news()
+            # A connection may be older than the limits.
+            limit = self._limits().header_bytes
+            self._h11._max_incomplete_event_size = limit
             event = self._h11.next_event()
             if event is not h11.NEED_DATA:
                 return event
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_caller.py
@@ -22,12 +22,12 @@
         self.activity = callers.CallerActivity()
         ours, self.peer = socket.socketpair()
         self.peer.settimeout(5)
-        current_limits = limits or configurations.CallerLimits()
+        self.limits = limits or configurations.CallerLimits()
         self._sock = curio.io.Socket(ours)
         self._connection = callers.CallerConnection(
             self._sock,
             handler,
-            lambda: current_limits,
+            lambda: self.limits,
             self.activity,
             clocks.SystemClock(),
         )
@@ -162,6 +162,27 @@
     assert served.peer.recv(100).startswith(b'HTTP/1.1 ' + status)
 
 
+def test_connection_that_is_older_than_the_limits_follows_them():
+    """Guards against 431 for what the configuration allows by now."""
+    head = b'GET / HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * 900
+    limits = configurations.CallerLimits(header_bytes=500)
+    served = _ServedConnection(_echo, limits)
+
+    async def play():
+        running = await curio.spawn(served.run)
+        while not served.activity.waiting:
+            await curio.sleep(0)
+        served.limits = configurations.CallerLimits(header_bytes=2000)
+        served.peer.sendall(head)
+        while not served.activity.reading and served.activity.waiting:
+            await curio.sleep(0)
+        served.peer.sendall(b'\r\nConnection: close\r\n\r\n')
+        await running.join()
+
+    curio.run(play)
+    assert served.read().startswith(b'HTTP/1.1 200')
+
+
 # Guards against tasks that are started again for each request.
 def test_connection_starts_one_task_however_many_requests(monkeypatch):
     spawned = []
