Read a long chain in parts that a slow link brings in time

What callers see: 503 at every try for a turn with a long history, at a gateway that has not run the turns before it, while the link of the keepers is slow or busy; each try sends the same megabytes again.

Cause: a reply with a part of a chain has 0.9 s, and after 0.25 s it is asked for in another way too, but a part could have 4 MiB. At 130 Mbit/s that is 0.26 s for one chain alone, and more than 0.9 s for four at once. The bound on the time did not know the bound on the size.

Why it works: a part has 256 KiB at most, as the pages of a copy, or one turn; each reply is progress, and the whole chain has no limit. A chain below that is still one reply.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stored_turns.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_stored_turns.py
@@ -11,6 +11,7 @@
 from magnoliawood_server.gateway import record_client
 from magnoliawood_server.gateway.tests import keeper_support
 from magnoliawood_server.keeper import messages
+from magnoliawood_server.peer import connection as connections
 from magnoliawood_server.peer import frame as frames
 
 
@@ -202,6 +203,42 @@
     assert len(chain.body) == turns * len(text)
 
 
+class _SlowLink(_Frames):
+    """Keepers that share a link; a reply that takes too long is lost."""
+
+    bytes_per_second = 2 * 1024 * 1024
+
+    async def request(self, address, message, timeout):
+        reply = await self._keepers.request(address, message, timeout)
+        size = len(frames.encode(frames.Frame(1, False, reply)))
+        if size / self.bytes_per_second > timeout.total_seconds():
+            raise connections.PeerLost('no response in time')
+        return reply
+
+
+def test_long_chain_is_read_over_a_slow_link(tmp_path):
+    """Guards against 503 for a chain that one reply can't bring in time."""
+    turns = 40
+    text = b'x' * 100_000
+
+    async def play():
+        keepers = keeper_support.Keepers(tmp_path)
+        async with keepers.running():
+            client = record_client.RecordClient(
+                keepers, _SlowLink(keepers), keepers.clock
+            )
+            for number in range(turns):
+                previous = f't{number - 1}' if number else ''
+                turn = records.TurnRecord(
+                    f't{number}', previous, text, b'', 4e9
+                )
+                await client.write_turn(turn, [], [])
+            return await client.read_chain(quorum.Chain(f't{turns - 1}'))
+
+    chain = curio.run(play)
+    assert len(chain.body) == turns * len(text)
+
+
 class _Busy(record_client.RecordClient):
     """Client whose first writes reach too few keepers."""
 
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
@@ -12,9 +12,9 @@
 from magnoliawood_server.keeper import replica as replicas
 from magnoliawood_server.peer import connection as connections
 
-# Limit on the turns of one reply, unless the first of them is longer. A frame
-# may be four times as long.
-_CHAIN_REPLY_BYTES = 4 * 1024 * 1024
+# Limit on the turns of one reply, unless the first of them is longer. A reply
+# has a time limit, which a chain of any length has not.
+_CHAIN_REPLY_BYTES = 256 * 1024
 
 _log = logging.getLogger(__name__)
 
