--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/keeper_support.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/keeper_support.py
@@ -164,7 +164,7 @@
             requests.decode_request_metadata(headers), ROUTE
         )
 
-    async def charge(self, turn_id, budget):
+    async def charge(self, turn_id, budget, route=ROUTE):
         """Admit a turn of 80 tokens at most of the program ``p``.
 
         :raises MagnoliawoodError: if the budget does not suffice
@@ -178,12 +178,17 @@
                     (b'token-usage', b'10,80'),
                 ]
             ),
-            ROUTE,
+            route,
         )
 
-    async def end(self, turn):
-        """Store a turn that has ended."""
-        await self._guard.store_turn(turn, b'in', turn.request_id.encode(), 0)
+    async def end(self, turn, deadline=datetime.timedelta()):
+        """Store a turn that has ended.
+
+        :param deadline: time up to which that is tried again
+        """
+        await self._guard.store_turn(
+            turn, b'in', turn.request_id.encode(), 0, deadline
+        )
 
     async def run(self, turn_id, previous_id=''):
         """Admit and store a turn, and return it."""
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -21,8 +21,8 @@
 from magnoliawood_server.gateway import stream_guard
 from magnoliawood_server.platform import requests
 
-# The charges of a program are retained for this long after its last attempt
-# was charged.
+# The charges of a program are retained for this long at least after its last
+# attempt was charged.
 CHARGE_RETENTION = datetime.timedelta(minutes=2)
 # Clocks of two hosts differ by less than this: a turn is stamped by the clock
 # of a gateway and dropped by that of a keeper.
@@ -113,6 +113,18 @@
     return route.history_period + route.timeout + CLOCK_TOLERANCE
 
 
+def _charge_retention(route: configurations.Route) -> datetime.timedelta:
+    """Return how long the charge of a turn is stored.
+
+    A program may come back for as long as its turns are stored, and its
+    budget applies to it until then.
+    """
+    return max(
+        CHARGE_RETENTION,
+        route.history_period + route.timeout + CLOCK_TOLERANCE,
+    )
+
+
 class TurnGuard:
     """Admits turns within their budget and stores those to be retained."""
 
@@ -146,7 +158,7 @@
             self._try_chain, metadata, route, account
         )
         try:
-            charge = await self._charge(metadata, account, stream)
+            charge = await self._charge(metadata, route, account, stream)
         except BaseException:
             await chain_task.cancel()
             raise
@@ -168,10 +180,16 @@
         )
 
     async def store_turn(
-        self, turn: Turn, input_bytes: bytes, output: bytes, tokens: int
+        self,
+        turn: Turn,
+        input_bytes: bytes,
+        output: bytes,
+        tokens: int,
+        deadline: datetime.timedelta = datetime.timedelta(),
     ) -> None:
         """Store a turn that ended and the tokens that it spent.
 
+        :param deadline: monotonic time up to which it is tried again
         :raises MagnoliawoodError: with ``store_unavailable``
         """
         new_records: list[records.Record] = []
@@ -186,7 +204,17 @@
             (now + turn.retention_period).timestamp(),
             turn.account,
         )
-        await self._client.write_turn(record, new_records, turn.chain.turns)
+        while True:
+            try:
+                await self._client.write_turn(
+                    record, new_records, turn.chain.turns
+                )
+                break
+            except errors.MagnoliawoodError as error:
+                pause = error.retry_after
+                if pause is None or self._clock.monotonic() + pause > deadline:
+                    raise
+            await curio.sleep(pause.total_seconds())
         turn.is_settled = True
         self._cache.add(record)
 
@@ -209,6 +237,7 @@
     async def _charge(
         self,
         metadata: requests.RequestMetadata,
+        route: configurations.Route,
         account: str,
         stream: stream_guard.StreamBinding | None,
     ) -> records.ChargeRecord | None:
@@ -223,7 +252,7 @@
             attempt_id,
             metadata.output_tokens,
             False,
-            (self._clock.now() + CHARGE_RETENTION).timestamp(),
+            (self._clock.now() + _charge_retention(route)).timestamp(),
         )
         planned = []
         if stream is not None and stream.planned is not None:
