Leave time for answers in a stop that is shorter than its notice

What callers could see: where grace_s is 3 s or less, a request that is in progress when a gateway stops may end with a closed connection in place of the 504 that is due. Cause: the notice was cut to the whole limit of the stop, so it ended at the moment at which the limit ends the drain, and nothing was left to cut and answer requests. The sites at hand have 8 s. Change: the notice ends with the time at which requests are cut. Works since the quarter of a second before the limit is then always left. Result: the unit test, whose listener takes 0.1 s to stop, fails before for limits of 1, 2 and 3 s (nothing is cut) and passes after. The same with real processes passes before too (one run of each): there the drain wakes just before the limit. A stop while all keepers are frozen ends in time before and after.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/planned_stop.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/planned_stop.py
@@ -81,9 +81,10 @@
         """Do nothing; a stop keeps no state of a request."""
 
     async def _drain(self) -> None:
-        self._cut_at = self._clock.monotonic() + self._limit - ANSWER_TIME
+        time_to_cut = max(datetime.timedelta(), self._limit - ANSWER_TIME)
+        self._cut_at = self._clock.monotonic() + time_to_cut
         self._activity.is_closing = True
-        await curio.sleep(min(NOTICE, self._limit).total_seconds())
+        await curio.sleep(min(NOTICE, time_to_cut).total_seconds())
         await self._stop_listening()
         await self._activity.close_idle()
         time_left = self._cut_at - self._clock.monotonic()
