--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/traffic.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/traffic.py
@@ -89,7 +89,7 @@
     def call(self, gateway: int, path: str) -> attempts.Outcome:
         """Send one request for a page to a gateway."""
         attempt = self._make_attempt(attempts.Kind.PAGE, '', '', '')
-        return self._exchange(gateway, attempt, path)
+        return self.exchange(gateway, attempt, path)
 
     def _run_program(self, stop: threading.Event) -> None:
         program = f'p{self._number}.{next(self._numbers)}'
@@ -121,7 +121,7 @@
         )
         for number in range(_MAX_TRIES_PER_STREAM):
             gateway = self._random.randrange(len(self._deployment.gateways))
-            outcome = self._exchange(gateway, attempt, attempt.kind.path)
+            outcome = self.exchange(gateway, attempt, attempt.kind.path)
             if outcome.is_success:
                 return
             received = promises.event_numbers(outcome.body)
@@ -150,7 +150,7 @@
         )
         gateway = self._random.randrange(len(self._deployment.gateways))
         path = attempts.Kind.TURN.path
-        return self._exchange(gateway, attempt, path), attempt.request_id
+        return self.exchange(gateway, attempt, path), attempt.request_id
 
     def _send(
         self,
@@ -161,7 +161,7 @@
     ) -> attempts.Outcome:
         attempt = self._make_attempt(kind, body, program, previous)
         gateway = self._random.randrange(len(self._deployment.gateways))
-        return self._exchange(gateway, attempt, kind.path)
+        return self.exchange(gateway, attempt, kind.path)
 
     def _make_attempt(
         self, kind: attempts.Kind, body: str, program: str, previous: str
@@ -169,9 +169,10 @@
         name = f'c{self._number}.{next(self._numbers)}'
         return attempts.Attempt(name, kind, body, program, previous)
 
-    def _exchange(
+    def exchange(
         self, gateway: int, attempt: attempts.Attempt, path: str
     ) -> attempts.Outcome:
+        """Send a request to a gateway and record its outcome."""
         self._checker.record_request(attempt)
         connection = self._connection(gateway)
         try:
