Ask the keepers for a newer group whenever one of them rejects the epoch

What callers saw: a turn that had run was cut, and later ones got 503, as a replica group changed, also in a planned evacuation with no disk lost. Cause: of the class of a bound of ours met after work was accepted. A write has two tries; the group was read anew between them only if that had not been done within 400 ms, so both went to the group before the change. A read of a silent store also held up that reading, though the keepers could tell. Change: after stale_epoch the keepers are asked, without the interval and beside a read of the store; requests that failed before share the replies. The store is read as rarely as before. Works since a keeper that rejects an epoch as stale knows the newer group. A disk that was replaced rejects too; then the interval applies as before.

Result: of the new tests two fail before (both tries rejected; the write waits for the store) and pass after; the third guards the rate of reads. The time zero of a manual clock counted as no time, so the tests' clock now starts at 1 s.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/group_requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/group_requests.py
@@ -1,6 +1,7 @@
 """Requests to quorums of the replica group, whose newest epoch is tracked."""
 
 import collections.abc
+import dataclasses
 import datetime
 import logging
 import typing
@@ -32,6 +33,18 @@
 RequestFactory = collections.abc.Callable[[groups.Member, int], typing.Any]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _GroupResult:
+    """Outcome of requests to the replicas of one group.
+
+    :param replies: replies of a quorum; ``None`` if there was none
+    :param is_outdated: whether a replica rejected the epoch as stale
+    """
+
+    replies: list[typing.Any] | None
+    is_outdated: bool = False
+
+
 class GroupRequester:
     """Sends requests to quorums of the replica group.
 
@@ -51,6 +64,8 @@
         self._group: groups.Group | None = None
         self._refresh_lock = curio.Lock()
         self._refreshed: datetime.timedelta | None = None
+        self._following_lock = curio.Lock()
+        self._following_began: datetime.timedelta | None = None
         self._circuit_breaker = circuit_breaker.CircuitBreaker(clock)
         self._preference = preference.ReplicaPreference(clock)
         self._failures = quorum_log.QuorumLog(clock)
@@ -83,7 +98,10 @@
         """Read the replica group, unless it was read within the interval."""
         async with self._refresh_lock:
             now = self._clock.monotonic()
-            if self._refreshed and now - self._refreshed < REFRESH_INTERVAL:
+            if (
+                self._refreshed is not None
+                and now - self._refreshed < REFRESH_INTERVAL
+            ):
                 return
             await self._refresh()
             self._refreshed = self._clock.monotonic()
@@ -105,6 +123,28 @@
         if stored is not None:
             self.update_group(stored.group)
 
+    async def _follow_keepers(self, outdated: groups.Group) -> bool:
+        """Ask the keepers for the group that replaced a known one.
+
+        Explanation
+        ===========
+
+        A keeper that rejects an epoch as stale knows a newer group, so this
+        waits neither for the interval nor for the store. Requests that failed
+        before the keepers were asked share their replies.
+
+        :returns: whether a newer group is known now
+        """
+        failed_at = self._clock.monotonic()
+        async with self._following_lock:
+            began = self._following_began
+            if self._group is outdated and (
+                began is None or began <= failed_at
+            ):
+                self._following_began = self._clock.monotonic()
+                await self._refresh_from_keepers(outdated)
+        return self._group is not outdated
+
     async def _refresh_from_keepers(self, known_group: groups.Group) -> None:
         result = await quorum_calls.request_until(
             self._requester,
@@ -151,8 +191,9 @@
             if self._group is None:
                 await self.refresh()
             group = self._group
+            is_outdated = False
             if group is not None:
-                replies = await self._request_group(
+                result = await self._request_group(
                     group,
                     make_request,
                     quorum_of(group),
@@ -161,10 +202,17 @@
                     key,
                     requester or self._requester,
                 )
-                if replies is not None:
+                if result.replies is not None:
                     self._record_reachability(True)
-                    return replies
-            if not last_try:
+                    return result.replies
+                is_outdated = result.is_outdated
+            if last_try:
+                break
+            if (
+                group is None
+                or not is_outdated
+                or not await self._follow_keepers(group)
+            ):
                 await self.refresh()
         self._record_reachability(False)
         raise _unavailable()
@@ -191,7 +239,7 @@
         sends_to_all: bool,
         key: str,
         requester: quorum_calls.RoundRequester,
-    ) -> list[typing.Any] | None:
+    ) -> _GroupResult:
         def replies_of(
             peer_replies: list[quorum_calls.PeerReply],
         ) -> list[typing.Any]:
@@ -231,9 +279,16 @@
         if len(replies) >= needed or (
             is_final is not None and any(map(is_final, replies))
         ):
-            return replies
+            return _GroupResult(replies)
         self._failures.log(group, needed, result.peer_replies)
-        return None
+        return _GroupResult(
+            None,
+            any(
+                peer_reply.error is not None
+                and peer_reply.error.code is errors.ErrorCode.STALE_EPOCH
+                for peer_reply in result.peer_replies
+            ),
+        )
 
     def _order(self, group: groups.Group, key: str) -> list[groups.Member]:
         if key:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_record_client.py
@@ -73,9 +73,10 @@
 
 
 def _client(requester, store=None):
-    return record_client.RecordClient(
-        store or _Store(), requester, clocks.ManualClock()
-    )
+    clock = clocks.ManualClock()
+    # The group was read at no time yet, which is not at time zero.
+    clock.advance(datetime.timedelta(seconds=1))
+    return record_client.RecordClient(store or _Store(), requester, clock)
 
 
 LOST = errors.ErrorCode.PEER_LOST
@@ -127,30 +128,91 @@
     assert caught.value.status == 503
 
 
-def test_newer_group_is_read_from_a_keeper_in_a_store_outage():
-    group_with_d = GROUP.replace('b', groups.Member('d', 'd', 'd'))
+GROUP_WITH_D = GROUP.replace('b', groups.Member('d', 'd', 'd'))
 
-    def reply_with_newer_group(message):
-        if isinstance(message, messages.TakeGroup):
-            return messages.CopyStatus('a', 4, group_with_d)
-        if message.epoch < group_with_d.epoch:
-            raise errors.MagnoliawoodError(
-                errors.ErrorCode.STALE_EPOCH, 'older'
-            )
-        return _empty(message)
-
-    requester = _Requester(
-        a=reply_with_newer_group,
-        b=LOST,
-        c=reply_with_newer_group,
-        d=reply_with_newer_group,
-    )
+
+def _in_newer_group(message):
+    if isinstance(message, messages.TakeGroup):
+        return messages.CopyStatus('a', 4, GROUP_WITH_D)
+    if message.epoch < GROUP_WITH_D.epoch:
+        raise errors.MagnoliawoodError(errors.ErrorCode.STALE_EPOCH, 'older')
+    return _empty(message)
+
+
+def _requester_of_newer_group():
+    members = dict.fromkeys('acd', _in_newer_group)
+    return _Requester(b=LOST, **members)
+
+
+def test_newer_group_is_read_from_a_keeper_in_a_store_outage():
     store = _Store()
-    client = _client(requester, store)
+    client = _client(_requester_of_newer_group(), store)
     client.update_group(GROUP)
     store.group = None
     curio.run(client.write, [TURN])
-    assert client.group == group_with_d
+    assert client.group == GROUP_WITH_D
+
+
+def test_newer_group_is_read_though_the_group_was_read_just_before():
+    """Guards against turns that ran and are cut as a planned change begins.
+
+    Both tries of their write were for the group before the change (issue 45).
+    """
+    requester = _Requester(**dict.fromkeys('abc', _empty))
+    client = _client(requester)
+    curio.run(client.refresh)
+    requester.keepers = _requester_of_newer_group().keepers
+    curio.run(client.write, [TURN])
+    assert client.group == GROUP_WITH_D
+
+
+class _SilentStore(_Store):
+    """Group store that never responds."""
+
+    def __init__(self):
+        super().__init__()
+        self.reading = curio.Event()
+
+    async def read(self):
+        await self.reading.set()
+        await curio.sleep(3600)
+
+
+def test_newer_group_is_read_while_the_store_is_silent():
+    """Guards against writes that wait for the store (issue 45)."""
+    requester = _Requester(**dict.fromkeys('abc', _empty))
+    store = _SilentStore()
+    client = _client(requester, store)
+    client.update_group(GROUP)
+
+    async def write_during_refresh():
+        refresh = await curio.spawn(client.refresh)
+        await store.reading.wait()
+        requester.keepers = _requester_of_newer_group().keepers
+        await curio.timeout_after(5, client.write, [TURN])
+        await refresh.cancel()
+
+    curio.run(write_during_refresh)
+    assert client.group == GROUP_WITH_D
+
+
+def test_keepers_that_know_no_newer_group_cause_no_further_reads():
+    """Guards against a store that is read at each failed request."""
+
+    def of_another_disk(message):
+        if isinstance(message, messages.TakeGroup):
+            return messages.CopyStatus('x', 0, GROUP)
+        raise errors.MagnoliawoodError(errors.ErrorCode.STALE_EPOCH, 'disk')
+
+    store = _Store()
+    reads = []
+    read = store.read
+    store.read = lambda: reads.append(1) or read()
+    client = _client(_Requester(a=of_another_disk, b=LOST, c=LOST), store)
+    for _ in range(2):
+        with pytest.raises(errors.MagnoliawoodError):
+            curio.run(client.write, [TURN])
+    assert len(reads) == 1
 
 
 def test_operations_fail_at_once_when_no_replica_is_reachable():
