Put no long record on a page that holds others already

What callers see: nothing at first. A turn that nearly fills a frame (16 MiB) is stored, but a page that has shorter records before it exceeds the frame, so the copy to a joining disk is refused at each try and never ends; the next loss is final (404 or 503). The part of a chain that a keeper lacks fails likewise.

Cause: a page ended with the record that reached its limit, whatever its length; what is accepted by itself was not accepted among others.

A turn that is longer than a frame by itself is still refused only at its end; that stays open.

Why it works: a page has 256 KiB at most, or one record, so each page has a frame as long as its longest record has.

--- a/packages/magnoliawood/magnoliawood/turns/records.py
+++ b/packages/magnoliawood/magnoliawood/turns/records.py
@@ -106,16 +106,16 @@
 ) -> collections.abc.Iterator[list[bytes]]:
     """Encode records and yield them in pages.
 
-    A page ends with the record that reaches ``_PAGE_BYTES``.
+    A page has at most ``_PAGE_BYTES``, or one record.
     """
     page: list[bytes] = []
     total = 0
     for entry in map(encode, unsent_records):
-        page.append(entry)
-        total += len(entry)
-        if total >= _PAGE_BYTES:
+        if page and total + len(entry) > _PAGE_BYTES:
             yield page
             page, total = [], 0
+        page.append(entry)
+        total += len(entry)
     if page:
         yield page
 
