Survive a reload of settings that are out of range

What callers see: SIGHUP with a settings file that holds a number out of range (grace_s 1e300, memory without an end) or that is nested too deeply ends the gateway, and with it all its requests, although an invalid file is said to change nothing.

Cause: reading the file raised OverflowError or RecursionError, which are no ValueError, so the task that reloads failed and the process ended with it.

Why it works: load turns both into the ValueError that it names, which the reload logs and the launcher answers with its exit code for bad settings.

--- a/packages/magnoliawood-server/magnoliawood_server/platform/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/settings.py
@@ -121,13 +121,16 @@
     """
     path = pathlib.Path(os.environ[names.SETTINGS_VARIABLE])
     port = int(os.environ.get(_METRICS_VARIABLE, DEFAULT_METRICS_PORT))
-    fields = json.loads(path.read_text(encoding='utf-8'))
-    return parse(
-        fields,
-        port,
-        os.environ.get(_PEER_BIND_VARIABLE, ''),
-        os.environ.get(_ORDERED_VARIABLE) == _TRUE,
-    )
+    text = path.read_text(encoding='utf-8')
+    try:
+        return parse(
+            json.loads(text),
+            port,
+            os.environ.get(_PEER_BIND_VARIABLE, ''),
+            os.environ.get(_ORDERED_VARIABLE) == _TRUE,
+        )
+    except (OverflowError, RecursionError) as error:
+        raise ValueError(f'settings out of range: {error}') from error
 
 
 def parse(
--- a/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_settings.py
@@ -1,7 +1,10 @@
 """Parsing of the platform's settings file."""
 
+import json
+
 import pytest
 
+from magnoliawood_server.platform import names
 from magnoliawood_server.platform import settings
 
 FILE = {
@@ -47,6 +50,28 @@
         settings.parse(fields)
 
 
+@pytest.mark.parametrize(
+    'text',
+    [
+        '',
+        '[]',
+        '[' * 100_000,
+        json.dumps({**FILE, 'bounds': {'grace_s': 1e300}}),
+        json.dumps({**FILE, 'limits': {'memory_mb': float('inf')}}),
+    ],
+    ids=['empty', 'list', 'deep', 'long time', 'endless memory'],
+)
+def test_malformed_file_is_an_error_that_a_reload_survives(
+    tmp_path, monkeypatch, text
+):
+    """Guards against SIGHUP that ends a process and cuts its requests."""
+    path = tmp_path / 'settings.json'
+    path.write_text(text)
+    monkeypatch.setenv(names.SETTINGS_VARIABLE, str(path))
+    with pytest.raises(ValueError):
+        settings.load()
+
+
 def test_earlier_deployments_call_for_no_order_and_no_revocation_limit():
     parsed = settings.parse(FILE)
     assert not parsed.orders_requests
