--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -129,6 +129,7 @@
                 self._peers, lambda: self._gossip.reachable_peers(), clock
             ),
             clock,
+            self._registry,
         )
         self._gossip = gossips.Gossip(
             settings.host,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/group_requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/group_requests.py
@@ -12,6 +12,7 @@
 from magnoliawood.limits import circuit_breaker
 from magnoliawood.replication import group as groups
 from magnoliawood.replication import preference
+from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import quorum_calls
 from magnoliawood_server.gateway import quorum_log
 from magnoliawood_server.keeper import messages
@@ -37,6 +38,7 @@
 
     :param store: store that holds the agreed replica group
     :param requester: sends messages to keepers
+    :param registry: counts the quorums that were not reached
     """
 
     def __init__(
@@ -44,8 +46,10 @@
         store: group_stores.GroupStore,
         requester: quorum_calls.RoundRequester,
         clock: clocks.Clock,
+        registry: registries.Registry,
     ) -> None:
         self._store = store
+        self._registry = registry
         self._requester = requester
         self._clock = clock
         self._group: groups.Group | None = None
@@ -146,7 +150,10 @@
         :param requester: sends the messages in place of the usual one
         """
         if not self._circuit_breaker.allow_request():
-            raise _unavailable()
+            raise self._unavailable(
+                'not_asked', 'no replica was asked, since too few responded'
+            )
+        failure = ''
         for last_try in (False,) * (MAX_TRIES - 1) + (True,):
             if self._group is None:
                 await self.refresh()
@@ -161,13 +168,24 @@
                     key,
                     requester or self._requester,
                 )
-                if replies is not None:
+                if not isinstance(replies, str):
                     self._record_reachability(True)
                     return replies
+                failure = replies
             if not last_try:
                 await self.refresh()
         self._record_reachability(False)
-        raise _unavailable()
+        if not failure:
+            raise self._unavailable('no_group', 'no replica group is known')
+        raise self._unavailable('too_few', failure)
+
+    def _unavailable(
+        self, reason: str, detail: str
+    ) -> errors.MagnoliawoodError:
+        self._registry.count('quorum_failures_total', reason=reason)
+        return errors.MagnoliawoodError(
+            errors.ErrorCode.STORE_UNAVAILABLE, detail, retry_after=RETRY_AFTER
+        )
 
     def _record_reachability(self, is_reachable: bool) -> None:
         was_open = self._circuit_breaker.is_open
@@ -191,7 +209,9 @@
         sends_to_all: bool,
         key: str,
         requester: quorum_calls.RoundRequester,
-    ) -> list[typing.Any] | None:
+    ) -> list[typing.Any] | str:
+        """Return the replies of a quorum, or why it was not reached."""
+
         def replies_of(
             peer_replies: list[quorum_calls.PeerReply],
         ) -> list[typing.Any]:
@@ -232,18 +252,14 @@
             is_final is not None and any(map(is_final, replies))
         ):
             return replies
-        self._failures.log(group, needed, result.peer_replies)
-        return None
+        failed = quorum_log.errors_of(result.peer_replies)
+        self._failures.log(group, needed, failed)
+        return (
+            'too few replicas of the records responded: '
+            f'epoch {group.epoch}, {needed} needed, {"; ".join(failed)}'
+        )
 
     def _order(self, group: groups.Group, key: str) -> list[groups.Member]:
         if key:
             return self._preference.order_for(key, group.members)
         return self._preference.order(group.members)
-
-
-def _unavailable() -> errors.MagnoliawoodError:
-    return errors.MagnoliawoodError(
-        errors.ErrorCode.STORE_UNAVAILABLE,
-        'too few replicas of the records responded',
-        retry_after=RETRY_AFTER,
-    )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/quorum_log.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/quorum_log.py
@@ -1,5 +1,6 @@
 """Logs quorums that were not reached, at a bounded rate."""
 
+import collections.abc
 import datetime
 import logging
 
@@ -14,6 +15,17 @@
 _log = logging.getLogger(__name__)
 
 
+def errors_of(
+    peer_replies: collections.abc.Iterable[quorum_calls.PeerReply],
+) -> list[str]:
+    """Return the error of each disk that replied with one."""
+    return [
+        f'{peer_reply.peer}: {peer_reply.error}'
+        for peer_reply in peer_replies
+        if peer_reply.error
+    ]
+
+
 class QuorumLog:
     """Logs failed quorums, at most once per ``WARN_INTERVAL``."""
 
@@ -26,9 +38,12 @@
         self,
         group: groups.Group,
         needed: int,
-        peer_replies: list[quorum_calls.PeerReply],
+        failed: list[str],
     ) -> None:
-        """Log that too few replicas of a group responded."""
+        """Log that too few replicas of a group responded.
+
+        :param failed: error of each disk that replied with one
+        """
         now = self._clock.monotonic()
         if (
             self._last_warning is not None
@@ -41,11 +56,7 @@
             extra={
                 'epoch': group.epoch,
                 'needed': needed,
-                'errors': [
-                    f'{peer_reply.peer}: {peer_reply.error}'
-                    for peer_reply in peer_replies
-                    if peer_reply.error
-                ],
+                'errors': failed,
                 'times_before': self._suppressed_warnings,
             },
         )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -10,6 +10,7 @@
 from magnoliawood.limits import circuit_breaker
 from magnoliawood.replication import group as groups
 from magnoliawood.replication import quorum
+from magnoliawood.telemetry import registry as registries
 from magnoliawood.turns import ledger as ledgers
 from magnoliawood.turns import records
 from magnoliawood_server.gateway import chain_writes
@@ -27,6 +28,7 @@
 
     :param store: store that holds the agreed replica group
     :param requester: sends messages to keepers
+    :param registry: counts what could not be read or stored
     """
 
     def __init__(
@@ -34,10 +36,14 @@
         store: group_stores.GroupStore,
         requester: quorum_calls.RoundRequester,
         clock: clocks.Clock,
+        registry: registries.Registry | None = None,
     ) -> None:
         self._requester = requester
         self._clock = clock
-        self._requests = group_requests.GroupRequester(store, requester, clock)
+        self._registry = registry or registries.Registry()
+        self._requests = group_requests.GroupRequester(
+            store, requester, clock, self._registry
+        )
 
     @property
     def group(self) -> groups.Group | None:
@@ -184,7 +190,11 @@
         """
         while not chain.is_complete:
             missing_id = chain.missing_id
-            replies = await self._read_turns(missing_id)
+            try:
+                replies = await self._read_turns(missing_id)
+            except errors.MagnoliawoodError:
+                self._count_unread('no_quorum')
+                raise
             chain = chain.extend(_longest(replies))
             if chain.missing_id == missing_id:
                 raise self._missing_turn(chain, len(replies))
@@ -197,18 +207,24 @@
 
         :param disks: number of disks that replied and lack the turn
         """
-        lacking = f'{disks} disks lack turn {chain.missing_id}'
+        epoch = self.group.epoch if self.group else 0
+        lacking = (
+            f'{disks} disks of epoch {epoch} lack turn {chain.missing_id}'
+        )
         if not chain.turns:
+            self._count_unread('absent')
             return errors.MagnoliawoodError(
                 errors.ErrorCode.UNKNOWN_CALL, lacking
             )
         left = chain.turns[0].expires_at - self._clock.now().timestamp()
         if left <= 0:
+            self._count_unread('expired')
             return errors.MagnoliawoodError(
                 errors.ErrorCode.UNKNOWN_CALL,
                 f'{lacking}; {chain.head_id}, which continues it, expired '
                 f'{-left:.3f} s ago',
             )
+        self._count_unread('gap')
         return errors.MagnoliawoodError(
             errors.ErrorCode.STORE_UNAVAILABLE,
             f'{lacking}, but {chain.head_id}, which continues it, is '
@@ -216,6 +232,9 @@
             retry_after=group_requests.RETRY_AFTER,
         )
 
+    def _count_unread(self, cause: str) -> None:
+        self._registry.count('unread_chains_total', cause=cause)
+
     async def read_stream(self, stream_id: str) -> list[records.StreamRecord]:
         """Return the origins of a stream on the disks of a read quorum.
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/keeper_support.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/keeper_support.py
@@ -49,7 +49,7 @@
 
     Messages to keepers in ``away`` are lost.
 
-    :param clock: manual clock of all of them
+    :param clock: manual clock of all of them; their registry is one too
     """
 
     direct_timeout = datetime.timedelta(seconds=1)
@@ -60,6 +60,7 @@
         self.away = set()
         self.requested = []
         self.replicas = {}
+        self.registry = registries.Registry()
         self._services = {}
         self._writers = {}
         for name in 'abc':
@@ -104,7 +105,9 @@
 
     def client(self):
         """Return a new client of the keepers."""
-        return record_client.RecordClient(self, self, self.clock)
+        return record_client.RecordClient(
+            self, self, self.clock, self.registry
+        )
 
     async def read(self):
         return group_store.StoredGroup(self.group, 1)
@@ -127,7 +130,7 @@
         replica = replicas.DiskReplica(self._folder / name, self.clock)
         self.replicas[name] = replica
         self._services[name] = services.KeeperService(
-            replica, self.clock, registries.Registry()
+            replica, self.clock, self.registry
         )
 
     async def _stop(self, name):
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
@@ -53,11 +53,13 @@
         """
         signals = stop.StopSignals()
         reloads = reload.ReloadSignals(settings_files.load, _ignore_settings)
+        away = self._replica.time_away
         _log.info(
             'started',
             extra={
                 'disk': self._replica.state.disk_id,
                 'copied_epoch': self._replica.state.copied_epoch,
+                'seconds_away': away and round(away.total_seconds(), 1),
             },
         )
         service = services.KeeperService(
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
@@ -1,5 +1,6 @@
 """Copies records to this host's replica from other replicas."""
 
+import dataclasses
 import datetime
 import logging
 import typing
@@ -20,6 +21,14 @@
 _log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What a copy has received so far."""
+
+    records: int = 0
+    bytes: int = 0
+
+
 class Copier:
     """Copies missing records from other keepers to a replica.
 
@@ -52,6 +61,7 @@
                 'epoch': group.epoch,
                 'sources': copied_sources,
                 'needed': group.sources_needed,
+                'is_complete': copied_sources >= group.sources_needed,
             },
         )
         if copied_sources < group.sources_needed:
@@ -65,30 +75,52 @@
         state = self._replica.state
         if source.disk_id == state.disk_id:
             return state.copied_epoch >= source.since
+        progress = _Progress()
+        fields = {'host': source.host, 'epoch': group.epoch}
+        _log.info('copying from a source replica began', extra=fields)
         try:
-            return await self._transfer(group, source)
+            copied_epoch = await self._transfer(group, source, progress)
         except errors.MagnoliawoodError as error:
             _log.warning(
                 'copying from a source replica failed',
-                extra={'host': source.host, 'error': str(error)},
+                extra={
+                    **fields,
+                    **dataclasses.asdict(progress),
+                    'error': str(error),
+                },
             )
             return False
+        is_complete = copied_epoch >= source.since
+        _log.info(
+            'copying from a source replica ended',
+            extra={
+                **fields,
+                **dataclasses.asdict(progress),
+                'is_source_complete': is_complete,
+            },
+        )
+        return is_complete
 
     async def _transfer(
-        self, group: groups.Group, source: groups.Member
-    ) -> bool:
+        self, group: groups.Group, source: groups.Member, progress: _Progress
+    ) -> int:
+        """Copy all records of a source; return its epoch."""
         stream = await self._pool.open_stream(source.address)
         try:
             await stream.send(messages.CopyAll(source.disk_id, group))
             status = await _receive_in_time(stream)
-            await self._receive_pages(stream)
-            return status.copied_epoch >= source.since
+            await self._receive_pages(stream, progress)
+            return int(status.copied_epoch)
         finally:
             stream.close()
 
-    async def _receive_pages(self, stream: connections.Stream) -> None:
+    async def _receive_pages(
+        self, stream: connections.Stream, progress: _Progress
+    ) -> None:
         while True:
             page = await _receive_in_time(stream)
+            progress.records += len(page.records)
+            progress.bytes += sum(map(len, page.records))
             if page.records:
                 await self._replica.write_new(page.records)
             if page.is_last:
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/replica.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/replica.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import datetime
 import logging
 import pathlib
 
@@ -15,6 +16,8 @@
 
 # Size above which the log is rewritten if more than half of it is outdated.
 _REWRITE_BYTES = 64 * 1024 * 1024
+# Number of dropped turns that a log line names.
+_LOGGED_TURNS = 8
 
 _log = logging.getLogger(__name__)
 
@@ -28,6 +31,8 @@
     def __init__(self, folder: pathlib.Path, clock: clocks.Clock) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
+        self._clock = clock
+        self._last_write = _last_write(folder)
         self._state = disk_state.load(folder)
         self._log = disk_log.DiskLog(folder)
         self._table = tables.RecordTable(clock)
@@ -48,6 +53,14 @@
         """Identity and completeness of the disk, as saved on it."""
         return self._state
 
+    @property
+    def time_away(self) -> datetime.timedelta | None:
+        """Time since the disk was written before this process had it."""
+        if self._last_write is None:
+            return None
+        now = self._clock.now().timestamp()
+        return datetime.timedelta(seconds=now - self._last_write)
+
     @property
     def group(self) -> groups.Group | None:
         """Newest replica group that this host knows."""
@@ -234,7 +247,13 @@
         """
         dropped = self._table.expire() if self.is_complete else 0
         if dropped:
-            _log.info('records expired', extra={'records': dropped})
+            _log.info(
+                'records expired',
+                extra={
+                    'records': dropped,
+                    'last_turns': self._table.dropped.last_ids(_LOGGED_TURNS),
+                },
+            )
             self._unsynced_records = {
                 record
                 for record in self._unsynced_records
@@ -255,3 +274,10 @@
     def _save(self, state: disk_state.DiskState) -> None:
         disk_state.save(self._folder, state)
         self._state = state
+
+
+def _last_write(folder: pathlib.Path) -> float | None:
+    """Return the Unix time of the last write to a folder, if any."""
+    return max(
+        (path.stat().st_mtime for path in folder.iterdir()), default=None
+    )
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
@@ -129,8 +129,26 @@
             if entries and size > _CHAIN_REPLY_BYTES:
                 break
             entries.append(entry)
+        if not entries:
+            self._record_absent(turn_id)
         return messages.ChainRecords(entries)
 
+    def _record_absent(self, turn_id: str) -> None:
+        """Record whether this disk ever had a turn that it lacks."""
+        expiry = self._replica.table.dropped.expiry(turn_id)
+        cause = 'unknown' if expiry is None else 'dropped'
+        self._registry.count('absent_turns_total', cause=cause)
+        now = self._clock.now().timestamp()
+        _log.info(
+            'turn that was asked for is not stored',
+            extra={
+                'request_id': turn_id,
+                'cause': cause,
+                'seconds_past_expiry': expiry and round(now - expiry, 3),
+                'copied_epoch': self._replica.state.copied_epoch,
+            },
+        )
+
     def _stream_origin(self, stream_id: str) -> messages.StreamOrigin:
         record = self._replica.table.stream(stream_id)
         if record is None:
@@ -153,11 +171,19 @@
         self._replica.seal(message.group)
         await stream.send(self._status())
         sent = 0
-        for page in records.pages(self._replica.table.records()):
-            await stream.send(messages.CopyPage(page, is_last=False))
-            sent += len(page)
-        await stream.send(messages.CopyPage([], is_last=True))
-        _log.info(
-            'records sent to a joining replica',
-            extra={'epoch': message.group.epoch, 'records': sent},
-        )
+        is_whole = False
+        try:
+            for page in records.pages(self._replica.table.records()):
+                await stream.send(messages.CopyPage(page, is_last=False))
+                sent += len(page)
+            await stream.send(messages.CopyPage([], is_last=True))
+            is_whole = True
+        finally:
+            _log.info(
+                'records sent to a joining replica',
+                extra={
+                    'epoch': message.group.epoch,
+                    'records': sent,
+                    'is_whole': is_whole,
+                },
+            )
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_copier.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_copier.py
@@ -90,3 +90,26 @@
 def test_copy_from_a_source_that_falls_silent_is_given_up(tmp_path):
     copied, _ = _copy(tmp_path, 2)
     assert not copied
+
+
+def test_each_copy_leaves_what_it_received(tmp_path, caplog):
+    """H2 of issue 45: guards against copies that begin anew unnoticed."""
+    caplog.set_level('INFO')
+    _copy(tmp_path / 'silent', PAGES - 1)
+    _copy(tmp_path / 'whole', PAGES)
+    lines = [
+        (record.getMessage(), getattr(record, 'records', None))
+        for record in caplog.records
+        if record.getMessage().startswith('copying')
+    ]
+    assert lines == [
+        ('copying from a source replica began', None),
+        ('copying from a source replica failed', PAGES - 1),
+        ('copying from a source replica began', None),
+        ('copying from a source replica ended', PAGES),
+    ]
+    assert [
+        record.is_complete
+        for record in caplog.records
+        if record.getMessage() == 'records copied from source replicas'
+    ] == [False, True]
--- a/packages/magnoliawood/magnoliawood/turns/table.py
+++ b/packages/magnoliawood/magnoliawood/turns/table.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from magnoliawood.core import clock as clocks
+from magnoliawood.turns import dropped as dropped_turns
 from magnoliawood.turns import ledger as ledgers
 from magnoliawood.turns import records
 
@@ -30,6 +31,12 @@
         self._whole: set[str] = set()
         self._ledgers: dict[str, dict[str, records.ChargeRecord]] = {}
         self._streams: dict[str, records.StreamRecord] = {}
+        self._dropped = dropped_turns.DroppedTurns()
+
+    @property
+    def dropped(self) -> dropped_turns.DroppedTurns:
+        """The turns that were dropped last."""
+        return self._dropped
 
     def apply(self, record: records.Record) -> None:
         """Add a record; a duplicate or superseded record is ignored.
@@ -157,8 +164,9 @@
             if head.expires_at > now:
                 self._collect_chain(head.turn_id, retained_ids)
         expired_turns = self._turns.keys() - retained_ids
-        for turn_id in expired_turns:
-            del self._turns[turn_id]
+        self._dropped.add(
+            self._turns.pop(turn_id) for turn_id in expired_turns
+        )
         self._whole -= expired_turns
         expired_programs = [
             program_id
