--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -243,6 +243,12 @@
         responder = Responder(self, framing)
         try:
             await self._handler(request, responder)
+        except curio.TaskCancelled:
+            if self._reader.has_caller_left:
+                self._record_incomplete(
+                    request, responder, 'the caller left', 'caller_lost'
+                )
+            raise
         except (ResponseAborted, CallerLost) as error:
             is_aborted = isinstance(error, ResponseAborted)
             cause = 'abort' if is_aborted else 'caller_lost'
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_caller.py
@@ -8,6 +8,7 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.routes import configuration as configurations
+from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import caller_reader
 
@@ -19,6 +20,7 @@
 
     def __init__(self, handler, limits=None):
         self.activity = callers.CallerActivity()
+        self.registry = registries.Registry()
         ours, self.peer = socket.socketpair()
         self.peer.settimeout(5)
         current_limits = limits or configurations.CallerLimits()
@@ -29,6 +31,7 @@
             lambda: current_limits,
             self.activity,
             clocks.SystemClock(),
+            self.registry,
         )
 
     async def run(self):
@@ -248,3 +251,44 @@
     served.peer.sendall(sent)
     curio.run(served.run)
     assert served.read() == b''
+
+
+async def _leave(served):
+    served.peer.close()
+    await curio.Event().wait()
+
+
+async def _abort(served):
+    raise callers.ResponseAborted('injected fault')
+
+
+async def _lose(served):
+    raise callers.CallerLost('injected fault')
+
+
+@pytest.mark.parametrize(
+    'end, cause',
+    [(_leave, 'caller_lost'), (_abort, 'abort'), (_lose, 'caller_lost')],
+)
+def test_connection_closed_in_place_of_an_answer_tells_why(end, cause, caplog):
+    """H7 of issue 45: guards against closes that leave no line.
+
+    Without one, a caller that left can't be told from a gateway that died.
+    """
+
+    async def handle(request, responder):
+        await end(served)
+
+    served = _ServedConnection(handle)
+    served.peer.sendall(REQUEST.replace(b'h', b'h\r\nRequest-Id: r7', 1))
+    curio.run(served.run)
+    assert served.registry.counters() == {
+        f'incomplete_responses_total{{cause="{cause}"}}': 1
+    }
+    [line] = [
+        record
+        for record in caplog.records
+        if record.getMessage() == 'response not completed'
+    ]
+    assert (line.request_id, line.cause) == ('r7', cause)
+    assert not line.is_started and not line.is_stopping
