Say when settlements are given up

What readers saw: four equal lines per batch, and none that says that the tokens stay charged at their maximum for good, which refuses later turns of the program. Result: the new test fails on the parent and passes.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/settlements.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/settlements.py
@@ -87,11 +87,16 @@
                 _log.warning(
                     'settlements not stored',
                     extra={
-                        'request_ids': [
-                            settlement.attempt_id.rpartition('.')[0]
-                            for settlement in batch
-                        ],
+                        'request_ids': _request_ids(batch),
                         'error': str(error),
                     },
                 )
             await curio.sleep(SETTLE_RETRY_DELAY.total_seconds())
+        _log.error(
+            'settlements given up; their turns stay charged at most',
+            extra={'request_ids': _request_ids(batch)},
+        )
+
+
+def _request_ids(batch: list[records.ChargeRecord]) -> list[str]:
+    return [settlement.attempt_id.rpartition('.')[0] for settlement in batch]
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_settlements.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_settlements.py
@@ -81,3 +81,17 @@
     client = Client(failures=settlements.MAX_SETTLE_TRIES)
     _add_and_flush(client, 2)
     assert not client.rounds
+
+
+@pytest.mark.usefixtures('no_delay')
+@pytest.mark.parametrize('successes', [0, 1])
+def test_settlements_that_are_given_up_are_named(caplog, successes):
+    """Guards against a last try whose line reads as that of any other."""
+    client = Client(failures=settlements.MAX_SETTLE_TRIES - successes)
+    _add_and_flush(client, 2)
+    given_up = [
+        record.request_ids
+        for record in caplog.records
+        if record.getMessage().startswith('settlements given up')
+    ]
+    assert given_up == ([] if successes else [['a0', 'a1']])
