--- a/packages/magnoliawood-server/magnoliawood_server/gateway/chain_writes.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/chain_writes.py
@@ -127,22 +127,30 @@
             for turn in reversed(self._chain)
             if turn.turn_id in missing_ids
         ]
-        _log.info(
-            'chain of a turn completed on a keeper',
-            extra={
-                'keeper': address,
-                'request_id': self._turn.turn_id,
-                'turns': len(missing),
-                'of': len(self._chain),
-            },
-        )
-        for page in records.pages(missing):
-            await self._requester.request(
-                address,
-                messages.WriteRecords(message.epoch, message.disk_id, page),
-                timeout,
+        fields = {
+            'keeper': address,
+            'request_id': self._turn.turn_id,
+            'turns': len(missing),
+            'of': len(self._chain),
+        }
+        try:
+            for page in records.pages(missing):
+                await self._requester.request(
+                    address,
+                    messages.WriteRecords(
+                        message.epoch, message.disk_id, page
+                    ),
+                    timeout,
+                )
+            reply = await self._requester.request(address, message, timeout)
+        except errors.MagnoliawoodError as error:
+            _log.warning(
+                'chain of a turn not completed on a keeper',
+                extra={**fields, 'error': str(error)},
             )
-        return await self._requester.request(address, message, timeout)
+            raise
+        _log.info('chain of a turn completed on a keeper', extra=fields)
+        return reply
 
     async def _send(
         self,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_evidence.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_evidence.py
@@ -9,6 +9,7 @@
 from magnoliawood.limits import circuit_breaker
 from magnoliawood.turns import records
 from magnoliawood_server.gateway.tests import keeper_support
+from magnoliawood_server.keeper import messages
 
 ABSENT = 'turn that was asked for is not stored'
 
@@ -183,3 +184,37 @@
     first, second = curio.run(play)
     assert first is None
     assert second is not None
+
+
+def test_chain_that_could_not_be_completed_is_not_reported_as_complete(
+    tmp_path, caplog
+):
+    """Guards against a line that names a keeper which lacks the turns."""
+
+    class Refusing(keeper_support.Keepers):
+        """Keepers of which one is lost once it has said what it lacks."""
+
+        async def request(self, address, message, timeout):
+            reply = await super().request(address, message, timeout)
+            if isinstance(message, messages.FindMissingTurns):
+                self.away = {address}
+            return reply
+
+    async def play():
+        keepers = Refusing(tmp_path)
+        async with keepers.running():
+            gateway = keeper_support.Gateway(keepers)
+            keepers.away = {'a'}
+            await gateway.run('t1')
+            keepers.away = set()
+            await gateway.run('t2', 't1')
+            async with curio.timeout_after(10):
+                while not keepers.away:
+                    await curio.sleep(0)
+            await curio.sleep(0.1)
+            assert not keepers.turn_ids('a')
+
+    curio.run(play)
+    assert not _lines(caplog, 'chain of a turn completed on a keeper')
+    [line] = _lines(caplog, 'chain of a turn not completed on a keeper')
+    assert (line.keeper, line.request_id, line.turns) == ('a', 't2', 1)
