--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
@@ -75,6 +75,11 @@
     permit_wait: datetime.timedelta | None = None
     room_wait: datetime.timedelta | None = None
 
+    @property
+    def configuration(self) -> int:
+        """Version of the configuration under which it was admitted."""
+        return self.table.configuration.version if self.table else 0
+
     @property
     def tokens_spent(self) -> int:
         """Tokens of the events that were sent to the caller.
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/request_log.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/request_log.py
@@ -81,6 +81,7 @@
             'program': job.metadata.program_id,
             'route': job.route.name,
             'configuration': configuration,
+            'admitted_configuration': job.configuration,
             'upstream': upstream.id,
             'version': upstream.version,
             'resumes': job.metadata.resumed_id,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_job_factory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_job_factory.py
@@ -60,3 +60,4 @@
     job.delivery.events = EVENTS
     cluster_view.apply_configuration(_configuration(2, 'second'), 'test')
     assert job.tokens_spent == EVENTS * EVENT_TOKENS
+    assert (job.configuration, cluster_view.version) == (1, 2)
