--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_gateway_stops.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_gateway_stops.py
@@ -240,3 +240,37 @@
     finally:
         process.kill()
         process.wait()
+
+
+def _lines(deployment, message):
+    lines = deployment.gateways[0].log_path.read_text().splitlines()
+    entries = [json.loads(line) for line in lines if line.startswith('{')]
+    return [entry for entry in entries if entry.get('message') == message]
+
+
+def test_stop_leaves_what_it_cut_and_what_it_refused(deployment, pool):
+    """H4 of issue 45: guards against a stop whose logs hide what it cut."""
+    _slow_down(deployment, answer_seconds=GRACE_SECONDS * 1.2)
+    cut, refused = _new_id(), _new_id()
+    response = pool.submit(_call, deployment, '/once/page', cut, LONG_MS)
+    _wait_for_run(deployment, cut)
+    _begin_stop(deployment)
+    _call(deployment, '/once/page', refused, LONG_MS)
+    deployment.gateways[0].send_signal(signal.SIGTERM)
+    assert deployment.gateways[0].wait() == 0
+    response.result()
+    [line] = _lines(deployment, 'requests cut by a stop')
+    assert (line['requests'], line['being_read']) == (1, 0)
+    assert {
+        line['request_id']: (line['code'], line['verdict'])
+        for line in _lines(deployment, 'request refused')
+    } == {
+        cut: ('outcome_unknown', 'may_have_run'),
+        refused: ('leaving', 'not_run'),
+    }
+    assert len(_lines(deployment, 'already stopping')) == 1
+    assert not [
+        line
+        for line in _lines(deployment, 'response not completed')
+        if line['is_stopping']
+    ]
