Report the part of a segment that is not read at the start of a keeper

What readers saw: nothing. A damaged entry ends the reading of its segment, and records after it are gone from this disk without a line; only the other disks have them. Behaviour is unchanged. Result: the case of a torn entry of the new test fails on the parent and passes, the one of a whole entry passes on both; the tests of the keeper pass.

--- a/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
@@ -103,7 +103,19 @@
         for path in self._segments():
             content = path.read_bytes()
             self._total_bytes += len(content)
-            yield from parse(content)
+            read = 0
+            for entry in parse(content):
+                read += _HEADER.size + len(entry)
+                yield entry
+            if read < len(content):
+                _log.warning(
+                    'segment is damaged; the rest of it is not read',
+                    extra={
+                        'segment': path.name,
+                        'read_bytes': read,
+                        'unread_bytes': len(content) - read,
+                    },
+                )
 
     async def append(self, entries: collections.abc.Iterable[bytes]) -> None:
         """Append entries and wait until they are on disk.
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_replica.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_replica.py
@@ -167,3 +167,20 @@
     curio.run(_copy_and_complete, replica)
     reloaded = replicas.DiskReplica(tmp_path, clocks.ManualClock())
     assert [t.turn_id for t in reloaded.table.chain('t1')] == ['t1']
+
+
+@pytest.mark.parametrize('cut_bytes', [0, 2])
+def test_damaged_segment_is_reported(tmp_path, caplog, cut_bytes):
+    """Guards against records of a disk that are gone without a line."""
+    curio.run(_write, _replica_in_group(tmp_path), _turn('t1'))
+    segment = next(tmp_path.glob('records-*.log'))
+    torn = disk_log.frame(records.encode(_turn('t2')))
+    with segment.open('ab') as file:
+        file.write(torn[: len(torn) - cut_bytes])
+    replicas.DiskReplica(tmp_path, clocks.ManualClock())
+    unread = [
+        record.unread_bytes
+        for record in caplog.records
+        if record.getMessage().startswith('segment is damaged')
+    ]
+    assert unread == ([len(torn) - cut_bytes] if cut_bytes else [])
