Let an entry serve what it still reads, and refuse what it reads after that

What callers saw (a test with real processes): a call of which an entry of the product had read a part when its stop found nothing in progress got a closed connection without an answer.

Change: a request counts from its first bytes on, and once nothing is in progress every further one is refused with 503 (leaving) and connection: close. Works since no step lies between the check and the refusal; a body that stalls ends after the deadline of progress. Result: the test with real processes fails before (RemoteDisconnected) and passes after; the unit test has no form that runs on the code before.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -308,6 +308,7 @@
             if not self._is_busy():
                 break
             await curio.sleep(stop.POLL_INTERVAL.total_seconds())
+        self._activity.is_closed = True
         await self._flush_journal()
 
     def _is_busy(self) -> bool:
@@ -317,7 +318,7 @@
             self._shard_manager.map.owned_by(self._settings.name)
         )
         return bool(
-            self._activity.requests
+            self._activity.is_busy
             or self._peer_requests
             or (owns_shards and self._service.calls_under_way)
         )
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -34,20 +34,34 @@
     """Requests in progress on all connections of a listener.
 
     :param requests: number of requests whose response is not sent yet
+    :param reading: number of requests of which only a part has been read
     :param is_closing: whether each connection closes after its next response
+    :param is_closed: whether each further request is refused
     """
 
     requests: int = 0
+    reading: int = 0
     is_closing: bool = False
+    is_closed: bool = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is read or served."""
+        return bool(self.reading or self.requests)
 
 
 class _Connection:
     """Socket of one connection and its h11 state."""
 
     def __init__(
-        self, sock: curio.io.Socket, progress_timeout: datetime.timedelta
+        self,
+        sock: curio.io.Socket,
+        activity: Activity,
+        progress_timeout: datetime.timedelta,
     ) -> None:
         self._sock = sock
+        self._activity = activity
+        self._is_reading = False
         self._progress_timeout = progress_timeout
         self.write_lock = curio.Lock()
         self.writes = 0
@@ -86,9 +100,19 @@
     async def _receive(self) -> bytes:
         is_idle = self._h11.their_state is h11.IDLE
         timeout = IDLE_TIMEOUT if is_idle else self._progress_timeout
-        return await _run_with_timeout(
+        data = await _run_with_timeout(
             timeout, self._sock.recv, _READ_SIZE_BYTES
         )
+        if data and not self._is_reading:
+            self._is_reading = True
+            self._activity.reading += 1
+        return data
+
+    def end_reading(self) -> None:
+        """Record that no request is being read any more."""
+        if self._is_reading:
+            self._is_reading = False
+            self._activity.reading -= 1
 
     async def wait_for_close(self) -> None:
         """Buffer incoming data until the peer closes its side."""
@@ -115,12 +139,14 @@
     :param progress_timeout: the connection is closed when a peer sends nothing
         for this time within a request, or reads nothing of a response
     """
-    connection = _Connection(sock, progress_timeout)
+    connection = _Connection(sock, activity, progress_timeout)
     try:
         while await _serve_request(connection, handler, activity):
             pass
     except (OSError, h11.LocalProtocolError):
         _log.debug('connection lost')
+    finally:
+        connection.end_reading()
 
 
 async def _run_with_timeout(
@@ -156,7 +182,11 @@
     if request is None:
         return False
     activity.requests += 1
+    connection.end_reading()
     try:
+        if activity.is_closed:
+            await _reject(connection, _leaving_error())
+            return False
         response = await _handle(handler, request)
         if activity.is_closing:
             response.headers['connection'] = 'close'
@@ -166,6 +196,12 @@
     return connection.start_next_cycle()
 
 
+def _leaving_error() -> errors.MagnoliawoodError:
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.LEAVING, 'the process ends'
+    )
+
+
 async def _read_request(connection: _Connection) -> messages.Request | None:
     head = await connection.next_event()
     if not isinstance(head, h11.Request):
--- a/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
@@ -195,3 +195,35 @@
         return counting.sends
 
     assert curio.run(main) == 1
+
+
+def test_request_that_is_read_when_a_stop_ends_is_refused():
+    """Guards against requests accepted by a process that is about to end."""
+    handled = []
+
+    async def handle(request):
+        handled.append(request)
+        return await handler(request)
+
+    async def main():
+        client, peer = socket.socketpair()
+        activity = server.Activity()
+        task = await curio.spawn(
+            server.serve_connection, peer, handle, activity
+        )
+        await client.sendall(REQUEST[:10])
+        while not activity.is_busy:
+            await curio.sleep(0)
+        activity.is_closing = activity.is_closed = True
+        await client.sendall(REQUEST[10:])
+        await task.join()
+        assert not activity.is_busy
+        await peer.close()
+        response = await client.recv(65536)
+        await client.close()
+        return response
+
+    head = curio.run(main).lower()
+    assert head.startswith(b'http/1.1 503')
+    assert b'connection: close' in head
+    assert not handled
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_planned_stops.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/tests/test_planned_stops.py
@@ -1,5 +1,9 @@
+import contextlib
+import http.client
 import itertools
+import json
 import signal
+import socket
 import threading
 
 import pytest
@@ -119,6 +123,43 @@
     support.restart(deployment, first)
 
 
+def test_request_that_an_entry_still_reads_is_served_before_it_ends(
+    deployment,
+):
+    """Guards against a stop that doesn't count bodies under way."""
+    first, _ = deployment.entries.values()
+    path = f'{support.open_program(first)}/calls/1'
+    body = json.dumps(support.turn_body('hi', max_tokens=2)).encode()
+    connection = http.client.HTTPConnection(first.http, timeout=10)
+    with contextlib.closing(connection):
+        connection.putrequest('PUT', path)
+        connection.putheader('authorization', 'Bearer token-of-red-clay')
+        connection.putheader('content-length', str(len(body)))
+        connection.endheaders(body[:8])
+        first.process.send_signal(signal.SIGTERM)
+        deployments.wait_until(
+            lambda: not _accepts(first.http), 'a listener that has stopped'
+        )
+        connection.send(body[8:])
+        response = connection.getresponse()
+        assert (response.status, response.headers['connection']) == (
+            200,
+            'close',
+        )
+        response.read()
+    assert first.process.wait() == 0
+    support.restart(deployment, first)
+
+
+def _accepts(address):
+    host, _, port = address.rpartition(':')
+    try:
+        socket.create_connection((host, int(port)), 1).close()
+    except OSError:
+        return False
+    return True
+
+
 def test_stopped_entry_runs_each_booking_once(deployment):
     first, second = deployment.entries.values()
     deployment.set_faults(deployment.upstreams['pours'], delay_seconds=1.0)
