End the connections of a listener with it, so that a busy process stops cleanly

Cause: connections outlived their listener and were left to the event loop, which cancels the tasks that it knows one after the other; a connection that still reads frames begins new ones meanwhile. Any busy process with a listener may end so. Change: the end of a listener ends its connections first; stop() leaves them open as before. Works since only they begin tasks for what arrives.

--- a/packages/magnoliawood-server/magnoliawood_server/runtime/listener.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/listener.py
@@ -37,9 +37,14 @@
         self._port = int(port)
         self._serve_client = serve_client
         self._task: curio.Task | None = None
+        self._clients: set[curio.Task] = set()
 
     async def run(self) -> None:
-        """Accept connections until :meth:`stop`, then wait to be cancelled."""
+        """Accept connections until :meth:`stop`, then wait to be cancelled.
+
+        Its connections end with it, since one that is still served begins
+        new tasks, which a process that ends can't wait for.
+        """
         sock = curio.tcp_server_socket(
             self._host, self._port, backlog=_BACKLOG
         )
@@ -48,6 +53,10 @@
             await curio.Event().wait()
         finally:
             await self._task.cancel()
+            for client in list(self._clients):
+                await client.cancel(blocking=False)
+            for client in list(self._clients):
+                await client.wait()
 
     async def stop(self) -> None:
         """Stop accepting connections; open ones continue."""
@@ -69,8 +78,13 @@
                 await curio.spawn(self._serve, client, daemon=True)
 
     async def _serve(self, client: curio.io.Socket) -> None:
-        async with client:
-            await self._serve_client(client)
+        task = await curio.current_task()
+        self._clients.add(task)
+        try:
+            async with client:
+                await self._serve_client(client)
+        finally:
+            self._clients.discard(task)
 
 
 def http_listener(
