Join no continuation that does not follow the last event sent

What callers saw: after a stream broke off, the next upstream began anew at event 1, or left an event out.

Cause: the gateway asked the next upstream to go on after Last-Event-Id and joined whatever came.

Fix: the first event of an attempt must have an id above that of the last one sent, or named by the caller. Otherwise the attempt has failed, and the next upstream is asked. A stream without ids can't go on.

The body is read in aclosing(), since curio refuses to clean up a generator that is left midway.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/events.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/events.py
@@ -66,6 +66,14 @@
         """Return the data of the events, each followed by a line feed."""
         return b''.join(event.data + b'\n' for event in _split(self.raw))
 
+    def first_event(self) -> StreamEvent | None:
+        """Return the first event that has an id or data; not a comment."""
+        events = _split(self.raw)
+        return next(
+            (each for each in events if each.id is not None or each.data),
+            None,
+        )
+
 
 class EventSplitter:
     """Buffers bytes until events are complete.
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -1,6 +1,7 @@
 """A single attempt to run a request on an upstream."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import datetime
 import enum
@@ -64,7 +65,8 @@
     """Part of a stream that has been sent to the caller so far.
 
     :param events: number of events sent
-    :param last_event_id: id of the last event that has one
+    :param last_event_id: id of the last event that has one; before any is
+        sent, of the event that the stream is to go on after
     :param output: data of the events, each followed by a line feed, if the
         output is kept
     :param keeps_output: whether the output is kept
@@ -74,15 +76,53 @@
     last_event_id: int | None = None
     output: bytearray = dataclasses.field(default_factory=bytearray)
     keeps_output: bool = False
+    _start_id: int | None = None
 
     def record_events(self, batch: event_streams.EventBatch) -> None:
         """Record events that are about to be sent."""
+        if not self.events:
+            self._start_id = self._id_before(batch)
         self.events += batch.count
         if self.keeps_output:
             self.output += batch.data()
         if batch.last_id is not None:
             self.last_event_id = batch.last_id
 
+    def is_followed_by(self, event: event_streams.StreamEvent) -> bool:
+        """Whether an upstream that takes the stream up may begin with this.
+
+        Explanation
+        ===========
+
+        Ids increase, so the event of another run, or one that was sent
+        before, is recognised. They need not be consecutive; where all of
+        those sent were, a greater step means that an event is missing.
+        """
+        last_id = self.last_event_id
+        if last_id is None:
+            return not self.events
+        if event.id is None or event.id <= last_id:
+            return False
+        return event.id == last_id + 1 or not self._is_consecutive(last_id)
+
+    def _id_before(self, batch: event_streams.EventBatch) -> int | None:
+        """Return the id after which the stream begins, if it is known."""
+        if self.last_event_id is not None:
+            return self.last_event_id
+        event = batch.first_event()
+        return None if event is None or event.id is None else event.id - 1
+
+    def _is_consecutive(self, last_id: int) -> bool:
+        """Whether each event that was sent has the id after the last one's.
+
+        Two events must show it: one alone has no distance to another.
+        """
+        return (
+            self.events > 1
+            and self._start_id is not None
+            and last_id - self._start_id == self.events
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
@@ -293,10 +333,19 @@
         self,
         connection: connections.ClientConnection,
         response: requests.UpstreamResponse,
+    ) -> Result:
+        async with contextlib.aclosing(connection.read_body()) as parts:
+            return await self._relay_parts(connection, response, parts)
+
+    async def _relay_parts(
+        self,
+        connection: connections.ClientConnection,
+        response: requests.UpstreamResponse,
+        parts: collections.abc.AsyncGenerator[bytes],
     ) -> Result:
         splitter = event_streams.EventSplitter()
-        parts = connection.read_body()
         last_events = b''
+        has_joined = False
         while True:
             try:
                 part = await anext(parts)
@@ -305,6 +354,11 @@
             except OSError as error:
                 return _failed(error)
             batch = splitter.feed(part)
+            first = None if has_joined or not batch else batch.first_event()
+            if first is not None:
+                if not self._delivery.is_followed_by(first):
+                    return Result(Ending.FAILED, 'not the event that follows')
+                has_joined = True
             if batch and self._may_end_with(connection, splitter):
                 self._delivery.record_events(batch)
                 last_events = batch.raw
--- /dev/null
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_cut_responses.py
@@ -0,0 +1,97 @@
+"""Answers that upstreams cut, as a caller receives them byte for byte."""
+
+import curio
+import pytest
+
+from magnoliawood_server.gateway import caller as callers
+from magnoliawood_server.gateway.tests import cut_support
+
+WHOLE = b''.join(cut_support.EVENTS)
+PREFIXES = [
+    b''.join(cut_support.EVENTS[:count])
+    for count in range(len(cut_support.EVENTS) + 1)
+]
+STREAM = cut_support.framed(cut_support.EVENTS, 'chunks')
+# Cut within the second event.
+BEGUN = cut_support.Reply(STREAM[: STREAM.index(b'word-2')])
+
+
+@pytest.fixture(autouse=True)
+def no_tcp_options(monkeypatch):
+    monkeypatch.setattr(
+        callers.connections, 'set_socket_options', lambda sock: None
+    )
+
+
+def _check(received):
+    """Check that what is incomplete doesn't look complete, and the like."""
+    assert received.extra == b''
+    if received.is_complete and received.status == 200:
+        assert received.body == WHOLE
+        assert received.turns == [cut_support.OUTPUT]
+        return
+    assert received.turns == []
+    if received.status == 200:
+        assert received.body in PREFIXES
+
+
+def _events_after(count):
+    """Return a continuation that begins after an event."""
+    return cut_support.Reply(
+        cut_support.framed(cut_support.EVENTS[count:], 'chunks')
+    )
+
+
+def test_stream_that_breaks_off_goes_on_after_its_last_event():
+    received = curio.run(cut_support.play, [BEGUN, _events_after])
+    _check(received)
+    assert received.is_complete
+    assert received.resumed_at == [b'', b'1']
+
+
+@pytest.mark.parametrize('events_sent', [1, 2, 3])
+@pytest.mark.parametrize('is_whole', [False, True])
+def test_continuation_that_begins_anew_is_not_joined(events_sent, is_whole):
+    """Guards against events that come twice (rule ORDER, issue 45)."""
+    cut = STREAM.index(b'word-%d' % events_sent) + len(b'word-1\n\n\r\n')
+    anew = STREAM if is_whole else BEGUN.data
+    replies = [cut_support.Reply(STREAM[:cut]), cut_support.Reply(anew)]
+    received = curio.run(cut_support.play, replies)
+    _check(received)
+    assert received.body == PREFIXES[events_sent]
+    assert not received.is_complete
+
+
+def test_stream_that_a_caller_takes_up_is_not_begun_anew():
+    """Guards against events that come twice (rule ORDER, issue 45)."""
+    replies = [cut_support.Reply(STREAM), _events_after]
+    received = curio.run(cut_support.play, replies, b'last-event-id: 2\r\n')
+    assert received.body == cut_support.EVENTS[2]
+    assert received.resumed_at == [b'2', b'2']
+
+
+def test_continuation_that_leaves_an_event_out_is_not_joined():
+    """Guards against a piece that is missing (rule ORDER, issue 45)."""
+    events = [
+        b'id: %d\ndata: word-%d\n\n' % (number, number)
+        for number in range(1, 6)
+    ]
+    begun = cut_support.framed(events[:2], 'chunks')[:-5]
+    left_out = cut_support.framed(events[3:], 'chunks')
+    replies = [cut_support.Reply(begun), cut_support.Reply(left_out)]
+    received = curio.run(cut_support.play, replies)
+    assert received.body == PREFIXES[2]
+    assert not received.is_complete
+    assert not received.turns
+
+
+def test_ids_with_gaps_go_on():
+    """Ids increase, by whatever step."""
+    events = [b'id: %d\ndata: a\n\n' % number for number in (10, 20, 30)]
+    begun = cut_support.framed(events, 'chunks')
+    begun = begun[: begun.index(b'id: 30') + 5]
+    rest = cut_support.framed(events[2:], 'chunks')
+    replies = [cut_support.Reply(begun), cut_support.Reply(rest)]
+    received = curio.run(cut_support.play, replies)
+    assert received.body == b''.join(events)
+    assert received.is_complete
