Take a stream that is closed before any event for broken off

What callers saw: an upstream stopped after the head of a stream that has neither a length nor chunks.

Cause: the close is the end of such an answer, and only a close within an event was taken for a break.

Fix: an attempt without an event whose end only the close marks has failed and is retried like any other break. An empty stream that its length or its chunks mark as whole stays complete, such as a continuation after the last event.

Evidence: answers cut after every byte, with a length, with chunks and with neither, by a close and by a reset, as first and as second attempt.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -367,10 +367,11 @@
                 await self._forward_events(response, batch)
             except errors.MagnoliawoodError as error:
                 return Result(Ending.ABANDONED, str(error))
-        if splitter.remainder:
+        is_empty = not has_joined and connection.has_ended_by_close
+        if splitter.remainder or is_empty:
             return Result(
                 Ending.FAILED,
-                'stream ended within an event',
+                'stream ended before or within an event',
                 is_connection_lost=True,
             )
         if not self._responder.is_started:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_cut_responses.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_cut_responses.py
@@ -95,3 +95,61 @@
     received = curio.run(cut_support.play, replies)
     assert received.body == b''.join(events)
     assert received.is_complete
+
+
+NOTHING = cut_support.Reply(cut_support.framed([], 'neither'))
+
+
+def test_stream_that_is_closed_before_its_first_event_is_not_complete():
+    """Guards against an empty 200 of an upstream that stopped (issue 45)."""
+    received = curio.run(cut_support.play, [NOTHING, _events_after])
+    _check(received)
+    assert received.body == WHOLE
+
+
+def test_continuation_that_is_closed_before_an_event_ends_no_stream():
+    """Guards against a stream that ends as complete before its end."""
+    received = curio.run(cut_support.play, [BEGUN, NOTHING])
+    _check(received)
+    assert not received.is_complete
+
+
+def test_continuation_after_the_last_event_may_be_empty():
+    begun = STREAM[: STREAM.index(b'0\r\nserver-leaving')]
+    replies = [cut_support.Reply(begun), _events_after]
+    received = curio.run(cut_support.play, replies)
+    _check(received)
+    assert received.is_complete
+
+
+def _may_end(answer):
+    """Whether a close here may be the end of an answer without framing."""
+    head, _, body = answer.partition(b'\r\n\r\n')
+    has_framing = b'content-length' in head or b'chunked' in head
+    return body.endswith(b'\n\n') and not has_framing
+
+
+@pytest.mark.parametrize('framing', ['length', 'chunks', 'neither'])
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('is_begun', [False, True])
+def test_answer_cut_after_any_byte_does_not_look_complete(
+    framing, is_reset, is_begun
+):
+    """Guards against a cut that is framed as whole (rules MIXED, ORDER)."""
+    events = cut_support.EVENTS[1:] if is_begun else cut_support.EVENTS
+    answer = cut_support.framed(events, framing)
+    error = cut_support.Reply(
+        cut_support.framed([b'error'], 'length', 500, b'text/plain')
+    )
+
+    async def play_all():
+        for cut in range(len(answer)):
+            reply = cut_support.Reply(answer[:cut], is_reset)
+            begun = [BEGUN] if is_begun else []
+            received = await cut_support.play([*begun, reply, error])
+            if _may_end(reply.data) and not is_reset:
+                continue
+            _check(received)
+            assert received.status != 200 or not received.is_complete
+
+    curio.run(play_all)
--- a/packages/magnoliawood-server/magnoliawood_server/http/connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/connection.py
@@ -113,6 +113,11 @@
         """Whether the body was parsed to its end; all of it was yielded."""
         return self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
+    @property
+    def has_ended_by_close(self) -> bool:
+        """Whether only the close ended the last body: no length or chunk."""
+        return self._is_eof_received
+
     @property
     def can_be_reused(self) -> bool:
         """Whether the last exchange is complete and no other data is left."""
