Tell a stream by its media type in any case, and never a 204

What callers saw: an answer of type Text/Event-Stream was held back to its end, and one that was cut within an event by a close was framed as a whole 200.

Cause: the type was compared byte by byte with the start of the field, and the status was not looked at.

Fix: the media type is compared without its parameters and in lower case. A 204 has no body, so it is no stream and is handled like any other answer.

Evidence: of the new tests in test_cut_responses.py four fail without the change; all pass with it, as do the tests of platform/.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_cut_responses.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_cut_responses.py
@@ -153,3 +153,34 @@
             assert received.status != 200 or not received.is_complete
 
     curio.run(play_all)
+
+
+@pytest.mark.parametrize(
+    'content_type',
+    [b'Text/Event-Stream', b'text/event-stream; charset=utf-8'],
+)
+def test_stream_is_recognised_however_its_type_is_written(content_type):
+    """Guards against a cut event in a 200 framed as whole (issue 45)."""
+    stream = cut_support.framed(
+        cut_support.EVENTS, 'neither', content_type=content_type
+    )
+    replies = [cut_support.Reply(stream[:-3]), _events_after]
+    received = curio.run(cut_support.play, replies)
+    _check(received)
+    assert received.is_complete
+
+
+@pytest.mark.parametrize('framing', ['length', 'chunks', 'neither'])
+@pytest.mark.parametrize('content_type', [b'text/plain', b'text/event-stream'])
+@pytest.mark.parametrize('status', [200, 204, 404, 500, 503])
+def test_answer_that_is_no_stream_ends_no_stream(
+    framing, content_type, status
+):
+    """Guards against text of an answer, or its end, in a begun stream."""
+    body = [] if status == 204 else [b'id: 0\ndata: error\n\n']
+    answer = cut_support.framed(body, framing, status, content_type)
+    replies = [BEGUN, cut_support.Reply(answer)]
+    received = curio.run(cut_support.play, replies)
+    _check(received)
+    assert received.body == PREFIXES[1]
+    assert not received.is_complete
--- a/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
@@ -168,6 +168,9 @@
 MAX_RATE = 1e6
 _DECIMAL = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 _MISDIRECTED_STATUS = 421
+# Such a response has no body, so it is no stream whatever its type.
+_NO_CONTENT_STATUS = 204
+_STREAM_TYPE = b'text/event-stream'
 _TRUE = b'1'
 
 
@@ -183,12 +186,17 @@
         not is_misdirected and names.NOT_RUN not in values,
         names.SIGNATURE in values,
         is_misdirected,
-        content_type.startswith(b'text/event-stream'),
+        _is_stream(status, content_type),
         _is_leaving(values),
         _decode_rate_limit(values),
     )
 
 
+def _is_stream(status: int, content_type: bytes) -> bool:
+    media_type = content_type.partition(b';')[0].strip().lower()
+    return media_type == _STREAM_TYPE and status != _NO_CONTENT_STATUS
+
+
 def is_leaving(headers: Headers) -> bool:
     """Return whether headers or trailers announce that a sender leaves."""
     return _is_leaving(dict(headers))
