Wait for a change of the group when a turn that ran is stored

Change: the write of a turn that ran goes on for up to 1.5 s of pauses while replicas answer that the group changes; the deadline of the request ends it sooner. What is still to run is refused at once as before, and keepers that do not answer are not waited for. Works since the replicas answer as long as they copy.

Result: the new test fails before and passes after.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/group_requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/group_requests.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import datetime
+import itertools
 import logging
 import typing
 
@@ -27,6 +28,16 @@
 REFRESH_INTERVAL = datetime.timedelta(milliseconds=400)
 # Tries of one operation: the group may change during the first one.
 MAX_TRIES = 2
+# Pauses before further tries of what has to succeed, while replicas that
+# respond take part in a change of the group: 1.5 s in all.
+CHANGE_PAUSES = tuple(
+    datetime.timedelta(milliseconds=pause)
+    for pause in (50, 50, 100, 100, 200, 200, 400, 400)
+)
+# Codes with which a replica responds while its group changes.
+_CHANGE_CODES = frozenset(
+    {errors.ErrorCode.STALE_EPOCH, errors.ErrorCode.COPY_INCOMPLETE}
+)
 
 _log = logging.getLogger(__name__)
 
@@ -38,11 +49,24 @@
     """Outcome of requests to the replicas of one group.
 
     :param replies: replies of a quorum; ``None`` if there was none
-    :param is_outdated: whether a replica rejected the epoch as stale
+    :param codes: codes with which replicas rejected the request
     """
 
     replies: list[typing.Any] | None
-    is_outdated: bool = False
+    codes: frozenset[errors.ErrorCode] = frozenset()
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a replica rejected the epoch as stale."""
+        return errors.ErrorCode.STALE_EPOCH in self.codes
+
+    @property
+    def is_group_changing(self) -> bool:
+        """Whether a replica takes part in a change of the group."""
+        return bool(_CHANGE_CODES & self.codes)
+
+
+_NOT_ASKED = _GroupResult(None)
 
 
 class GroupRequester:
@@ -176,6 +200,7 @@
         sends_to_all: bool = True,
         key: str = '',
         requester: quorum_calls.RoundRequester | None = None,
+        waits_for_change: bool = False,
     ) -> list[typing.Any]:
         """Return the replies of a quorum.
 
@@ -184,14 +209,17 @@
             once, rather than to a quorum first
         :param key: whoever names the same key asks the same replicas first
         :param requester: sends the messages in place of the usual one
+        :param waits_for_change: whether to go on trying for a while if the
+            group changes
         """
         if not self._circuit_breaker.allow_request():
             raise _unavailable()
-        for last_try in (False,) * (MAX_TRIES - 1) + (True,):
+        pauses = iter(CHANGE_PAUSES if waits_for_change else ())
+        for number in itertools.count(1):
             if self._group is None:
                 await self.refresh()
             group = self._group
-            is_outdated = False
+            result = _NOT_ASKED
             if group is not None:
                 result = await self._request_group(
                     group,
@@ -202,21 +230,30 @@
                     key,
                     requester or self._requester,
                 )
-                if result.replies is not None:
-                    self._record_reachability(True)
-                    return result.replies
-                is_outdated = result.is_outdated
-            if last_try:
-                break
-            if (
-                group is None
-                or not is_outdated
-                or not await self._follow_keepers(group)
-            ):
-                await self.refresh()
+            if result.replies is not None:
+                self._record_reachability(True)
+                return result.replies
+            if number >= MAX_TRIES:
+                pause = next(pauses, None)
+                if pause is None or not result.is_group_changing:
+                    break
+                await curio.sleep(pause.total_seconds())
+            await self._update_after(group, result)
         self._record_reachability(False)
         raise _unavailable()
 
+    async def _update_after(
+        self, group: groups.Group | None, result: _GroupResult
+    ) -> None:
+        """Look for a newer group after a try that failed."""
+        is_followed = (
+            group is not None
+            and result.is_outdated
+            and await self._follow_keepers(group)
+        )
+        if not is_followed:
+            await self.refresh()
+
     def _record_reachability(self, is_reachable: bool) -> None:
         was_open = self._circuit_breaker.is_open
         if is_reachable:
@@ -283,10 +320,10 @@
         self._failures.log(group, needed, result.peer_replies)
         return _GroupResult(
             None,
-            any(
-                peer_reply.error is not None
-                and peer_reply.error.code is errors.ErrorCode.STALE_EPOCH
+            frozenset(
+                peer_reply.error.code
                 for peer_reply in result.peer_replies
+                if peer_reply.error is not None
             ),
         )
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -81,6 +81,12 @@
     ) -> None:
         """Store a turn, with its whole chain, on a write quorum of disks.
 
+        Explanation
+        ===========
+
+        The turn has run, so a change of the group is waited for: while its
+        size changes, each of its replicas is incomplete for a moment.
+
         :param other_records: records to store with it
         :param chain: turns that it continues, the newest first, for disks
             that lack some of them
@@ -93,6 +99,7 @@
             requester=chain_writes.ChainRequester(
                 self._requester, turn, chain
             ),
+            waits_for_change=True,
         )
 
     async def charge(
@@ -263,6 +270,7 @@
         sends_to_all: bool,
         key: str = '',
         requester: quorum_calls.RoundRequester | None = None,
+        waits_for_change: bool = False,
     ) -> None:
         entries = [records.encode(record) for record in new_records]
 
@@ -275,6 +283,7 @@
             sends_to_all=sends_to_all,
             key=key,
             requester=requester,
+            waits_for_change=waits_for_change,
         )
 
     async def _read_turns(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_record_client.py
@@ -1,6 +1,7 @@
 """Tests for quorums of replies, without a network."""
 
 import datetime
+import itertools
 
 import curio
 import pytest
@@ -140,8 +141,7 @@
 
 
 def _requester_of_newer_group():
-    members = dict.fromkeys('acd', _in_newer_group)
-    return _Requester(b=LOST, **members)
+    return _Requester(b=LOST, **dict.fromkeys('acd', _in_newer_group))
 
 
 def test_newer_group_is_read_from_a_keeper_in_a_store_outage():
@@ -166,6 +166,32 @@
     assert client.group == GROUP_WITH_D
 
 
+def test_turn_that_ran_is_stored_once_the_group_has_changed():
+    """Guards against a turn that is cut while the size of its group changes.
+
+    All replicas are incomplete for a moment then (issue 45).
+    """
+    left = itertools.count(20, -1)
+
+    def incomplete_at_first(message):
+        if isinstance(message, messages.WriteRecords) and next(left) > 0:
+            code = errors.ErrorCode.COPY_INCOMPLETE
+            raise errors.MagnoliawoodError(code, 'copying')
+        return _empty(message)
+
+    requester = _Requester(**dict.fromkeys('abc', incomplete_at_first))
+    client = _client(requester)
+    with pytest.raises(errors.MagnoliawoodError):
+        curio.run(client.write, [CHARGE])
+    curio.run(client.write_turn, TURN, [], [])
+    assert next(left) < 0
+    requester.keepers = dict.fromkeys('abc', LOST)
+    requester.requested.clear()
+    with pytest.raises(errors.MagnoliawoodError):
+        curio.run(client.write_turn, TURN, [], [])
+    assert len(_requested(requester, messages.WriteRecords)) == 2 * 3
+
+
 class _SilentStore(_Store):
     """Group store that never responds."""
 
