Let keepers of the soak be away for longer than turns are kept

Why: a turn is kept for its retention, the timeout of its route and 5 s, so a keeper that is away for 2.5 s misses nothing that expires meanwhile.

--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/conversations.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/conversations.py
@@ -22,6 +22,8 @@
 from magnoliawood_testing.soak import traffic
 
 _BUDGET_TOKENS = 10**6
+# Without and with a disk that takes the place of one that is lost.
+_KEEPERS = (3, 4)
 _CONVERSATIONS = 6
 _FIRST_TURN_CALLERS = 2
 # Time for which the first configuration is taken to be in force everywhere.
@@ -72,7 +74,9 @@
     def run(self) -> Report:
         """Run the experiment to its end and return the result."""
         with hosted.HostedDeployment(
-            keepers=4, gateways=3, bounds={'grace_s': 8}
+            keepers=_KEEPERS[self._seed % len(_KEEPERS)],
+            gateways=3,
+            bounds={'grace_s': 8},
         ) as deployment:
             disturbances = disturbances_.Disturbances(
                 self._seed, deployment, speakers_.PATH_RETENTIONS
--- a/packages/magnoliawood-testing/magnoliawood_testing/soak/disturbances.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/soak/disturbances.py
@@ -35,6 +35,8 @@
     'lost_reply_rate': 0.0,
     'lost_event_rate': 0.0,
 }
+# The longest is enough for turns to expire on the others meanwhile.
+_DOWN_SECONDS = (0.0, 0.3, 2.5, 12.0)
 _PLANNED_KINDS = frozenset({'stopped', 'reloaded', 'configured'})
 
 
@@ -150,7 +152,7 @@
                 'name': path.strip('/'),
                 'path_prefix': path,
                 'retain_s': retain_s,
-                'timeout_ms': generator.choice((3000, 4000, 6000)),
+                'timeout_ms': generator.choice((1500, 3000, 6000)),
             }
             for path, retain_s in self._path_retentions.items()
         ]
@@ -199,7 +201,7 @@
             kind = generator.choice(
                 ('stopped', 'killed', 'wiped', 'wiped', 'evacuated', 'paused')
             )
-            down_seconds = generator.choice((0.0, 0.3, 2.5))
+            down_seconds = generator.choice(_DOWN_SECONDS)
             if kind in ('wiped', 'evacuated') and not self._wait_until_whole():
                 return
             with self._recorded(keeper.name, kind):
