--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -87,6 +87,12 @@
     ) -> None:
         """Store a turn, with its whole chain, on a write quorum of disks.
 
+        Explanation
+        ===========
+
+        The turn has run, so a change of the group is waited for: while its
+        size changes, each of its replicas is incomplete for a moment.
+
         :param other_records: records to store with it
         :param chain: turns that it continues, the newest first, for disks
             that lack some of them
@@ -99,6 +105,7 @@
             requester=chain_writes.ChainRequester(
                 self._requester, turn, chain
             ),
+            waits_for_change=True,
         )
 
     async def charge(
@@ -282,6 +289,7 @@
         sends_to_all: bool,
         key: str = '',
         requester: quorum_calls.RoundRequester | None = None,
+        waits_for_change: bool = False,
     ) -> None:
         entries = [records.encode(record) for record in new_records]
 
@@ -294,6 +302,7 @@
             sends_to_all=sends_to_all,
             key=key,
             requester=requester,
+            waits_for_change=waits_for_change,
         )
 
     async def _read_turns(
