Store a turn that ends without an event, like any other

What callers saw: a turn whose stream had no event, or whose answer was no stream, was answered 200 but not stored. The turn that continues it would get 404 although the one before it is to be retained (rule LOST).

Cause: a turn was stored only on the way on which the end of a begun stream is sent.

Fix: every successful response passes the step before its end. If the turn can't be stored and nothing was sent yet, the caller gets 504, which promises nothing, in place of a closed connection.

Evidence: six new tests in test_cut_responses.py fail without the change and pass with it. That a later turn gets 404 was read from the code, not played.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -179,8 +179,8 @@
 
     :param before_start: called before the first event of a stream is sent
         to the caller; the attempt is abandoned if it raises an error
-    :param before_end: called when a stream is complete, before its end is
-        sent to the caller
+    :param before_end: called when a successful response is complete, before
+        its end is sent to the caller
     :param observer: learns what upstreams say about themselves
     :param identity: who sent the request, if accounts are declared
     """
@@ -320,6 +320,8 @@
             # An earlier attempt has already sent part of a stream, so a
             # complete response can no longer be sent.
             return Result(Ending.FAILED, f'status {response.status}')
+        if response.status in _SUCCESS:
+            await self._before_end()
         await self._responder.send_complete(
             response.status, list(response.headers), body
         )
@@ -374,12 +376,12 @@
                 'stream ended before or within an event',
                 is_connection_lost=True,
             )
+        await self._before_end()
         if not self._responder.is_started:
             await self._responder.send_complete(
                 response.status, list(response.headers), b''
             )
             return Result(Ending.DELIVERED, 'no events')
-        await self._before_end()
         await self._responder.finish(last_events)
         return Result(Ending.DELIVERED)
 
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -319,7 +319,12 @@
             await self._streams.confirm(job.stream)
 
     async def _before_end(self, job: jobs.Job) -> None:
-        """Store a turn that has a retention period before its stream ends."""
+        """Store a turn that has a retention period before it ends.
+
+        :raises ResponseAborted: if it could not be stored, and part of the
+            response was sent
+        :raises MagnoliawoodError: if none was
+        """
         if job.turn is None or not job.turn.retention_period:
             return
         try:
@@ -337,8 +342,13 @@
                     'error': str(error),
                 },
             )
-            raise callers.ResponseAborted(
-                'the turn could not be stored'
+            reason = 'the turn could not be stored'
+            if job.responder.is_started:
+                raise callers.ResponseAborted(reason) from error
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.OUTCOME_UNKNOWN,
+                reason,
+                errors.verdicts.Verdict.MAY_HAVE_RUN,
             ) from error
 
     async def _reject(
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/cut_support.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/cut_support.py
@@ -11,6 +11,7 @@
 import h11
 
 from magnoliawood.core import clock as clocks
+from magnoliawood.core import errors
 from magnoliawood.fleet import directory as directories
 from magnoliawood.fleet import load as loads
 from magnoliawood.fleet import prompt_cache
@@ -85,15 +86,23 @@
 
 
 class _Guard:
-    """Replaces what stores turns."""
+    """Replaces what stores turns.
 
-    def __init__(self):
+    :param is_away: whether nothing can be stored
+    """
+
+    def __init__(self, is_away):
         self.turns = []
+        self._is_away = is_away
 
     async def admit(self, metadata, route, account, stream):
         return types.SimpleNamespace(history=b'', retention_period=_PERIOD)
 
     async def store_turn(self, turn, input_bytes, output, tokens):
+        if self._is_away:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.STORE_UNAVAILABLE, 'disks are away'
+            )
         self.turns.append(output)
 
     async def settle(self, turn, tokens):
@@ -219,7 +228,12 @@
 
 
 async def play(
-    replies, headers=b'', is_resumable=True, keeps_history=True, method=b'POST'
+    replies,
+    headers=b'',
+    is_resumable=True,
+    keeps_history=True,
+    method=b'POST',
+    is_store_away=False,
 ):
     """Send one request and return what its caller gets.
 
@@ -227,7 +241,7 @@
         the id of the last event that the caller has
     """
     upstreams = _Upstreams(replies)
-    guard = _Guard()
+    guard = _Guard(is_store_away)
     async with contextlib.AsyncExitStack() as stack:
         tasks = await stack.enter_async_context(curio.TaskGroup(wait=None))
         known = []
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_cut_responses.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_cut_responses.py
@@ -184,3 +184,26 @@
     _check(received)
     assert received.body == PREFIXES[1]
     assert not received.is_complete
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        cut_support.framed([], 'length'),
+        cut_support.framed([], 'chunks'),
+        cut_support.framed([b'text'], 'length', content_type=b'text/plain'),
+    ],
+    ids=['length', 'chunks', 'no stream'],
+)
+@pytest.mark.parametrize('is_store_away', [False, True])
+def test_turn_without_an_event_is_stored_before_it_ends(answer, is_store_away):
+    """Guards against 404 for the turn that continues it (rule LOST)."""
+
+    async def play():
+        reply = cut_support.Reply(answer)
+        return await cut_support.play([reply], is_store_away=is_store_away)
+
+    received = curio.run(play)
+    assert received.is_complete
+    assert received.status == (504 if is_store_away else 200)
+    assert received.turns == ([] if is_store_away else [b''])
