Pass on no success whose body is encoded

What callers saw: a 200 with Content-Encoding was passed on as it came.

Cause: nothing looked at the field.

Fix: a success that has it is a failed attempt, as one without a signature. Failures keep their status, which is what counts of them.

Evidence: two new tests in test_cut_responses.py fail without the change and pass with it, as do the tests of platform/.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -295,6 +295,8 @@
             sent_at = self._pool.use_of(connection).acquired_at
             self._observer.record_head(upstream, response, sent_at)
             if response.is_stream and response.status in _SUCCESS:
+                if response.is_encoded:
+                    return Result(Ending.FAILED, 'response is encoded')
                 if not response.is_signed:
                     return Result(Ending.FAILED, 'response not signed')
                 result = await self._relay(connection, response)
@@ -316,6 +318,8 @@
             return Result(Ending.REFUSED, f'status {response.status}')
         if not response.is_signed:
             return Result(Ending.FAILED, 'response not signed')
+        if response.is_encoded and response.status in _SUCCESS:
+            return Result(Ending.FAILED, 'response is encoded')
         if self._responder.is_started:
             # An earlier attempt has already sent part of a stream, so a
             # complete response can no longer be sent.
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_cut_responses.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_cut_responses.py
@@ -207,3 +207,17 @@
     assert received.is_complete
     assert received.status == (504 if is_store_away else 200)
     assert received.turns == ([] if is_store_away else [b''])
+
+
+@pytest.mark.parametrize('content_type', [b'text/plain', b'text/event-stream'])
+def test_encoded_body_is_not_taken_for_that_of_the_upstream(content_type):
+    """Guards against a 200 with another body (rule MIXED, issue 45)."""
+    encoded = cut_support.framed(
+        cut_support.EVENTS,
+        'length',
+        content_type=content_type + b'\r\ncontent-encoding: gzip',
+    )
+    replies = [cut_support.Reply(encoded), _events_after]
+    received = curio.run(cut_support.play, replies)
+    _check(received)
+    assert received.resumed_at == [b'', b'']
--- a/packages/magnoliawood-server/magnoliawood_server/platform/names.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/names.py
@@ -15,6 +15,8 @@
 RESUMED = b'resumes'
 # Signature that proves that a response comes from the upstream itself.
 SIGNATURE = b'server-stamp'
+# Callers ask for none, so a body that has one is not the upstream's.
+ENCODING = b'content-encoding'
 # In all responses of an upstream that is leaving.
 LEAVING = b'server-leaving'
 # Requests per second that an upstream takes from all gateways together.
--- a/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
@@ -148,6 +148,7 @@
 
     :param has_run: whether the request has run; a refused one has not
     :param is_signed: whether it carries the upstream's signature
+    :param is_encoded: whether its body is not as the upstream made it
     :param is_other_incarnation: whether another upstream now has the address
     :param is_leaving: whether the upstream announces that it is leaving
     :param limit: what it says about its rate limit
@@ -157,6 +158,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     has_run: bool
     is_signed: bool
+    is_encoded: bool
     is_other_incarnation: bool
     is_stream: bool
     is_leaving: bool
@@ -185,6 +187,7 @@
         tuple(forwarded),
         not is_misdirected and names.NOT_RUN not in values,
         names.SIGNATURE in values,
+        names.ENCODING in values,
         is_misdirected,
         _is_stream(status, content_type),
         _is_leaving(values),
