--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
@@ -11,7 +11,7 @@
 from magnoliawood.routes import configuration as configurations
 from magnoliawood.routes import table as tables
 from magnoliawood_server.gateway import caller as callers
-from magnoliawood_server.gateway import exchange as exchanges
+from magnoliawood_server.gateway import delivery as deliveries
 from magnoliawood_server.gateway import fingerprint as request_fingerprints
 from magnoliawood_server.gateway import stream_guard
 from magnoliawood_server.gateway import turn_guard
@@ -60,8 +60,8 @@
     turn: turn_guard.Turn | None = None
     stream: stream_guard.StreamBinding | None = None
     admitted: datetime.timedelta | None = None
-    delivery: exchanges.Delivery = dataclasses.field(
-        default_factory=exchanges.Delivery
+    delivery: deliveries.Delivery = dataclasses.field(
+        default_factory=deliveries.Delivery
     )
     attempts: int = 0
     runs: int = 0
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_cut_responses.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_cut_responses.py
@@ -184,3 +184,40 @@
     _check(received)
     assert received.body == PREFIXES[1]
     assert not received.is_complete
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        cut_support.framed([], 'length'),
+        cut_support.framed([], 'chunks'),
+        cut_support.framed([b'text'], 'length', content_type=b'text/plain'),
+    ],
+    ids=['length', 'chunks', 'no stream'],
+)
+@pytest.mark.parametrize('is_store_away', [False, True])
+def test_turn_without_an_event_is_stored_before_it_ends(answer, is_store_away):
+    """Guards against 404 for the turn that continues it (rule LOST)."""
+
+    async def play():
+        reply = cut_support.Reply(answer)
+        return await cut_support.play([reply], is_store_away=is_store_away)
+
+    received = curio.run(play)
+    assert received.is_complete
+    assert received.status == (504 if is_store_away else 200)
+    assert received.turns == ([] if is_store_away else [b''])
+
+
+@pytest.mark.parametrize('content_type', [b'text/plain', b'text/event-stream'])
+def test_encoded_body_is_not_taken_for_that_of_the_upstream(content_type):
+    """Guards against a 200 with another body (rule MIXED, issue 45)."""
+    encoded = cut_support.framed(
+        cut_support.EVENTS,
+        'length',
+        content_type=content_type + b'\r\ncontent-encoding: gzip',
+    )
+    replies = [cut_support.Reply(encoded), _events_after]
+    received = curio.run(cut_support.play, replies)
+    _check(received)
+    assert received.resumed_at == [b'', b'']
