--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/hosted.py
@@ -40,6 +40,9 @@
     :param proxied: whether each link runs through a fault-injecting proxy
     :param versions: versions of the software of the upstreams, in turn
     :param bounds: time limits of the deployment that differ from the defaults
+    :param host_limits: limits of the hosts, by role, as the settings state
+        them; the processes are then started as the deploy file says
+    :param caller_limits: limits on callers in the configuration
     """
 
     def __init__(
@@ -51,7 +54,11 @@
         proxied: bool = False,
         versions: tuple[str, ...] = (signed_upstream.DEFAULT_VERSION,),
         bounds: dict[str, typing.Any] | None = None,
+        host_limits: dict[str, dict[str, int]] | None = None,
+        caller_limits: dict[str, int] | None = None,
     ) -> None:
+        self._host_limits = host_limits or {}
+        self._caller_limits = caller_limits or {}
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.journals = run_journals.RunJournals(self.folder)
         self.losses = losses
@@ -283,7 +290,7 @@
             'services': [
                 {'name': 'llm', 'engine': {'slots': 8, 'chunk_tokens': 16}}
             ],
-            'limits': {},
+            'limits': self._caller_limits,
         }
         if accounts is not None:
             spec['tenants'] = accounts
@@ -389,8 +396,15 @@
             'fault_tolerance': {'machines': self.losses},
             'platform': {'address': store},
             'bounds': self._bounds,
+            'limits': self._host_limits.get(role, {}),
         }
-        return daemons.make_daemon(self.folder, role, settings, peer_bind)
+        return daemons.make_daemon(
+            self.folder,
+            role,
+            settings,
+            peer_bind,
+            is_deployed=bool(self._host_limits),
+        )
 
     def _address(self, gateway: int, purpose: str) -> str:
         path = self.folder / f'gateway-{gateway}.json'
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -43,6 +43,8 @@
 
     :param event_seconds: time between two events
     :param answer_seconds: time from a run to a response that is no stream
+    :param answer_bytes: length of a response that is no stream; 0 for the
+        usual one
     :param refusals: number of requests to reject without running them
     :param lost_answers: number of responses to lose after the request ran
     :param cut_after: number of events after which each stream is cut; none
@@ -60,6 +62,7 @@
 
     event_seconds: float = 0.005
     answer_seconds: float = 0.0
+    answer_bytes: int = 0
     refusals: int = 0
     lost_answers: int = 0
     cut_after: int = -1
@@ -147,7 +150,8 @@
                 'injected fault: response to the poison body lost'
             )
         if not request.path.endswith('/stream'):
-            return http_message.Response(200, signed, b'done')
+            body = b'a' * self.faults.answer_bytes or b'done'
+            return http_message.Response(200, signed, body)
         first = int(request.header('last-event-id') or 0) + 1
         return http_message.Response(
             200,
