--- /dev/null
+++ b/packages/magnoliawood/magnoliawood/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets of what clients make a process hold."""
