Keep bodies of retained turns on the disk of a keeper, not in its memory

What callers saw: keepers held each retained turn in memory until it expired, and each copy on its way to the disk; 40 turns of 3 MiB took a keeper to 315 MB where its host has 120, and a host ends such a process.

Cause: the index held all bodies, the log joined its batches once more, a rewrite encoded all records at once, pages of a copied replica queued without a limit, and what a failed disk did not take was kept and added to.

Change: the index keeps a fifth of the memory of the process for bodies; the oldest of those that are on disk leave it, and are read from where they lie. A rewrite goes page by page and keeps the places current. What waits for the disk, and the share of the disk that records fill, have limits; records beyond them are refused before anything is stored, and their gateway tries again. A copied replica is read no further while four pages wait for the disk.

--- a/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
@@ -42,7 +42,12 @@
             )
         self._settings = settings
         self._clock = clock
-        self._replica = replicas.DiskReplica(settings.data_folder, clock)
+        self._replica = replicas.DiskReplica(
+            settings.data_folder,
+            clock,
+            settings.memory_bytes,
+            settings.disk_bytes,
+        )
         self._pool = pools.PeerPool(clock, None)
         self._registry = registries.Registry()
 
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/copier.py
@@ -17,6 +17,8 @@
 # A source that sends nothing for this long is given up. The whole copy has no
 # limit: a larger one takes longer.
 PROGRESS_TIMEOUT = datetime.timedelta(seconds=3)
+# Pages of a source that wait for the disk of this host.
+_MAX_WAITING_PAGES = 4
 
 _log = logging.getLogger(__name__)
 
@@ -109,6 +111,7 @@
     ) -> int:
         """Copy all records of a source; return its epoch."""
         stream = await self._pool.open_stream(source.address)
+        stream.limit_waiting(_MAX_WAITING_PAGES)
         try:
             await stream.send(messages.CopyAll(source.disk_id, group))
             status = await _receive_in_time(stream)
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/disk_log.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import errno
 import logging
 import os
 import pathlib
@@ -14,6 +15,8 @@
 _HEADER = struct.Struct('>II')
 _SEGMENT_PATTERN = 'records-*.log'
 _SEGMENT_LIMIT_BYTES = 8 * 1024 * 1024
+# Entries that a rewrite holds in memory at once.
+_REWRITE_PAGE_BYTES = 1024 * 1024
 
 _log = logging.getLogger(__name__)
 
@@ -44,8 +47,32 @@
         yield data
 
 
-def _frames(entries: collections.abc.Iterable[bytes]) -> bytes:
-    return b''.join(map(frame, entries))
+def _pages(
+    entries: collections.abc.Iterable[bytes],
+) -> collections.abc.Iterator[list[bytes]]:
+    """Yield entries in pages of a limited length."""
+    page: list[bytes] = []
+    length = 0
+    for entry in entries:
+        page.append(entry)
+        length += len(entry)
+        if length >= _REWRITE_PAGE_BYTES:
+            yield page
+            page, length = [], 0
+    if page:
+        yield page
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where an entry lies on disk.
+
+    :param offset: position of the entry in its segment, after its header
+    """
+
+    segment: pathlib.Path
+    offset: int
+    length: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,13 +80,15 @@
     """Entries that one sync makes durable.
 
     :param data: new entries
-    :param copies: entries that older segments contain as well
+    :param failed_bytes: length of the data before them, whose write failed
+    :param start: position of the data in the segment
     :param starts_segment: whether the batch is written to a new segment
     :param segment: file that the batch was written to
     """
 
     data: bytearray = dataclasses.field(default_factory=bytearray)
-    copies: bytearray = dataclasses.field(default_factory=bytearray)
+    failed_bytes: int = 0
+    start: int = 0
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
     starts_segment: bool = False
     segment: pathlib.Path | None = None
@@ -98,15 +127,25 @@
         """Total size of all segments in bytes."""
         return self._total_bytes
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Length of the entries that are not on disk yet."""
+        return len(self._batch.data)
+
     def load(self) -> collections.abc.Iterator[bytes]:
         """Yield the entries of all segments, the oldest first."""
+        return (entry for entry, _ in self.load_places())
+
+    def load_places(self) -> collections.abc.Iterator[tuple[bytes, Place]]:
+        """Yield the entries of all segments, and where each one lies."""
         for path in self._segments():
             content = path.read_bytes()
             self._total_bytes += len(content)
             read = 0
             for entry in parse(content):
+                place = Place(path, read + _HEADER.size, len(entry))
                 read += _HEADER.size + len(entry)
-                yield entry
+                yield entry, place
             if read < len(content):
                 _log.warning(
                     'segment is damaged; the rest of it is not read',
@@ -117,14 +156,44 @@
                     },
                 )
 
-    async def append(self, entries: collections.abc.Iterable[bytes]) -> None:
+    def read(self, place: Place) -> bytes:
+        """Return an entry from where it lies.
+
+        :raises OSError: if it can't be read, or is damaged
+        """
+        with place.segment.open('rb') as file:
+            file.seek(place.offset - _HEADER.size)
+            content = file.read(_HEADER.size + place.length)
+        entry = next(parse(content), None)
+        if entry is None:
+            raise OSError(errno.EIO, 'a stored entry is damaged')
+        return entry
+
+    async def append(
+        self, entries: collections.abc.Iterable[bytes]
+    ) -> list[Place]:
         """Append entries and wait until they are on disk.
 
+        :returns: where each of them lies
         :raises OSError: if writing or syncing fails
         """
-        batch = self._batch
-        batch.data += _frames(entries)
+        return await self._append(self._batch, entries)
+
+    async def _append(
+        self, batch: _Batch, entries: collections.abc.Iterable[bytes]
+    ) -> list[Place]:
+        positions = []
+        for entry in entries:
+            own_bytes = len(batch.data) - batch.failed_bytes
+            positions.append((own_bytes + _HEADER.size, len(entry)))
+            batch.data += frame(entry)
         await self._wait_durable(batch)
+        assert batch.segment is not None  # Set by the write.
+        start = batch.start + batch.failed_bytes
+        return [
+            Place(batch.segment, start + position, length)
+            for position, length in positions
+        ]
 
     async def run(self) -> None:
         """Write batches until cancelled."""
@@ -138,23 +207,36 @@
                 _log.error('disk write failed', extra={'error': str(error)})
                 batch.error = error
                 self._batch.data[:0] = batch.data
+                self._batch.failed_bytes += len(batch.data)
                 # The content of the segment is unknown after a failed write.
                 self._close_segment()
             await batch.done.set()
 
-    async def rewrite(self, entries: collections.abc.Iterable[bytes]) -> None:
-        """Replace all segments by one with the given entries.
+    async def rewrite(
+        self,
+        entries: collections.abc.Iterable[bytes],
+        move: collections.abc.Callable[[list[Place]], None] | None = None,
+    ) -> None:
+        """Replace all segments by ones with the given entries.
 
+        :param move: told where the entries lie before older segments go
         :raises OSError: if writing, syncing or deleting fails
         """
-        batch = self._batch
-        batch.copies += _frames(entries)
         # A write in progress ends in the segment in which it began. That
-        # segment is deleted below, so this batch must begin a new one.
-        batch.starts_segment = True
-        await self._wait_durable(batch)
+        # segment is deleted below, so this must begin a new one.
+        first = self._batch
+        first.starts_segment = True
+        batch = first
+        places: list[Place] = []
+        for page in _pages(entries):
+            places += await self._append(batch, page)
+            batch = self._batch
+        if not places:
+            await self._append(first, ())
+        if move is not None:
+            move(places)
         for path in self._segments():
-            if batch.segment is not None and path < batch.segment:
+            if first.segment is not None and path < first.segment:
                 self._total_bytes -= path.stat().st_size
                 path.unlink()
 
@@ -177,7 +259,8 @@
         if self._descriptor < 0:
             self._open_segment()
         batch.segment = self._segment
-        content = batch.copies + batch.data
+        batch.start = self._segment_bytes
+        content = batch.data
         try:
             self._append_durably(content)
         except OSError:
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/replica.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/replica.py
@@ -10,12 +10,20 @@
 from magnoliawood.core import errors
 from magnoliawood.replication import group as groups
 from magnoliawood.turns import records
+from magnoliawood.turns import spill
 from magnoliawood.turns import table as tables
 from magnoliawood_server.keeper import disk_log
 from magnoliawood_server.keeper import disk_state
 
 # Size above which the log is rewritten if more than half of it is outdated.
 _REWRITE_BYTES = 64 * 1024 * 1024
+# Shares of the memory of the process: for bodies that are on disk as well, and
+# for records that wait for the disk. Share of the disk that records may fill.
+_BODIES_SHARE = 0.2
+_WAITING_SHARE = 0.1
+_DISK_SHARE = 0.85
+_DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
+_NO_ROOM_RETRY_AFTER = datetime.timedelta(milliseconds=200)
 # Number of dropped turns that a log line names.
 _LOGGED_TURNS = 8
 
@@ -26,18 +34,34 @@
     """Records on disk, with an index in memory.
 
     :param folder: data folder of this host
+    :param memory_bytes: memory of the process; 0 if it is not stated
+    :param disk_bytes: space on the disk; 0 if it is not stated
     """
 
-    def __init__(self, folder: pathlib.Path, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        clock: clocks.Clock,
+        memory_bytes: int = 0,
+        disk_bytes: int = 0,
+    ) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
         self._clock = clock
         self._last_write = _last_write(folder)
         self._state = disk_state.load(folder)
         self._log = disk_log.DiskLog(folder)
-        self._table = tables.RecordTable(clock)
-        for data in self._log.load():
-            self._table.apply(records.decode(data))
+        memory = memory_bytes or _DEFAULT_MEMORY_BYTES
+        self._waiting_limit = int(memory * _WAITING_SHARE)
+        self._disk_limit = int(disk_bytes * _DISK_SHARE)
+        self._table = tables.RecordTable(
+            clock,
+            spill.Bodies(self._read_turn, int(memory * _BODIES_SHARE)),
+        )
+        for data, place in self._log.load_places():
+            record = records.decode(data)
+            self._table.apply(record)
+            self._table.locate(record, place)
         # Records whose write to the disk is not confirmed or has failed.
         self._unsynced_records: set[records.Record] = set()
         self._group: groups.Group | None = None
@@ -190,6 +214,33 @@
                 'this replica lacks a turn that the new one continues',
             )
 
+    def check_room(self, entries: collections.abc.Sequence[bytes]) -> None:
+        """Reject records for which there is no memory or no disk space.
+
+        :raises MagnoliawoodError: with ``store_unavailable``; nothing was
+            stored
+        """
+        size = sum(map(len, entries))
+        waiting = self._log.waiting_bytes
+        if waiting and waiting + size > self._waiting_limit:
+            raise self._no_room('too much waits for the disk')
+        stored = self._log.total_bytes + waiting
+        if self._disk_limit and stored + size > self._disk_limit:
+            raise self._no_room('the disk is full')
+
+    @staticmethod
+    def _no_room(reason: str) -> errors.MagnoliawoodError:
+        return errors.MagnoliawoodError(
+            errors.ErrorCode.STORE_UNAVAILABLE,
+            reason,
+            retry_after=_NO_ROOM_RETRY_AFTER,
+        )
+
+    def _read_turn(self, place: disk_log.Place) -> records.TurnRecord:
+        record = records.decode(self._log.read(place))
+        assert isinstance(record, records.TurnRecord)  # Located as one.
+        return record
+
     def apply(
         self, new_records: collections.abc.Sequence[records.Record]
     ) -> None:
@@ -215,7 +266,9 @@
         :param entries: the encoded records
         :raises OSError: if writing or syncing fails
         """
-        await self._log.append(entries)
+        places = await self._log.append(entries)
+        for record, place in zip(applied, places, strict=True):
+            self._table.locate(record, place)
         self._unsynced_records.difference_update(applied)
 
     async def write_new(
@@ -260,11 +313,28 @@
                 if not self._table.is_new(record)
             }
         if self._log.total_bytes > _REWRITE_BYTES:
-            entries = [
-                records.encode(record) for record in self._table.records()
-            ]
-            if sum(map(len, entries)) * 2 < self._log.total_bytes:
-                await self._log.rewrite(entries)
+            await self._rewrite_outdated()
+
+    async def _rewrite_outdated(self) -> None:
+        """Rewrite the log if more than half of it is outdated."""
+        live = self._table.bytes_on_disk_only + sum(
+            len(records.encode(record))
+            for record in self._table.without_bodies()
+        )
+        if live * 2 >= self._log.total_bytes:
+            return
+        rewritten: list[records.Record] = []
+
+        def entries() -> collections.abc.Iterator[bytes]:
+            for record in self._table.records():
+                rewritten.append(self._table.without_body(record))
+                yield records.encode(record)
+
+        def move(places: list[disk_log.Place]) -> None:
+            for record, place in zip(rewritten, places, strict=True):
+                self._table.move(record, place)
+
+        await self._log.rewrite(entries(), move)
 
     def _is_on_disk(self, record: records.Record) -> bool:
         return record not in self._unsynced_records and not self._table.is_new(
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/service.py
@@ -63,7 +63,7 @@
                 await stream.send(messages.Charges(program_charges))
             case messages.ReadChain():
                 self._replica.check_request(message.epoch, message.disk_id)
-                await stream.send(self._chain(message.turn_id))
+                await stream.send(self._read_chain(message.turn_id))
             case messages.FindMissingTurns():
                 self._replica.check_request(message.epoch, message.disk_id)
                 await stream.send(
@@ -91,6 +91,7 @@
         self, message: messages.WriteRecords
     ) -> messages.RecordsWritten:
         self._replica.check_request(message.epoch, message.disk_id)
+        self._replica.check_room(message.records)
         new_records = [records.decode(entry) for entry in message.records]
         self._replica.check_chains(new_records)
         started_at = self._clock.monotonic()
@@ -117,6 +118,20 @@
             return None
         return self._replica.table.charges(program_id)
 
+    def _read_chain(self, turn_id: str) -> messages.ChainRecords:
+        """Return a part of a chain.
+
+        :raises MagnoliawoodError: with ``store_unavailable`` if the disk
+            fails
+        """
+        try:
+            return self._chain(turn_id)
+        except OSError as error:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.STORE_UNAVAILABLE,
+                f'disk read failed: {error}',
+            ) from error
+
     def _chain(self, turn_id: str) -> messages.ChainRecords:
         """Return a turn and those before it, as far as one reply may hold.
 
@@ -124,7 +139,8 @@
         """
         entries: list[bytes] = []
         size = 0
-        for entry in map(records.encode, self._replica.table.chain(turn_id)):
+        chain = self._replica.table.iterate_chain(turn_id)
+        for entry in map(records.encode, chain):
             size += len(entry)
             if entries and size > _CHAIN_REPLY_BYTES:
                 break
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_copier.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/tests/test_copier.py
@@ -28,6 +28,9 @@
         self._disk_id = disk_id
         self._numbers = iter(range(pages))
 
+    def limit_waiting(self, messages):
+        return
+
     async def send(self, message):
         self._next = messages.CopyStatus(self._disk_id, 0, message.group)
 
--- a/packages/magnoliawood-server/magnoliawood_server/peer/connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/connection.py
@@ -23,6 +23,8 @@
     frames.Frame(_HEARTBEAT_STREAM, False, control.Ping())
 )
 _READ_SIZE_BYTES = 256 * 1024
+# Pause before the waiting messages of a stream are counted again.
+_ROOM_PAUSE = datetime.timedelta(milliseconds=10)
 
 _log = logging.getLogger(__name__)
 
@@ -50,6 +52,15 @@
         self._received: collections.deque[typing.Any] = collections.deque()
         self._arrived = curio.Event()
         self._is_opened = False
+        self._max_waiting: int | None = None
+
+    def limit_waiting(self, messages: int) -> None:
+        """Read no further while so many received messages wait here.
+
+        The whole connection waits then, so this is for a connection whose
+        other streams can.
+        """
+        self._max_waiting = messages
 
     async def send(self, message: typing.Any) -> None:
         """Send a message.
@@ -78,6 +89,7 @@
     def close(self) -> None:
         """Stop receiving; messages that arrive later are ignored."""
         self._connection.remove_stream(self._number)
+        self._max_waiting = None
 
     def mark_open(self) -> None:
         """Record that the peer has opened this stream already."""
@@ -87,6 +99,11 @@
         """Queue a received message and wake the receiver."""
         self._received.append(message)
         await self._arrived.set()
+        while (
+            self._max_waiting is not None
+            and len(self._received) >= self._max_waiting
+        ):
+            await curio.sleep(_ROOM_PAUSE.total_seconds())
 
     async def wake(self) -> None:
         """Wake the receiver so that it detects a lost connection."""
--- a/packages/magnoliawood-server/magnoliawood_server/platform/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/settings.py
@@ -45,6 +45,8 @@
 class _Limits(pydantic.BaseModel):
     cpu_share: float | None = None
     memory_mb: float = 0
+    max_fds: int = 0
+    disk_mb: float = 0
 
 
 class _BootFile(pydantic.BaseModel):
@@ -90,6 +92,8 @@
     :param learns_upstreams: whether upstreams are chosen by what is learned
         of their speed and failures
     :param memory_bytes: memory that the process may use; 0 if not stated
+    :param max_descriptors: descriptors that it may open; 0 if not stated
+    :param disk_bytes: disk space that it may use; 0 if not stated
     """
 
     host: str
@@ -109,6 +113,8 @@
     orders_requests: bool = False
     processor_share: float | None = None
     memory_bytes: int = 0
+    max_descriptors: int = 0
+    disk_bytes: int = 0
     is_first_start: bool = True
     learns_upstreams: bool = True
 
@@ -171,6 +177,8 @@
         learns_upstreams=_GUARDED_CONTRACT in boot.contracts
         or not boot.contracts,
         memory_bytes=int(boot.limits.memory_mb * _BYTES_PER_MEGABYTE),
+        max_descriptors=boot.limits.max_fds,
+        disk_bytes=int(boot.limits.disk_mb * _BYTES_PER_MEGABYTE),
     )
 
 
--- a/packages/magnoliawood/magnoliawood/turns/table.py
+++ b/packages/magnoliawood/magnoliawood/turns/table.py
@@ -7,11 +7,14 @@
 from magnoliawood.turns import dropped as dropped_turns
 from magnoliawood.turns import ledger as ledgers
 from magnoliawood.turns import records
+from magnoliawood.turns import spill
 
 
 class RecordTable:
     """Turns, charges and origins of streams stored by one replica.
 
+    :param bodies: bodies of turns that are on disk, and leave the memory
+
     Examples
     ========
 
@@ -23,8 +26,11 @@
     ['t2', 't1']
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self, clock: clocks.Clock, bodies: spill.Bodies | None = None
+    ) -> None:
         self._clock = clock
+        self._bodies = bodies
         self._turns: dict[str, records.TurnRecord] = {}
         # Turns whose predecessors are known to be stored. They stay so, as
         # no predecessor of a turn is dropped before it.
@@ -58,6 +64,52 @@
         charges = self._ledgers.setdefault(record.program_id, {})
         charges[record.attempt_id] = record
 
+    def locate(self, record: records.Record, place: object) -> None:
+        """Record where a stored record lies on disk."""
+        if self._bodies is None or not isinstance(record, records.TurnRecord):
+            return
+        stored = self._turns.get(record.turn_id)
+        if stored is None or self._bodies.is_on_disk_only(record.turn_id):
+            return
+        if stored.parts != record.parts:
+            # Another content of this turn was stored first.
+            return
+        for turn_id in self._bodies.locate(record, place):
+            if turn_id in self._turns:
+                self._turns[turn_id] = self._bodies.stub(self._turns[turn_id])
+
+    def move(self, record: records.Record, place: object) -> None:
+        """Record that a stored record lies at another place now."""
+        if self._bodies is not None and isinstance(record, records.TurnRecord):
+            self._bodies.move(record.turn_id, place)
+
+    @property
+    def bytes_on_disk_only(self) -> int:
+        """Length of the bodies that are not in memory."""
+        return 0 if self._bodies is None else self._bodies.bytes_on_disk_only
+
+    def without_bodies(self) -> collections.abc.Iterator[records.Record]:
+        """Iterate over all records; those on disk come without a body."""
+        yield from list(self._turns.values())
+        yield from self._other_records()
+
+    def without_body(self, record: records.Record) -> records.Record:
+        """Return a record that holds no body in memory."""
+        if self._bodies is None or not isinstance(record, records.TurnRecord):
+            return record
+        return self._bodies.stub(record)
+
+    def _with_body(self, turn: records.TurnRecord) -> records.TurnRecord:
+        """Return a turn with its body.
+
+        :raises OSError: if the body can't be read from the disk
+        """
+        if self._bodies is None or not self._bodies.is_on_disk_only(
+            turn.turn_id
+        ):
+            return turn
+        return self._bodies.read(turn)
+
     def is_new(self, record: records.Record) -> bool:
         """Return whether applying a record would change the table."""
         if isinstance(record, records.TurnRecord):
@@ -76,12 +128,22 @@
 
         :returns: the newest first; the last one may continue a turn that
             is not stored, or one that is listed already
+        :raises OSError: if a body can't be read from the disk
+        """
+        return list(self.iterate_chain(turn_id))
+
+    def iterate_chain(
+        self, turn_id: str
+    ) -> collections.abc.Iterator[records.TurnRecord]:
+        """Iterate over a chain; a body on disk is read when its turn comes.
+
+        :raises OSError: if a body can't be read from the disk
         """
-        turns: dict[str, records.TurnRecord] = {}
-        while turn_id not in turns and (turn := self._turns.get(turn_id)):
-            turns[turn_id] = turn
+        listed_ids: set[str] = set()
+        while turn_id not in listed_ids and (turn := self._turns.get(turn_id)):
+            listed_ids.add(turn_id)
+            yield self._with_body(turn)
             turn_id = turn.previous_id
-        return list(turns.values())
 
     def missing_turns(
         self, turn_ids: collections.abc.Iterable[str]
@@ -137,13 +199,21 @@
         """Return the latest origin of a stream, if it is stored."""
         return self._streams.get(stream_id)
 
-    def records(self) -> collections.abc.Iterator[records.Record]:
-        """Iterate over all records."""
-        yield from list(self._turns.values())
+    def _other_records(self) -> collections.abc.Iterator[records.Record]:
         for charges in list(self._ledgers.values()):
             yield from list(charges.values())
         yield from list(self._streams.values())
 
+    def records(self) -> collections.abc.Iterator[records.Record]:
+        """Iterate over all records; bodies on disk are read one by one.
+
+        :raises OSError: if a body can't be read from the disk
+        """
+        for turn_id in list(self._turns):
+            if turn_id in self._turns:
+                yield self._with_body(self._turns[turn_id])
+        yield from self._other_records()
+
     def expire(self) -> int:
         """Drop expired records.
 
@@ -168,6 +238,8 @@
             self._turns.pop(turn_id) for turn_id in expired_turns
         )
         self._whole -= expired_turns
+        if self._bodies is not None:
+            self._bodies.forget(expired_turns)
         expired_programs = [
             program_id
             for program_id, charges in self._ledgers.items()
