Bound what connections make a gateway, an entry and a sidecar hold

What callers saw: many large legal bodies at once, whole or piece by piece, ended a process; heads without an end, idle connections and requests sent one behind the other took its descriptors and memory; bodies in chunks of one byte took its processor.

Cause: bodies were read without a budget across connections; the limit on a head applied to each pause, so a trickled head had no end; 128 KiB were read ahead for each connection and as much lay unread in the kernel; a streamed response of an entry buffered all that came behind its request; parsing went on without a pause while data was there.

Change: each connection is taken from the budget when it is accepted, its body before it is read (a declared length at once, chunks in steps). For want of room: 503 with Retry-After before anything runs, and the rest of the request is discarded for a second, so that its client reads that. A head has one limit, a body one of 30 s. Small receive buffers, 8 KiB read ahead. While all connections are taken, a connection with requests one behind the other ends after the one that is served. Of bodies in very many parts one at a time is parsed, 64 parts at once.

In the tests of the own interface the settings now state the limits of the host; crowd and bounds are those of before.

--- a/bin/make_settings_reference.py
+++ b/bin/make_settings_reference.py
@@ -11,6 +11,7 @@
 import annotated_types
 import pydantic
 
+from magnoliawood_server.runtime import client_limits
 from magnoliawood_server.runtime import settings as settings_models
 
 TARGET = pathlib.Path(__file__).parents[1] / 'docs' / 'settings.md'
@@ -24,6 +25,10 @@
 exit code 2 and one line that names the setting. All settings are read at the
 start; only classes, accounts and drains change while a process runs.
 """
+_HOSTED = """These are variables only. The memory and the descriptors of the
+process are `limits.memory_mb` and `limits.max_fds` of its settings file; 256
+and 4096 apply where it states none.
+"""
 _COLUMNS = (
     '| flag | variable | default | bounds | meaning |\n|---|---|---|---|---|'
 )
@@ -55,7 +60,14 @@
             common,
         ),
     ]
-    return '\n'.join([_HEAD, *(_section(*section) for section in sections)])
+    hosted = _section(
+        "Gateways on the users' platform",
+        client_limits.ClientLimits.model_fields,
+        {},
+    )
+    return '\n'.join(
+        [_HEAD, *(_section(*section) for section in sections), hosted, _HOSTED]
+    )
 
 
 def _section(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from magnoliawood.budgets import client_budget
 from magnoliawood.config import account as accounts
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
@@ -294,7 +295,15 @@
             self._handshake,
         )
         self._http_listener = listener.http_listener(
-            self._settings.http_listen, self._handle_http, self._activity
+            self._settings.http_listen,
+            self._handle_http,
+            self._activity,
+            client_budget.ClientBudget(
+                self._settings.client_budget_limits(),
+                self._clock,
+                self._metrics,
+            ),
+            self._settings.body_limit,
         )
 
     async def _leave(self) -> None:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -10,6 +10,7 @@
 from magnoliawood.accounts import contacts as account_contacts
 from magnoliawood.accounts import quota_facts
 from magnoliawood.accounts import quotas
+from magnoliawood.budgets import client_budget
 from magnoliawood.core import clock as clocks
 from magnoliawood.fleet import facts as fleet_facts
 from magnoliawood.fleet import failure_rates
@@ -52,6 +53,7 @@
 from magnoliawood_server.platform import objects
 from magnoliawood_server.platform import quarantine_store
 from magnoliawood_server.platform import settings as settings_files
+from magnoliawood_server.runtime import client_limits
 from magnoliawood_server.runtime import listener as listeners
 from magnoliawood_server.runtime import metrics_page
 from magnoliawood_server.runtime import reload
@@ -60,9 +62,18 @@
 CLEANUP_INTERVAL = datetime.timedelta(seconds=2)
 OVERDUE_INTERVAL = datetime.timedelta(milliseconds=250)
 
+# Share of the memory of the process for the cache of turns.
+_CACHE_SHARE = 0.1
+
 _log = logging.getLogger(__name__)
 
 
+def _cache_bytes(settings: settings_files.HostSettings) -> int:
+    """Return the size limit of the cache of turns."""
+    memory = settings.memory_bytes or client_limits.DEFAULT_MEMORY_BYTES
+    return int(memory * _CACHE_SHARE)
+
+
 class GatewayApp:
     """Gateway process: serves callers until a stop signal arrives."""
 
@@ -72,10 +83,21 @@
         self._settings = settings
         self._clock = clock
         self._activity = callers.CallerActivity()
+        self._registry = registries.Registry()
+        self._client_limits = client_limits.load()
+        self._budget = client_budget.ClientBudget(
+            self._client_limits.budget_limits(
+                settings.memory_bytes, settings.max_descriptors
+            ),
+            clock,
+            self._registry,
+        )
         self._caller_listener = listeners.Listener(
-            settings.caller_listen, self._serve_caller
+            settings.caller_listen,
+            self._serve_caller,
+            self._budget,
         )
-        self._registry = registries.Registry()
+        self._parsing_turns = callers.ParsingTurns()
         self._cluster_view = cluster_views.ClusterView(
             clock, settings.revocation_limit
         )
@@ -160,7 +182,9 @@
         self._peer_service = peer_services.PeerService(
             self._gossip, self._permits, self._peers
         )
-        self._guard = turn_guard.TurnGuard(self._records, clock)
+        self._guard = turn_guard.TurnGuard(
+            self._records, clock, _cache_bytes(settings)
+        )
         self._stop = planned_stop.PlannedStop(
             settings.stop_limit,
             self._activity,
@@ -335,7 +359,9 @@
         """Apply the settings that may change while the process runs."""
         self._gossip.add_peers(settings.seeds)
 
-    async def _serve_caller(self, sock: curio.io.Socket) -> None:
+    async def _serve_caller(
+        self, sock: curio.io.Socket, holding: client_budget.Holding
+    ) -> None:
         await callers.CallerConnection(
             sock,
             self._handler.handle,
@@ -343,6 +369,9 @@
             self._activity,
             self._clock,
             self._registry,
+            holding,
+            self._client_limits.body_limit,
+            self._parsing_turns,
         ).run()
 
     async def _listen_for_readiness(self) -> None:
@@ -355,19 +384,27 @@
             )
         )
         # Readiness checks do not count as requests of callers: a drain does
-        # not wait for them.
+        # not wait for them. They have a budget of their own, too.
         activity = callers.CallerActivity()
+        budget = client_budget.ClientBudget(
+            client_limits.PAGE_LIMITS, self._clock, self._registry
+        )
 
-        async def serve(sock: curio.io.Socket) -> None:
+        async def serve(
+            sock: curio.io.Socket, holding: client_budget.Holding
+        ) -> None:
             await callers.CallerConnection(
                 sock,
                 readiness_handler.handle,
                 lambda: self._cluster_view.limits,
                 activity,
                 self._clock,
+                holding=holding,
             ).run()
 
-        await listeners.Listener(self._settings.readiness_listen, serve).run()
+        await listeners.Listener(
+            self._settings.readiness_listen, serve, budget
+        ).run()
 
     async def _check_overdue_forever(self) -> None:
         while True:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -5,10 +5,12 @@
 import datetime
 import http
 import logging
+import socket
 
 import curio
 import h11
 
+from magnoliawood.budgets import client_budget
 from magnoliawood.core import clock as clocks
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.gateway import caller_reader
@@ -19,13 +21,32 @@
 from magnoliawood_server.platform import names
 from magnoliawood_server.platform import requests
 
-# A caller that accepts no data for this long is taken for disconnected.
+# A caller that accepts less than this in this time is taken for disconnected.
+_WRITE_STEP_BYTES = 16 * 1024
 _WRITE_TIMEOUT = datetime.timedelta(seconds=5)
+# Time within which a body has to arrive.
+BODY_LIMIT = datetime.timedelta(seconds=30)
+# A longer body is not copied.
+_MAX_COPIED_BYTES = 64 * 1024
+# Memory that is taken at once for a body whose length is not known.
+_MIN_STEP_BYTES = 16 * 1024
+_MAX_STEP_BYTES = 1024 * 1024
+# Parts of one body that are parsed without a pause for other connections, and
+# number from which on a body waits for its turn to have more of them parsed.
+_PARTS_AT_ONCE = 64
+_MAX_QUICK_PARTS = 1024
+# Pause before memory for a response is asked for again.
+_ROOM_PAUSE = datetime.timedelta(milliseconds=50)
 # Retry delay sent to a caller whose request a stop does not let arrive.
 _RETRY_AFTER = datetime.timedelta(milliseconds=100)
+# Retry delay sent to a caller for whose request there is no room, and time for
+# which the rest of a request that was refused is discarded.
+_NO_ROOM_RETRY_AFTER = datetime.timedelta(seconds=1)
+_DISCARD_TIME = datetime.timedelta(seconds=1)
 
 CallerActivity = caller_reader.CallerActivity
 RequestCut = caller_reader.RequestCut
+RequestEvicted = caller_reader.RequestEvicted
 _CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 _log = logging.getLogger(__name__)
@@ -39,6 +60,10 @@
     """
 
 
+class NoRoom(Exception):  # noqa: N818
+    """There is no memory for a request, which has not been read whole."""
+
+
 class CallerLost(ConnectionResetError):  # noqa: N818
     """The caller disconnected, or does not read what it is sent."""
 
@@ -55,7 +80,7 @@
     method: str
     target: str
     headers: connections.Headers
-    body: bytes
+    body: bytes | bytearray
     arrived: datetime.timedelta
     address: str = ''
 
@@ -93,9 +118,27 @@
         """Send a response whose whole body is available."""
         self._is_started = True
         is_last = self._connection.is_closing
-        await self._connection.send(
-            self._framing.complete(status, headers, body, is_last)
-        )
+        parts = self._framing.complete_parts(status, headers, body, is_last)
+        for part in parts:
+            await self._connection.send(part)
+
+    async def take_memory(self, size: int) -> bool:
+        """Take memory for the request, before it runs.
+
+        :returns: whether it was taken
+        """
+        return await self._connection.holding.take(size)
+
+    async def take_memory_for_response(self, size: int) -> None:
+        """Take memory for a response, and wait until there is some.
+
+        While it waits, the request may have to give way to others.
+        """
+        holding = self._connection.holding
+        while not holding.is_lost and not await holding.take(size):
+            holding.wait_for_client()
+            await curio.sleep(_ROOM_PAUSE.total_seconds())
+        holding.begin_serving()
 
     async def start(
         self, status: int, headers: connections.Headers, data: bytes
@@ -129,16 +172,52 @@
     return str(name[0]) if name else ''
 
 
+def _check_length(size: int, limit: int) -> None:
+    if size > limit:
+        raise h11.RemoteProtocolError(
+            'body too large',
+            error_status_hint=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        )
+
+
 Handler = collections.abc.Callable[
     [CallerRequest, Responder], collections.abc.Awaitable[None]
 ]
 
 
+class ParsingTurns:
+    """Turns of bodies in so many parts that parsing takes long.
+
+    One part may have a single byte, and costs as much as a long one. Of all
+    connections with such a body one at a time has some parts parsed, so that
+    they delay other requests no longer than one of them does.
+    """
+
+    def __init__(self) -> None:
+        self._lock = curio.Lock()
+
+    async def pause(self, parts: int) -> None:
+        """Let other connections go on, if it is time for that.
+
+        :param parts: number of parts of the body so far
+        """
+        if parts % _PARTS_AT_ONCE:
+            return
+        if parts < _MAX_QUICK_PARTS:
+            await curio.sleep(0)
+            return
+        async with self._lock:
+            await curio.sleep(0)
+
+
 class CallerConnection:
     """Serves the requests of one connection sequentially.
 
     :param limits: returns the current limits on callers
     :param registry: counts the responses that were not completed
+    :param holding: what the connection holds; unlimited by default
+    :param body_limit: time within which a body has to arrive
+    :param parsing_turns: shared by all connections of the process
     """
 
     def __init__(
@@ -149,7 +228,13 @@
         activity: CallerActivity,
         clock: clocks.Clock,
         registry: registries.Registry | None = None,
+        holding: client_budget.Holding | None = None,
+        body_limit: datetime.timedelta = BODY_LIMIT,
+        parsing_turns: ParsingTurns | None = None,
     ) -> None:
+        self.holding = holding or client_budget.unlimited_holding(clock)
+        self._parsing_turns = parsing_turns or ParsingTurns()
+        self.holding.end_with(self.give_way)
         connections.set_socket_options(sock._socket)
         self._sock = sock
         self._address = _peer_address(sock)
@@ -160,7 +245,13 @@
         self._registry = registry or registries.Registry()
         self._h11 = h11.Connection(h11.SERVER)
         self._reader = caller_reader.CallerReader(
-            sock, self._h11, limits, activity, clock
+            sock,
+            self._h11,
+            limits,
+            activity,
+            clock,
+            self.holding,
+            body_limit,
         )
 
     @property
@@ -186,14 +277,18 @@
             _log.debug(
                 'caller connection closed', extra={'reason': str(error)}
             )
+        except RequestEvicted:
+            _log.debug('caller connection closed for want of room')
         except curio.TaskCancelled:
             if not self._reader.has_caller_left:
                 raise
         finally:
-            try:
+            # The task that reads has to end before the socket is closed, so
+            # the connection can't be told any more to give way.
+            self.holding.begin_serving()
+            async with curio.disable_cancellation():
                 await reading.cancel()
-            finally:
-                self._reader.stop()
+            self._reader.stop()
 
     async def send(self, data: bytes | memoryview) -> None:
         """Send data, in a single write if the caller reads it.
@@ -209,16 +304,28 @@
         if sent < len(data):
             await self._send_rest(memoryview(data)[sent:])
 
+    async def give_way(self) -> None:
+        """End the connection, so that others find room."""
+        await self._reader.give_way()
+
     async def _send_rest(self, data: memoryview) -> None:
+        self.holding.wait_for_client()
         while data:
-            sent = 0
+            step = min(len(data), _WRITE_STEP_BYTES)
             async with curio.ignore_after(_WRITE_TIMEOUT.total_seconds()):
-                try:
-                    sent = await self._sock.send(data)
-                except OSError as error:
-                    raise CallerLost(str(error)) from error
-            if not sent:
-                raise CallerLost('caller did not read the response in time')
+                await self._send_step(data[:step])
+                data = data[step:]
+                continue
+            raise CallerLost('caller did not read the response in time')
+        self.holding.begin_serving()
+
+    async def _send_step(self, data: memoryview) -> None:
+        while data:
+            try:
+                sent = await self._sock.send(data)
+            except OSError as error:
+                raise CallerLost(str(error)) from error
+            self.holding.record_moved(sent)
             data = data[sent:]
 
     async def _serve_next(self) -> bool:
@@ -226,6 +333,14 @@
             received = await self._read_request()
         except h11.RemoteProtocolError as error:
             await self._reject(error.error_status_hint)
+            await self._discard_rest()
+            return False
+        except (RequestEvicted, NoRoom) as error:
+            await self._reject(
+                http.HTTPStatus.SERVICE_UNAVAILABLE, _NO_ROOM_RETRY_AFTER
+            )
+            if isinstance(error, NoRoom):
+                await self._discard_rest()
             return False
         except RequestCut:
             await self._reject(
@@ -241,6 +356,9 @@
             self._reader.end_serving()
         if aborted is not None:
             raise aborted
+        if self.holding.is_wanted and self._h11.trailing_data[0]:
+            # A request that was sent behind this one was not begun.
+            return False
         return server_side.start_next_cycle(self._h11)
 
     async def _run_handler(
@@ -305,27 +423,49 @@
         if not isinstance(head, h11.Request):
             return None
         arrived = self._clock.monotonic()
-        body = bytearray()
-        limit = self._limits().body_bytes
-        while isinstance(event := await self._next_event(), h11.Data):
-            body += event.data
-            if len(body) > limit:
-                raise h11.RemoteProtocolError(
-                    'body too large',
-                    error_status_hint=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                )
-        if not isinstance(event, h11.EndOfMessage):
+        body = await self._read_body(head)
+        if body is None:
             return None
         request = CallerRequest(
             head.method.decode('ascii'),
             head.target.decode('latin-1'),
             list(head.headers),
-            bytes(body),
+            body,
             arrived,
             self._address,
         )
         return request, response_framing.ResponseFraming(self._h11, head)
 
+    async def _read_body(self, head: h11.Request) -> bytes | bytearray | None:
+        """Read a body; ``None`` if the caller closes before its end.
+
+        :raises RemoteProtocolError: if it is too large
+        :raises NoRoom: if there is no memory for it
+        """
+        body = bytearray()
+        limit = self._limits().body_bytes
+        taken = heads.content_length(head.headers)
+        _check_length(taken, limit)
+        await self._take(taken)
+        parts = 0
+        while isinstance(event := await self._next_event(), h11.Data):
+            size = len(body) + len(event.data)
+            _check_length(size, limit)
+            if size > taken:
+                step = min(max(size, _MIN_STEP_BYTES), _MAX_STEP_BYTES)
+                await self._take(step)
+                taken += step
+            body += event.data
+            parts += 1
+            await self._parsing_turns.pause(parts)
+        if not isinstance(event, h11.EndOfMessage):
+            return None
+        return body if len(body) > _MAX_COPIED_BYTES else bytes(body)
+
+    async def _take(self, size: int) -> None:
+        if size and not await self.holding.take(size):
+            raise NoRoom('no memory for the body')
+
     async def _next_event(self) -> connections.Event:
         while True:
             self._reader.forget_news()
@@ -339,6 +479,16 @@
                 await self.send(self._h11.send(_CONTINUE))
             await self._reader.wait_for_data()
 
+    async def _discard_rest(self) -> None:
+        """Let the caller read a refusal while it still sends."""
+        if self.is_closing:
+            return
+        try:
+            self._sock._socket.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            raise CallerLost(str(error)) from error
+        await self._reader.discard_rest(_DISCARD_TIME)
+
     async def _reject(
         self, status: int, retry_after: datetime.timedelta | None = None
     ) -> None:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller_reader.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller_reader.py
@@ -7,12 +7,14 @@
 import curio
 import h11
 
+from magnoliawood.budgets import client_budget
 from magnoliawood.core import clock as clocks
 from magnoliawood.routes import configuration as configurations
 
-_READ_SIZE_BYTES = 64 * 1024
-# Limit on the data read ahead while a request is served.
-_READ_AHEAD_BYTES = 64 * 1024
+# Limits on the data of one read, and on that read ahead while a request is
+# served. They are part of what the budget counts for each connection.
+_READ_SIZE_BYTES = 32 * 1024
+_READ_AHEAD_BYTES = 8 * 1024
 
 LimitsSource = collections.abc.Callable[[], configurations.CallerLimits]
 
@@ -21,6 +23,10 @@
     """The process ends before the request does."""
 
 
+class RequestEvicted(RequestCut):
+    """The request gives way, since its caller makes no progress."""
+
+
 @dataclasses.dataclass(slots=True)
 class CallerActivity:
     """State shared by the caller connections of this process.
@@ -75,6 +81,8 @@
 
     :param machine: parser that gets what is read
     :param limits: returns the current limits on callers
+    :param holding: what the connection holds
+    :param body_limit: time within which a body has to arrive
     """
 
     def __init__(
@@ -84,7 +92,13 @@
         limits: LimitsSource,
         activity: CallerActivity,
         clock: clocks.Clock,
+        holding: client_budget.Holding,
+        body_limit: datetime.timedelta,
     ) -> None:
+        self._holding = holding
+        self._body_limit = body_limit
+        # Time at which the first part of the request was waited for.
+        self._began: datetime.timedelta | None = None
         self._sock = sock
         self._h11 = machine
         self._limits = limits
@@ -98,6 +112,8 @@
         self._may_read_on = curio.Event()
         self._error: OSError | None = None
         self._read_ahead_bytes = 0
+        self._is_discarding = False
+        self._ended = curio.Event()
         self._idle_since: datetime.timedelta | None = None
 
     @property
@@ -109,6 +125,8 @@
         """Record that a whole request has been read and is served."""
         assert self._server is not None  # Set by start.
         self._is_serving = True
+        self._began = None
+        self._holding.begin_serving()
         self._activity.reading.discard(self._server)
         self._activity.serving.add(self._server)
 
@@ -116,6 +134,7 @@
         """Record that the response is complete, or never will be."""
         assert self._server is not None  # Set by start.
         self._is_serving = False
+        self._holding.end_request()
         self._activity.serving.discard(self._server)
 
     def stop(self) -> None:
@@ -144,14 +163,48 @@
             await self._wait_for_request()
         else:
             self._mark_reading()
-            limit = self._limits().header_timeout
-            async with curio.ignore_after(limit.total_seconds()):
+            limit = self._time_left()
+            async with curio.ignore_after(max(0.0, limit.total_seconds())):
                 await self._news.wait()
             if not self._news.is_set():
                 raise ConnectionResetError('caller sent no data in time')
         if self._error is not None:
             raise self._error
 
+    async def discard_rest(self, limit: datetime.timedelta) -> None:
+        """Discard what the caller still sends of a refused request.
+
+        Closing the connection with unread data would reset it, and the caller
+        might not read the response.
+
+        :param limit: time after which it is given up
+        """
+        self._holding.end_request()
+        self._is_discarding = True
+        await self._may_read_on.set()
+        async with curio.ignore_after(limit.total_seconds()):
+            await self._ended.wait()
+
+    async def give_way(self) -> None:
+        """End what the connection does, so that others find room."""
+        if self._server is not None:
+            await self._server.cancel(exc=RequestEvicted, blocking=False)
+
+    def _time_left(self) -> datetime.timedelta:
+        """Return the time for which more of a request is waited for.
+
+        A head has to arrive within its limit, however its parts are sent. A
+        body has the same limit for each pause, and one for all of it.
+        """
+        now = self._clock.monotonic()
+        self._holding.begin_receiving(now)
+        if self._began is None:
+            self._began = now
+        header_limit = self._limits().header_timeout
+        if self._h11.their_state is h11.IDLE:
+            return self._began + header_limit - now
+        return min(header_limit, self._began + self._body_limit - now)
+
     def _is_between_requests(self) -> bool:
         return (
             self._h11.their_state is h11.IDLE
@@ -173,6 +226,7 @@
             raise ConnectionResetError('connection closed while idle')
         self._activity.reading.discard(self._server)
         self._idle_since = self._clock.monotonic()
+        self._holding.become_idle(self._idle_since)
         self._activity.waiting.add(self._server)
         try:
             await self._news.wait()
@@ -213,7 +267,10 @@
     async def _read_and_report(self) -> None:
         try:
             while data := await self._read_some():
+                if self._is_discarding:
+                    continue
                 self._read_ahead_bytes += len(data)
+                self._holding.record_moved(len(data))
                 self._h11.receive_data(data)
                 await self._news.set()
         except OSError as error:
@@ -227,7 +284,8 @@
         :raises OSError: if the connection is lost or may not be read any more
         """
         while True:
-            if self._read_ahead_bytes > _READ_AHEAD_BYTES:
+            is_ahead = self._read_ahead_bytes > _READ_AHEAD_BYTES
+            if is_ahead and not self._is_discarding:
                 self._may_read_on.clear()
                 await self._may_read_on.wait()
             # Without trying first, since there is hardly ever data.
@@ -235,7 +293,7 @@
             if self._idle_since is not None and self._activity.is_closed:
                 raise ConnectionResetError('connection closed while idle')
             try:
-                data = self._sock._socket.recv(_READ_SIZE_BYTES)
+                data = self._sock._socket.recv(self._read_size())
             except BlockingIOError:
                 continue
             self._stop_idling()
@@ -243,9 +301,13 @@
                 self._mark_reading()
             return data
 
+    def _read_size(self) -> int:
+        return _READ_AHEAD_BYTES if self._is_serving else _READ_SIZE_BYTES
+
     async def _end(self, error: OSError | None = None) -> None:
         """Report the end of the stream; a request in progress is cancelled."""
         assert self._server is not None  # Set by start.
+        await self._ended.set()
         if self._is_serving:
             self._has_caller_left = True
             await self._server.cancel(blocking=False)
--- a/packages/magnoliawood-server/magnoliawood_server/http/heads.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/heads.py
@@ -14,6 +14,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 _HOST = b'host'
+_CONTENT_LENGTH = b'content-length'
 _MAX_METHODS = 64
 # Statuses and methods whose responses have no body of their own.
 _STATUSES_WITHOUT_BODY = frozenset(
@@ -109,6 +110,22 @@
     )
 
 
+def content_length(
+    headers: collections.abc.Iterable[tuple[bytes, bytes]],
+) -> int:
+    """Return the declared length of a parsed body; 0 if there is none.
+
+    Examples
+    ========
+
+    >>> content_length([(b'host', b'h'), (b'content-length', b'12')])
+    12
+    """
+    return next(
+        (int(value) for name, value in headers if name == _CONTENT_LENGTH), 0
+    )
+
+
 def asks_to_close(
     headers: collections.abc.Iterable[tuple[bytes, bytes]],
 ) -> bool:
--- a/packages/magnoliawood-server/magnoliawood_server/http/response_framing.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/response_framing.py
@@ -4,6 +4,8 @@
 
 from magnoliawood_server.http import heads
 
+_MAX_COPIED_BYTES = 64 * 1024
+
 
 class ResponseFraming:
     """Frames a response and keeps the parser of its connection in step.
@@ -28,15 +30,26 @@
     ) -> bytes:
         """Return a response whose whole body is available.
 
+        :param is_last: whether the connection closes after the response
+        """
+        return b''.join(self.complete_parts(status, headers, body, is_last))
+
+    def complete_parts(
+        self, status: int, headers: heads.Headers, body: bytes, is_last: bool
+    ) -> tuple[bytes, ...]:
+        """Return the parts of a complete response; a long body isn't copied.
+
         :param is_last: whether the connection closes after the response
         """
         length = (b'content-length', b'%d' % len(body))
         head = self._head(status, [*headers, length], is_last)
         if self._is_plain:
             self._h11.send(heads.END)
-            return head + body
+            if len(body) > _MAX_COPIED_BYTES:
+                return head, body
+            return (head + body,)
         data = self._h11.send(h11.Data(data=body)) if body else b''
-        return b''.join((head, data or b'', self.end()))
+        return (b''.join((head, data or b'', self.end())),)
 
     def start(
         self, status: int, headers: heads.Headers, data: bytes, is_last: bool
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -4,13 +4,17 @@
 import dataclasses
 import datetime
 import logging
+import socket
 import typing
 
 import curio
 import h11
 
+from magnoliawood.budgets import client_budget
+from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood_server.http import connection as connections
+from magnoliawood_server.http import heads
 from magnoliawood_server.http import message as messages
 from magnoliawood_server.http import server_side
 
@@ -19,7 +23,22 @@
 PROGRESS_TIMEOUT = datetime.timedelta(seconds=10)
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 HEAD_LIMIT_BYTES = 32 * 1024
-_READ_SIZE_BYTES = 64 * 1024
+# Time for which the rest of a request that was refused is discarded.
+DISCARD_TIME = datetime.timedelta(seconds=1)
+# Time within which a body has to arrive.
+BODY_LIMIT = datetime.timedelta(seconds=30)
+_READ_SIZE_BYTES = 8 * 1024
+# Limit on the data that is read while a response is sent. Only whether the
+# peer is still connected matters then.
+_READ_AHEAD_BYTES = 8 * 1024
+# Memory for a body and for what is made of it: its text, the parsed document
+# and the messages to other processes.
+_COPIES_OF_BODY = 4
+_MIN_STEP_BYTES = 16 * 1024
+_MAX_STEP_BYTES = 1024 * 1024
+# Parts of one body that are parsed without a pause for other connections.
+_PARTS_AT_ONCE = 64
+_RETRY_AFTER = datetime.timedelta(seconds=1)
 
 Handler = collections.abc.Callable[
     [messages.Request],
@@ -50,6 +69,10 @@
         return bool(self.reading or self.requests)
 
 
+class _GaveWay(curio.TaskCancelled):
+    """The connection gives way, since its client makes no progress."""
+
+
 class _Connection:
     """Socket of one connection and its h11 state."""
 
@@ -58,7 +81,16 @@
         sock: curio.io.Socket,
         activity: Activity,
         progress_timeout: datetime.timedelta,
+        body_limit: datetime.timedelta,
+        holding: client_budget.Holding,
+        task: curio.Task,
     ) -> None:
+        self.holding = holding
+        self._task = task
+        self._body_limit = body_limit
+        # Monotonic time in seconds at which the request began to arrive.
+        self._began: float | None = None
+        holding.end_with(self._give_way)
         self._sock = sock
         self._activity = activity
         self._is_reading = False
@@ -93,33 +125,113 @@
             # writes do.
             return self._sock._socket.send(data)
         except BlockingIOError:
-            return await _run_with_timeout(
-                self._progress_timeout, self._sock.send, data
-            )
+            pass
+        self.holding.wait_for_client()
+        sent = await _run_with_timeout(
+            self._progress_timeout, self._sock.send, data
+        )
+        self.holding.begin_serving()
+        return sent
+
+    async def _give_way(self) -> None:
+        await self._task.cancel(exc=_GaveWay, blocking=False)
 
     async def _receive(self) -> bytes:
-        is_idle = self._h11.their_state is h11.IDLE
-        timeout = IDLE_TIMEOUT if is_idle else self._progress_timeout
         data = await _run_with_timeout(
-            timeout, self._sock.recv, _READ_SIZE_BYTES
+            self._receive_timeout(), self._sock.recv, _READ_SIZE_BYTES
         )
+        self.holding.record_moved(len(data))
         if data and not self._is_reading:
             self._is_reading = True
             self._activity.reading += 1
         return data
 
+    def _receive_timeout(self) -> datetime.timedelta:
+        """Return the time for which more data is waited for.
+
+        A head has one limit for all of its parts. A body has a limit for each
+        pause, and one for all of it.
+        """
+        is_head = self._h11.their_state is h11.IDLE
+        now = self.holding.now()
+        if is_head and not self._h11.trailing_data[0]:
+            self._began = None
+            self.holding.become_idle(now)
+            return IDLE_TIMEOUT
+        self.holding.begin_receiving(now)
+        if self._began is None:
+            self._began = now.total_seconds()
+        passed = now - datetime.timedelta(seconds=self._began)
+        if is_head:
+            return self._progress_timeout - passed
+        return min(self._progress_timeout, self._body_limit - passed)
+
+    async def read_body(self, declared: int) -> bytes | None:
+        """Read a body; ``None`` if the peer closes before its end.
+
+        :param declared: length that the head states; 0 if it states none
+        :raises MagnoliawoodError: if it is too large, or if there is no room
+        """
+        body = bytearray()
+        _check_length(declared)
+        await self.take(declared * _COPIES_OF_BODY)
+        taken, parts = declared, 0
+        while isinstance(event := await self.next_event(), h11.Data):
+            size = len(body) + len(event.data)
+            _check_length(size)
+            if size > taken:
+                step = min(max(size, _MIN_STEP_BYTES), _MAX_STEP_BYTES)
+                await self.take(step * _COPIES_OF_BODY)
+                taken += step
+            body += event.data
+            parts += 1
+            if parts % _PARTS_AT_ONCE == 0:
+                await curio.sleep(0)
+        return bytes(body) if isinstance(event, h11.EndOfMessage) else None
+
+    async def take(self, size: int) -> None:
+        """Take memory before it is used.
+
+        :raises MagnoliawoodError: with ``host_overloaded`` if there is none
+        """
+        if size and not await self.holding.take(size):
+            raise _no_room_error()
+
     def end_reading(self) -> None:
         """Record that no request is being read any more."""
+        self._began = None
         if self._is_reading:
             self._is_reading = False
             self._activity.reading -= 1
 
     async def wait_for_close(self) -> None:
-        """Buffer incoming data until the peer closes its side."""
+        """Buffer some incoming data until the peer closes its side.
+
+        A peer that sends more is not read any further, so that its leave goes
+        unnoticed until a write fails.
+        """
+        ahead = 0
         while data := await self._sock.recv(_READ_SIZE_BYTES):
             self._h11.receive_data(data)
+            ahead += len(data)
+            if ahead > _READ_AHEAD_BYTES:
+                await curio.Event().wait()
         self._h11.receive_data(b'')
 
+    async def discard_rest(self) -> None:
+        """Discard what the peer still sends of a request that was refused.
+
+        Closing the connection with unread data would reset it, and the peer
+        might not read the response.
+        """
+        if self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
+            return
+        self.holding.end_request()
+        self._sock._socket.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(DISCARD_TIME.total_seconds()):
+            while await self._sock.recv(_READ_SIZE_BYTES):
+                pass
+
     @property
     def may_respond(self) -> bool:
         return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
@@ -133,16 +245,30 @@
     handler: Handler,
     activity: Activity,
     progress_timeout: datetime.timedelta = PROGRESS_TIMEOUT,
+    body_limit: datetime.timedelta = BODY_LIMIT,
+    holding: client_budget.Holding | None = None,
 ) -> None:
     """Serve requests of one connection until either side closes it.
 
     :param progress_timeout: the connection is closed when a peer sends nothing
-        for this time within a request, or reads nothing of a response
+        for this time within a request, does not send a whole head in it, or
+        reads nothing of a response
+    :param body_limit: time within which a body has to arrive
+    :param holding: what the connection holds; unlimited by default
     """
-    connection = _Connection(sock, activity, progress_timeout)
+    connection = _Connection(
+        sock,
+        activity,
+        progress_timeout,
+        body_limit,
+        holding or client_budget.unlimited_holding(clocks.SystemClock()),
+        await curio.current_task(),
+    )
     try:
         while await _serve_request(connection, handler, activity):
             pass
+    except _GaveWay:
+        _log.debug('connection closed for want of room')
     except (OSError, h11.LocalProtocolError):
         _log.debug('connection lost')
     finally:
@@ -179,10 +305,14 @@
     except errors.MagnoliawoodError as error:
         await _reject(connection, error)
         return False
+    except _GaveWay:
+        await _reject(connection, _no_room_error())
+        return False
     if request is None:
         return False
     activity.requests += 1
     connection.end_reading()
+    connection.holding.begin_serving()
     try:
         if activity.is_closed:
             await _reject(connection, _leaving_error())
@@ -193,9 +323,18 @@
         await _write_response(connection, response)
     finally:
         activity.requests -= 1
+        connection.holding.end_request()
     return connection.start_next_cycle()
 
 
+def _no_room_error() -> errors.MagnoliawoodError:
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.HOST_OVERLOADED,
+        'clients hold all memory that they may',
+        retry_after=_RETRY_AFTER,
+    )
+
+
 def _leaving_error() -> errors.MagnoliawoodError:
     return errors.MagnoliawoodError(
         errors.ErrorCode.LEAVING, 'the process ends'
@@ -206,15 +345,8 @@
     head = await connection.next_event()
     if not isinstance(head, h11.Request):
         return None
-    body = bytearray()
-    while isinstance(event := await connection.next_event(), h11.Data):
-        body += event.data
-        if len(body) > BODY_LIMIT_BYTES:
-            raise errors.MagnoliawoodError(
-                errors.ErrorCode.MESSAGE_TOO_LARGE,
-                f'the body exceeds {BODY_LIMIT_BYTES} bytes',
-            )
-    if not isinstance(event, h11.EndOfMessage):
+    body = await connection.read_body(heads.content_length(head.headers))
+    if body is None:
         return None
     return messages.Request(
         head.method.decode('ascii'),
@@ -223,10 +355,18 @@
             name.decode('ascii'): value.decode('latin-1')
             for name, value in head.headers
         },
-        bytes(body),
+        body,
     )
 
 
+def _check_length(size: int) -> None:
+    if size > BODY_LIMIT_BYTES:
+        raise errors.MagnoliawoodError(
+            errors.ErrorCode.MESSAGE_TOO_LARGE,
+            f'the body exceeds {BODY_LIMIT_BYTES} bytes',
+        )
+
+
 async def _reject(
     connection: _Connection, error: errors.MagnoliawoodError
 ) -> None:
@@ -234,6 +374,8 @@
         response = messages.Response.from_error(error)
         response.headers['connection'] = 'close'
         await _write_response(connection, response)
+        if not connection.holding.is_lost:
+            await connection.discard_rest()
 
 
 async def _handle(
@@ -266,7 +408,9 @@
     try:
         await _write_parts(connection, response, watcher)
     finally:
-        await watcher.cancel()
+        # It has to end before the socket is closed.
+        async with curio.disable_cancellation():
+            await watcher.cancel()
 
 
 async def _write_complete(
@@ -304,10 +448,11 @@
             await connection.send(h11.Data(data=part))
     finally:
         # A cancelled write would leave an incomplete chunk in the stream.
-        async with connection.write_lock:
-            await keepalive_sender.cancel()
-        if hasattr(parts, 'aclose'):
-            await parts.aclose()
+        async with curio.disable_cancellation():
+            async with connection.write_lock:
+                await keepalive_sender.cancel()
+            if hasattr(parts, 'aclose'):
+                await parts.aclose()
     await connection.send(h11.EndOfMessage())
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/listener.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/listener.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from magnoliawood.budgets import client_budget
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood_server.http import connection as http_connections
@@ -15,12 +16,17 @@
 from magnoliawood_server.peer import handshake as handshakes
 
 _BACKLOG = 512
+# Receive buffer of a client's connection, which the kernel doubles. What lies
+# in it unread is memory of the process, and the budget counts it for each
+# connection.
+_CLIENT_BUFFER_BYTES = 8 * 1024
 _ACCEPT_RETRY = datetime.timedelta(milliseconds=100)
 
 _log = logging.getLogger(__name__)
 
 ClientTask = collections.abc.Callable[
-    [curio.io.Socket], collections.abc.Awaitable[None]
+    [curio.io.Socket, client_budget.Holding],
+    collections.abc.Awaitable[None],
 ]
 
 
@@ -29,9 +35,18 @@
 
     :param address: IP address and port to listen on
     :param serve_client: called with the socket of each accepted connection
+    :param budget: budget of what clients make the process hold; a client for
+        whom it has no room is disconnected before anything is read; by
+        default there is no limit
     """
 
-    def __init__(self, address: str, serve_client: ClientTask) -> None:
+    def __init__(
+        self,
+        address: str,
+        serve_client: ClientTask,
+        budget: client_budget.ClientBudget | None = None,
+    ) -> None:
+        self._budget = budget or _unlimited()
         host, _, port = address.rpartition(':')
         self._host = host
         self._port = int(port)
@@ -48,6 +63,11 @@
         sock = curio.tcp_server_socket(
             self._host, self._port, backlog=_BACKLOG
         )
+        if self._budget.is_limited:
+            # Accepted connections inherit it.
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, _CLIENT_BUFFER_BYTES
+            )
         self._task = await curio.spawn(self._accept_forever, sock)
         try:
             await curio.Event().wait()
@@ -75,15 +95,28 @@
                     )
                     await curio.sleep(_ACCEPT_RETRY.total_seconds())
                     continue
-                await curio.spawn(self._serve, client, daemon=True)
+                holding = await self._budget.open()
+                if holding is None:
+                    await client.close()
+                else:
+                    await curio.spawn(
+                        self._serve, client, holding, daemon=True
+                    )
+                if self._budget.is_full:
+                    # Lets connections end that gave way.
+                    await curio.sleep(0)
 
-    async def _serve(self, client: curio.io.Socket) -> None:
+    async def _serve(
+        self, client: curio.io.Socket, holding: client_budget.Holding
+    ) -> None:
         task = await curio.current_task()
         self._clients.add(task)
         try:
             async with client:
-                await self._serve_client(client)
+                if not holding.is_lost:
+                    await self._serve_client(client, holding)
         finally:
+            holding.close()
             self._clients.discard(task)
 
 
@@ -91,20 +124,36 @@
     address: str,
     handler: http_server.Handler,
     activity: http_server.Activity | None = None,
+    budget: client_budget.ClientBudget | None = None,
+    body_limit: datetime.timedelta = http_server.BODY_LIMIT,
 ) -> Listener:
     """Return a listener for HTTP.
 
     :param handler: handles each request
     :param activity: counts the requests of the listener and can close their
         connections; by default each listener has its own
+    :param budget: budget of what clients hold; unlimited by default
+    :param body_limit: time within which a body has to arrive
     """
     http_activity = activity or http_server.Activity()
 
-    async def serve(sock: curio.io.Socket) -> None:
+    async def serve(
+        sock: curio.io.Socket, holding: client_budget.Holding
+    ) -> None:
         http_connections.set_socket_options(sock._socket)
-        await http_server.serve_connection(sock, handler, http_activity)
+        await http_server.serve_connection(
+            sock,
+            handler,
+            http_activity,
+            body_limit=body_limit,
+            holding=holding,
+        )
 
-    return Listener(address, serve)
+    return Listener(address, serve, budget)
+
+
+def _unlimited() -> client_budget.ClientBudget:
+    return client_budget.unlimited(clocks.SystemClock())
 
 
 def peer_listener(
@@ -120,7 +169,9 @@
         each peer is accepted
     """
 
-    async def serve(sock: curio.io.Socket) -> None:
+    async def serve(
+        sock: curio.io.Socket, holding: client_budget.Holding
+    ) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             if handshake is not None:
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/metrics_page.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/metrics_page.py
@@ -1,8 +1,11 @@
 """HTTP endpoint for the metrics of a process, on a separate address."""
 
+from magnoliawood.budgets import client_budget
+from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.http import message as messages
+from magnoliawood_server.runtime import client_limits
 from magnoliawood_server.runtime import listener as listeners
 
 METRICS_PATH = '/metrics'
@@ -41,4 +44,9 @@
     address: str, registry: registries.Registry
 ) -> listeners.Listener:
     """Return an HTTP listener that serves the metrics of a registry."""
-    return listeners.http_listener(address, MetricsPage(registry).handle)
+    budget = client_budget.ClientBudget(
+        client_limits.PAGE_LIMITS, clocks.SystemClock(), registry
+    )
+    return listeners.http_listener(
+        address, MetricsPage(registry).handle, budget=budget
+    )
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -6,7 +6,9 @@
 import pydantic
 import pydantic_settings
 
+from magnoliawood.budgets import client_budget
 from magnoliawood.scheduling import policies
+from magnoliawood_server.runtime import client_limits
 
 ENVIRONMENT_PREFIX = 'MAGNOLIAWOOD_'
 _ADDRESS = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
@@ -33,7 +35,9 @@
     return value
 
 
-class CommonSettings(pydantic_settings.BaseSettings):
+class CommonSettings(
+    client_limits.ClientLimits, pydantic_settings.BaseSettings
+):
     """Settings that entries and sidecars have in common."""
 
     model_config = pydantic_settings.SettingsConfigDict(
@@ -80,6 +84,22 @@
         'but not used yet',
     )
 
+    memory_mb: int = pydantic.Field(
+        default=client_limits.DEFAULT_MEMORY_BYTES // 2**20,
+        ge=64,
+        description='memory in MiB that the process may use, of which '
+        'clients get their share',
+    )
+    max_fds: int = pydantic.Field(
+        default=client_limits.DEFAULT_MAX_DESCRIPTORS,
+        ge=300,
+        description='descriptors that the process may open',
+    )
+
+    def client_budget_limits(self) -> client_budget.BudgetLimits:
+        """Return the limits on what clients make the process hold."""
+        return self.budget_limits(self.memory_mb * 2**20, self.max_fds)
+
     def peer_secrets(self) -> list[str]:
         """Return the shared secrets in plain text, in configured order."""
         return self.peer_secret.get_secret_value().split(',')
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/tests/test_listener.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/tests/test_listener.py
@@ -15,7 +15,7 @@
         port = reservation.getsockname()[1]
     tasks_begun = []
 
-    async def serve(sock):
+    async def serve(sock, holding):
         while True:
             tasks_begun.append(await curio.spawn(curio.sleep, 60, daemon=True))
             await curio.sleep(0)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from magnoliawood.budgets import client_budget
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
 from magnoliawood.ownership import fence as fences
@@ -90,7 +91,13 @@
             settings.peer_listen, self._clock, self._handle, self._handshake
         )
         pages = listener.http_listener(
-            settings.http_listen, self._handle_http, self._activity
+            settings.http_listen,
+            self._handle_http,
+            self._activity,
+            client_budget.ClientBudget(
+                settings.client_budget_limits(), self._clock, self._metrics
+            ),
+            settings.body_limit,
         )
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(peers.run)
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_at_own_interface.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_at_own_interface.py
@@ -19,12 +19,17 @@
 STREAMS = 8
 BEHIND_BYTES = 20 * MEGABYTE
 BODY = b'x' * BODY_BYTES
+HOST_LIMITS = {'memory_mb': MEMORY_MB, 'max_fds': MAX_FDS}
 
 
 @pytest.fixture(params=['entry', 'sidecar'])
 def node(request):
     with deployments.Deployment(
-        engines=1, entries=1, services=()
+        engines=1,
+        entries=1,
+        services=(),
+        entry_settings=HOST_LIMITS,
+        sidecar_settings=HOST_LIMITS,
     ) as deployment:
         roles = {
             'entry': deployment.entries,
@@ -100,7 +105,11 @@
 
 def test_bytes_behind_a_request_whose_response_is_streamed():
     with deployments.Deployment(
-        engines=1, entries=1, services=(), step_seconds=0.02
+        engines=1,
+        entries=1,
+        services=(),
+        step_seconds=0.02,
+        entry_settings=HOST_LIMITS,
     ) as deployment:
         deployment.create_account('crowd')
         entry = next(iter(deployment.entries.values()))
