Take memory for responses before they are read from upstreams

What callers saw: callers that do not read held large responses, and their copies, in a gateway: 24 of 3 MiB took it to 230 MB where its host has 96.

Cause: a complete response was read, joined and copied behind its head without a budget, and any byte read in five seconds kept it.

Change: memory for a response is taken as it arrives; while there is none, the upstream waits, and the caller that holds most for longest without reading gives way. A response that is kept for storing takes its memory, too.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -114,6 +114,7 @@
 class Exchange:
     """Sends a request to an upstream and forwards the response.
 
+    :param body: parts of the body that is sent
     :param before_start: called before the first event of a stream is sent
         to the caller; the attempt is abandoned if it raises an error
     :param before_end: called when a successful response is complete, before
@@ -126,7 +127,7 @@
         self,
         pool: upstream_pool.UpstreamPool,
         request: callers.CallerRequest,
-        body: bytes,
+        body: connections.Body | bytes,
         responder: callers.Responder,
         delivery: deliveries.Delivery,
         before_start: Step,
@@ -241,13 +242,24 @@
                 result = await self._relay(connection, response)
                 self._observer.record_trailers(upstream, connection.trailers)
                 return result
-            body = await connection.read_full_body()
+            body = await self._read_full_body(connection)
         except callers.CallerLost:
             raise
         except OSError as error:
             return _failed(error)
         return await self._deliver_complete(response, body)
 
+    async def _read_full_body(
+        self, connection: connections.ClientConnection
+    ) -> bytes:
+        """Read a complete body; its memory, and a copy's, is taken first."""
+        parts: list[bytes] = []
+        async with contextlib.aclosing(connection.read_body()) as received:
+            async for part in received:
+                await self._responder.take_memory_for_response(2 * len(part))
+                parts.append(part)
+        return b''.join(parts)
+
     async def _deliver_complete(
         self, response: requests.UpstreamResponse, body: bytes
     ) -> Result:
@@ -351,6 +363,9 @@
     ) -> None:
         if batch is None:
             return
+        if self._delivery.keeps_output:
+            # The output is kept, and copied once more when it is stored.
+            await self._responder.take_memory_for_response(2 * len(batch.raw))
         if self._responder.is_started:
             self._delivery.record_events(batch)
             await self._responder.send_part(batch.raw)
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
@@ -195,9 +195,15 @@
             errors.verdicts.Verdict.MAY_HAVE_RUN,
         )
 
-    def cut_error(self) -> errors.MagnoliawoodError:
-        """Return the error with which a stop of the process ends it."""
+    def cut_error(self, is_evicted: bool = False) -> errors.MagnoliawoodError:
+        """Return the error with which a request ends before its time.
+
+        :param is_evicted: whether it gives way since its caller makes no
+            progress; otherwise the process stops
+        """
         reason = 'the process stops before the request has ended'
+        if is_evicted:
+            reason = 'others need the room of a caller that does not read'
         if self.runs:
             return errors.MagnoliawoodError(
                 errors.ErrorCode.OUTCOME_UNKNOWN,
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_exchange.py
@@ -38,6 +38,9 @@
         self.is_started = True
         self.sent.append(data)
 
+    async def take_memory_for_response(self, size):
+        return
+
     async def send_part(self, data):
         self.is_started = True
         self.sent.append(data)
