Store and send long turns in pieces, without a copy of the whole

What callers saw: a turn of the largest legal size took a gateway many times its length, and a few at once ended it or a keeper.

Cause: history and input were joined, joined again behind the head of the request, encoded as one record, and again for each keeper.

Change: the parts of a long body are sent from where they lie. No message to a keeper grows with the turn. Memory for the input's copy and for the history is taken before the turn runs; without it the turn is refused with 503 and Retry-After. Two long turns are stored, and two long chains read, at once.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/handler.py
@@ -29,6 +29,7 @@
 from magnoliawood_server.gateway import upstream_announcements
 from magnoliawood_server.gateway import upstream_choice
 from magnoliawood_server.gateway import upstream_pool
+from magnoliawood_server.http import connection as connections
 from magnoliawood_server.platform import requests
 
 # Limit on the attempts of one request that upstreams refuse or that fail to
@@ -117,22 +118,28 @@
             self._gates.admit(job)
             try:
                 await self._serve(job)
-            except callers.RequestCut:
-                raise job.cut_error() from None
+            except callers.RequestCut as cut:
+                is_evicted = isinstance(cut, callers.RequestEvicted)
+                raise job.cut_error(is_evicted) from None
             finally:
                 self._gates.end(job)
         except errors.MagnoliawoodError as error:
             await self._reject(request, metadata, responder, error)
 
     async def _serve(self, job: jobs.Job) -> None:
-        body = job.request.body
+        body: connections.Body = (job.request.body,)
         if job.is_resumable_stream:
             await self._bind_stream(job)
         if job.is_turn:
             job.turn = await self._guard.admit(
-                job.metadata, job.route, job.account, job.stream
+                job.metadata,
+                job.route,
+                job.account,
+                job.stream,
+                job.responder.take_memory,
+                len(job.request.body),
             )
-            body = job.turn.history + body
+            body = (*job.turn.history_parts, job.request.body)
             job.delivery.keeps_output = bool(job.turn.retention_period)
         try:
             job.admitted = self._clock.monotonic()
@@ -152,7 +159,9 @@
         if job.stream.origin is not None:
             job.service = job.stream.origin.service
 
-    async def _try_upstreams(self, job: jobs.Job, body: bytes) -> None:
+    async def _try_upstreams(
+        self, job: jobs.Job, body: connections.Body
+    ) -> None:
         """Try upstreams until one delivers a response.
 
         :raises MagnoliawoodError: if the request is aborted
@@ -331,7 +340,7 @@
             await self._guard.store_turn(
                 job.turn,
                 job.request.body,
-                bytes(job.delivery.output),
+                job.delivery.output,
                 job.tokens_spent,
                 job.deadline,
             )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/record_client.py
@@ -1,6 +1,7 @@
 """Client that reads and writes records on the replica group."""
 
 import collections.abc
+import datetime
 import typing
 
 import curio
@@ -21,6 +22,21 @@
 
 # Used for probes; no program has this id.
 _PROBE_PROGRAM_ID = ''
+# Number of long chains that are read at once, beyond their first part.
+_LONG_READS = 2
+# Retry delay where the clients of this process hold all memory they may.
+_NO_MEMORY_RETRY_AFTER = datetime.timedelta(milliseconds=500)
+
+TakeMemory = collections.abc.Callable[[int], collections.abc.Awaitable[bool]]
+
+
+def no_memory_error() -> errors.MagnoliawoodError:
+    """Return the error for a turn that finds no memory; it has not run."""
+    return errors.MagnoliawoodError(
+        errors.ErrorCode.HOST_OVERLOADED,
+        'clients hold all memory that they may',
+        retry_after=_NO_MEMORY_RETRY_AFTER,
+    )
 
 
 class RecordClient:
@@ -41,6 +57,7 @@
         self._requester = requester
         self._clock = clock
         self._registry = registry or registries.Registry()
+        self._long_reads = curio.Semaphore(_LONG_READS)
         self._requests = group_requests.GroupRequester(
             store, requester, clock, self._registry
         )
@@ -187,26 +204,46 @@
             make_request, lambda group: group.read_quorum, sends_to_all=False
         )
 
-    async def read_chain(self, chain: quorum.Chain) -> quorum.Chain:
+    async def read_chain(
+        self, chain: quorum.Chain, take_memory: TakeMemory | None = None
+    ) -> quorum.Chain:
         """Return a chain with its missing turns read from the replicas.
 
+        :param take_memory: takes the memory of the turns that are read
         :raises MagnoliawoodError: with ``unknown_call`` if the head of the
             chain certainly does not exist any more, with
             ``store_unavailable`` if too few disks replied to decide, or if
-            they lack a turn that a retained one continues
+            they lack a turn that a retained one continues, with
+            ``host_overloaded`` if there is no memory for it
         """
+        chain = await self._extend(chain, take_memory)
         while not chain.is_complete:
-            missing_id = chain.missing_id
-            try:
-                replies = await self._read_turns(missing_id)
-            except errors.MagnoliawoodError:
-                self._count_unread('no_quorum')
-                raise
-            chain = chain.extend(_longest(replies))
-            if chain.missing_id == missing_id:
-                raise self._missing_turn(chain, len(replies))
+            # A reply holds all of an ordinary chain.
+            async with self._long_reads:
+                chain = await self._extend(chain, take_memory)
         return chain
 
+    async def _extend(
+        self, chain: quorum.Chain, take_memory: TakeMemory | None
+    ) -> quorum.Chain:
+        """Return a chain with what one reply of the replicas holds of it."""
+        missing_id = chain.missing_id
+        if not missing_id:
+            return chain
+        try:
+            replies = await self._read_turns(missing_id)
+        except errors.MagnoliawoodError:
+            self._count_unread('no_quorum')
+            raise
+        extended = chain.extend(_longest(replies))
+        if extended.missing_id == missing_id:
+            raise self._missing_turn(extended, len(replies))
+        new = extended.turns[len(chain.turns) :]
+        size = sum(len(part) for turn in new for part in turn.parts)
+        if take_memory is not None and not await take_memory(size):
+            raise no_memory_error()
+        return extended
+
     def _missing_turn(
         self, chain: quorum.Chain, disks: int
     ) -> errors.MagnoliawoodError:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/cut_support.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/cut_support.py
@@ -95,8 +95,10 @@
         self.turns = []
         self._is_away = is_away
 
-    async def admit(self, metadata, route, account, stream):
-        return types.SimpleNamespace(history=b'', retention_period=_PERIOD)
+    async def admit(self, metadata, route, account, stream, *memory):
+        return types.SimpleNamespace(
+            history_parts=[], retention_period=_PERIOD
+        )
 
     async def store_turn(self, turn, input_bytes, output, tokens, deadline):
         if self._is_away:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/tests/test_turn_guard.py
@@ -33,7 +33,7 @@
             self.table.apply(record)
         return [self.table.charges(program_id)]
 
-    async def read_chain(self, chain):
+    async def read_chain(self, chain, take_memory):
         extended = chain.extend(self.table.chain(chain.missing_id))
         if extended.is_complete:
             return extended
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import datetime
 import secrets
@@ -15,6 +16,7 @@
 from magnoliawood.replication import quorum
 from magnoliawood.routes import configuration as configurations
 from magnoliawood.turns import ledger as ledgers
+from magnoliawood.turns import pieces as turn_pieces
 from magnoliawood.turns import records
 from magnoliawood_server.gateway import record_client as record_clients
 from magnoliawood_server.gateway import settlements
@@ -29,6 +31,15 @@
 CLOCK_TOLERANCE = datetime.timedelta(seconds=5)
 # Size limit of the cache of turns that this process has read or stored.
 _CACHE_BYTES = 16 * 1024 * 1024
+# Number of long turns that are stored at once. Each has some messages under
+# way that hold a copy of a piece.
+_LONG_WRITES = 2
+
+TakeMemory = collections.abc.Callable[[int], collections.abc.Awaitable[bool]]
+
+
+async def _take_any(size: int) -> bool:
+    return True
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,11 +68,19 @@
         """Text of the previous turns, sent before the input of this one."""
         return self.chain.body
 
+    @property
+    def history_parts(self) -> list[bytes]:
+        """The history, not joined."""
+        return self.chain.parts
+
 
 class _TurnCache:
     """Least recently used cache of turns by id."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit_bytes: int | None) -> None:
+        self._limit_bytes = _CACHE_BYTES
+        if limit_bytes is not None:
+            self._limit_bytes = min(limit_bytes, _CACHE_BYTES)
         self._turns: collections.OrderedDict[str, records.TurnRecord] = (
             collections.OrderedDict()
         )
@@ -72,7 +91,7 @@
             return
         self._turns[turn.turn_id] = turn
         self._bytes += _size(turn)
-        while self._bytes > _CACHE_BYTES:
+        while self._bytes > self._limit_bytes:
             _, evicted = self._turns.popitem(last=False)
             self._bytes -= _size(evicted)
 
@@ -126,14 +145,22 @@
 
 
 class TurnGuard:
-    """Admits turns within their budget and stores those to be retained."""
+    """Admits turns within their budget and stores those to be retained.
+
+    :param cache_bytes: size limit of the cache of turns, if it is lower than
+        the usual one
+    """
 
     def __init__(
-        self, client: record_clients.RecordClient, clock: clocks.Clock
+        self,
+        client: record_clients.RecordClient,
+        clock: clocks.Clock,
+        cache_bytes: int | None = None,
     ) -> None:
         self._client = client
         self._clock = clock
-        self._cache = _TurnCache()
+        self._cache = _TurnCache(cache_bytes)
+        self._long_writes = curio.Semaphore(_LONG_WRITES)
         self._settlements = settlements.Settlements(client)
 
     async def admit(
@@ -142,6 +169,8 @@
         route: configurations.Route,
         account: str = '',
         stream: stream_guard.StreamBinding | None = None,
+        take_memory: TakeMemory = _take_any,
+        input_bytes: int = 0,
     ) -> Turn:
         """Charge the maximum that a turn may spend and read its history.
 
@@ -149,13 +178,18 @@
             another account is unknown to it
         :param stream: stream of the turn, whose planned origin is stored
             with the charge
+        :param take_memory: takes memory for the history and for the copy of
+            the turn that is stored
+        :param input_bytes: length of the new input
         :raises MagnoliawoodError: with ``budget_exhausted``,
-            ``unknown_call``, ``store_unavailable`` or, for a turn with the
-            id of one that it continues, ``malformed_request``; the turn must
-            not run
+            ``unknown_call``, ``store_unavailable``, ``host_overloaded`` or,
+            for a turn with the id of one that it continues,
+            ``malformed_request``; the turn must not run
         """
+        if route.keeps_history and not await take_memory(input_bytes):
+            raise record_clients.no_memory_error()
         chain_task = await curio.spawn(
-            self._try_chain, metadata, route, account
+            self._try_chain, metadata, route, account, take_memory
         )
         try:
             charge = await self._charge(metadata, route, account, stream)
@@ -182,8 +216,8 @@
     async def store_turn(
         self,
         turn: Turn,
-        input_bytes: bytes,
-        output: bytes,
+        input_bytes: bytes | bytearray,
+        output: bytes | bytearray,
         tokens: int,
         deadline: datetime.timedelta = datetime.timedelta(),
     ) -> None:
@@ -196,7 +230,7 @@
         if turn.charge is not None:
             new_records.append(self._settlement(turn.charge, tokens))
         now = self._clock.now()
-        record = records.TurnRecord(
+        pieces = turn_pieces.split(
             turn.request_id,
             turn.previous_id,
             input_bytes,
@@ -204,19 +238,47 @@
             (now + turn.retention_period).timestamp(),
             turn.account,
         )
+        if len(pieces) == 1:
+            await self._write(pieces[0], new_records, turn.chain, deadline)
+        else:
+            async with self._long_writes:
+                await self._write_pieces(
+                    pieces, new_records, turn.chain, deadline
+                )
+        turn.is_settled = True
+        for piece in pieces:
+            self._cache.add(piece)
+
+    async def _write_pieces(
+        self,
+        pieces: collections.abc.Sequence[records.TurnRecord],
+        new_records: list[records.Record],
+        chain: quorum.Chain,
+        deadline: datetime.timedelta,
+    ) -> None:
+        """Store the pieces of a long turn, the last one with its charge."""
+        *first, last = pieces
+        for piece in first:
+            await self._write(piece, [], chain, deadline)
+            chain = quorum.Chain(piece.turn_id, (piece, *chain.turns))
+        await self._write(last, new_records, chain, deadline)
+
+    async def _write(
+        self,
+        record: records.TurnRecord,
+        new_records: list[records.Record],
+        chain: quorum.Chain,
+        deadline: datetime.timedelta,
+    ) -> None:
         while True:
             try:
-                await self._client.write_turn(
-                    record, new_records, turn.chain.turns
-                )
-                break
+                await self._client.write_turn(record, new_records, chain.turns)
+                return
             except errors.MagnoliawoodError as error:
                 pause = error.retry_after
                 if pause is None or self._clock.monotonic() + pause > deadline:
                     raise
             await curio.sleep(pause.total_seconds())
-        turn.is_settled = True
-        self._cache.add(record)
 
     async def settle(self, turn: Turn, tokens: int) -> None:
         """Start to store the tokens that a turn spent, in the background.
@@ -293,10 +355,13 @@
         metadata: requests.RequestMetadata,
         route: configurations.Route,
         account: str,
+        take_memory: TakeMemory,
     ) -> quorum.Chain | errors.MagnoliawoodError:
         """Return the previous turns, or why they could not be read."""
         try:
-            return await self._read_chain(metadata, route, account)
+            return await self._read_chain(
+                metadata, route, account, take_memory
+            )
         except errors.MagnoliawoodError as error:
             return error
 
@@ -305,13 +370,16 @@
         metadata: requests.RequestMetadata,
         route: configurations.Route,
         account: str,
+        take_memory: TakeMemory,
     ) -> quorum.Chain:
         if not route.keeps_history or not metadata.previous_turn_id:
             return quorum.Chain('')
         head_id = metadata.previous_turn_id
         chain = quorum.Chain(head_id).extend(self._cache.chain(head_id))
+        if not await take_memory(sum(map(_size, chain.turns))):
+            raise record_clients.no_memory_error()
         if not chain.is_complete:
-            chain = await self._client.read_chain(chain)
+            chain = await self._client.read_chain(chain, take_memory)
             for turn in chain.turns:
                 self._cache.add(turn)
         if any(turn.turn_id == metadata.request_id for turn in chain.turns):
--- a/packages/magnoliawood-server/magnoliawood_server/http/connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/connection.py
@@ -1,5 +1,6 @@
 """Client side of a persistent HTTP connection."""
 
+import collections
 import collections.abc
 import datetime
 import socket
@@ -25,7 +26,11 @@
 # A connection on which more requests were refused is not reused.
 _MAX_REFUSALS = 64
 
+# A longer body is sent from where it lies, without a copy.
+_MAX_COPIED_BYTES = 64 * 1024
+
 Headers = heads.Headers
+Body = collections.abc.Sequence[bytes | bytearray]
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
@@ -73,7 +78,7 @@
         self._received_bytes = 0
         self._is_closed = False
         self._is_eof_received = False
-        self._unsent = memoryview(b'')
+        self._unsent: collections.deque[memoryview] = collections.deque()
         self._sender: curio.Task | None = None
 
     @classmethod
@@ -153,26 +158,38 @@
         return False
 
     async def send(
-        self, method: str, target: str, headers: Headers, body: bytes
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: Body | bytes,
     ) -> None:
         """Send a request; the rest of a long body is sent in the background.
 
         :param headers: valid fields, as they were parsed or are written here
+        :param body: body, or its parts; those of a long one are not copied
         :raises OSError: if the connection is lost
         """
+        parts = _parts_of(body)
+        length = sum(map(len, parts))
         self._received_bytes = 0
         self._trailers = []
         self._is_kept = self._h11.our_state is h11.DONE
         if self._is_kept:
             self._h11.start_next_cycle()
-        framing = (b'content-length', b'%d' % len(body))
+        framing = (b'content-length', b'%d' % length)
         head = heads.request_head(method, target, [*headers, framing])
         self._request = heads.request_event(method)
         self._sent_identity = _find_header(headers, self._identity_header)
         self._start_request(self._h11)
-        data = memoryview(head + body)
-        sent = await self._send_some(data)
-        self._unsent = data[sent:]
+        if length <= _MAX_COPIED_BYTES:
+            parts = [b''.join([head, *parts])]
+        else:
+            parts = [head, *parts]
+        self._unsent = collections.deque(
+            memoryview(part) for part in parts if part
+        )
+        await self._send_some()
         if self._unsent:
             self._sender = await curio.spawn(self._send_rest, daemon=True)
 
@@ -242,17 +259,23 @@
         self._start_request(self._h11)
         self._h11.receive_data(trailing[0])
 
-    async def _send_some(self, data: memoryview) -> int:
+    async def _send_some(self) -> None:
+        """Send as much as needs no waiting."""
         try:
-            return self._sock._socket.send(data)
+            while self._unsent:
+                self._mark_sent(self._sock._socket.send(self._unsent[0]))
         except BlockingIOError:
-            return 0
+            return
+
+    def _mark_sent(self, count: int) -> None:
+        part = self._unsent.popleft()
+        if count < len(part):
+            self._unsent.appendleft(part[count:])
 
     async def _send_rest(self) -> None:
         try:
             while self._unsent:
-                sent = await self._sock.send(self._unsent)
-                self._unsent = self._unsent[sent:]
+                self._mark_sent(await self._sock.send(self._unsent[0]))
         except OSError:
             # Reading the response raises the same error.
             return
@@ -336,6 +359,12 @@
                 continue
 
 
+def _parts_of(body: Body | bytes) -> list[bytes | bytearray]:
+    if isinstance(body, bytes):
+        return [body]
+    return [*body]
+
+
 def _find_header(
     headers: collections.abc.Iterable[tuple[bytes, bytes]], name: bytes
 ) -> bytes:
--- a/packages/magnoliawood/magnoliawood/replication/quorum.py
+++ b/packages/magnoliawood/magnoliawood/replication/quorum.py
@@ -193,6 +193,11 @@
         """Whether the chain reaches back to its start."""
         return not self.missing_id
 
+    @property
+    def parts(self) -> list[bytes]:
+        """Parts of the body, not joined."""
+        return [part for turn in reversed(self.turns) for part in turn.parts]
+
     @property
     def body(self) -> bytes:
         """Text that the turns add to a prompt, the oldest first."""
--- a/packages/magnoliawood/magnoliawood/turns/records.py
+++ b/packages/magnoliawood/magnoliawood/turns/records.py
@@ -31,6 +31,11 @@
     expires_at: float
     account: str = ''
 
+    @property
+    def parts(self) -> tuple[bytes, bytes]:
+        """Parts of the body, not joined."""
+        return self.input_bytes, self.output_bytes
+
     @property
     def body(self) -> bytes:
         """Text that the turn adds to the prompts of the turns after it."""
