--- a/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/app.py
@@ -62,18 +62,9 @@
 CLEANUP_INTERVAL = datetime.timedelta(seconds=2)
 OVERDUE_INTERVAL = datetime.timedelta(milliseconds=250)
 
-# Share of the memory of the process for the cache of turns.
-_CACHE_SHARE = 0.1
-
 _log = logging.getLogger(__name__)
 
 
-def _cache_bytes(settings: settings_files.HostSettings) -> int:
-    """Return the size limit of the cache of turns."""
-    memory = settings.memory_bytes or client_limits.DEFAULT_MEMORY_BYTES
-    return int(memory * _CACHE_SHARE)
-
-
 class GatewayApp:
     """Gateway process: serves callers until a stop signal arrives."""
 
@@ -84,11 +75,10 @@
         self._clock = clock
         self._activity = callers.CallerActivity()
         self._registry = registries.Registry()
-        self._client_limits = client_limits.load()
-        self._budget = client_budget.ClientBudget(
-            self._client_limits.budget_limits(
-                settings.memory_bytes, settings.max_descriptors
-            ),
+        self._client_limits = client_limits.load(client_limits.ClientLimits)
+        self._budget = self._client_limits.make_budget(
+            settings.memory_bytes,
+            settings.max_descriptors,
             clock,
             self._registry,
         )
@@ -183,7 +173,9 @@
             self._gossip, self._permits, self._peers
         )
         self._guard = turn_guard.TurnGuard(
-            self._records, clock, _cache_bytes(settings)
+            self._records,
+            clock,
+            client_limits.turn_cache_bytes(settings.memory_bytes),
         )
         self._stop = planned_stop.PlannedStop(
             settings.stop_limit,
@@ -375,37 +367,19 @@
         ).run()
 
     async def _listen_for_readiness(self) -> None:
-        readiness_handler = readiness.ReadinessHandler(
+        await readiness.listen(
+            self._settings.readiness_listen,
             lambda: (
                 self._handler.is_ready
                 and self._gossip.has_asked_peers
                 and self._records.is_reachable
                 and not self._activity.is_closing
-            )
-        )
-        # Readiness checks do not count as requests of callers: a drain does
-        # not wait for them. They have a budget of their own, too.
-        activity = callers.CallerActivity()
-        budget = client_budget.ClientBudget(
-            client_limits.PAGE_LIMITS, self._clock, self._registry
+            ),
+            lambda: self._cluster_view.limits,
+            self._clock,
+            self._registry,
         )
 
-        async def serve(
-            sock: curio.io.Socket, holding: client_budget.Holding
-        ) -> None:
-            await callers.CallerConnection(
-                sock,
-                readiness_handler.handle,
-                lambda: self._cluster_view.limits,
-                activity,
-                self._clock,
-                holding=holding,
-            ).run()
-
-        await listeners.Listener(
-            self._settings.readiness_listen, serve, budget
-        ).run()
-
     async def _check_overdue_forever(self) -> None:
         while True:
             await curio.sleep(OVERDUE_INTERVAL.total_seconds())
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -13,7 +13,9 @@
 from magnoliawood.budgets import client_budget
 from magnoliawood.core import clock as clocks
 from magnoliawood.telemetry import registry as registries
+from magnoliawood_server.gateway import caller_body
 from magnoliawood_server.gateway import caller_reader
+from magnoliawood_server.gateway import responder as responders
 from magnoliawood_server.http import connection as connections
 from magnoliawood_server.http import heads
 from magnoliawood_server.http import response_framing
@@ -24,19 +26,6 @@
 # A caller that accepts less than this in this time is taken for disconnected.
 _WRITE_STEP_BYTES = 16 * 1024
 _WRITE_TIMEOUT = datetime.timedelta(seconds=5)
-# Time within which a body has to arrive.
-BODY_LIMIT = datetime.timedelta(seconds=30)
-# A longer body is not copied.
-_MAX_COPIED_BYTES = 64 * 1024
-# Memory that is taken at once for a body whose length is not known.
-_MIN_STEP_BYTES = 16 * 1024
-_MAX_STEP_BYTES = 1024 * 1024
-# Parts of one body that are parsed without a pause for other connections, and
-# number from which on a body waits for its turn to have more of them parsed.
-_PARTS_AT_ONCE = 64
-_MAX_QUICK_PARTS = 1024
-# Pause before memory for a response is asked for again.
-_ROOM_PAUSE = datetime.timedelta(milliseconds=50)
 # Retry delay sent to a caller whose request a stop does not let arrive.
 _RETRY_AFTER = datetime.timedelta(milliseconds=100)
 # Retry delay sent to a caller for whose request there is no room, and time for
@@ -45,6 +34,8 @@
 _DISCARD_TIME = datetime.timedelta(seconds=1)
 
 CallerActivity = caller_reader.CallerActivity
+ParsingTurns = caller_body.ParsingTurns
+Responder = responders.Responder
 RequestCut = caller_reader.RequestCut
 RequestEvicted = caller_reader.RequestEvicted
 _CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
@@ -60,10 +51,6 @@
     """
 
 
-class NoRoom(Exception):  # noqa: N818
-    """There is no memory for a request, which has not been read whole."""
-
-
 class CallerLost(ConnectionResetError):  # noqa: N818
     """The caller disconnected, or does not read what it is sent."""
 
@@ -95,74 +82,6 @@
         return self.target.partition('?')[2]
 
 
-class Responder:
-    """Sends the response to one request."""
-
-    def __init__(
-        self,
-        connection: 'CallerConnection',
-        framing: response_framing.ResponseFraming,
-    ) -> None:
-        self._connection = connection
-        self._framing = framing
-        self._is_started = False
-
-    @property
-    def is_started(self) -> bool:
-        """Whether the head of the response has been sent."""
-        return self._is_started
-
-    async def send_complete(
-        self, status: int, headers: connections.Headers, body: bytes
-    ) -> None:
-        """Send a response whose whole body is available."""
-        self._is_started = True
-        is_last = self._connection.is_closing
-        parts = self._framing.complete_parts(status, headers, body, is_last)
-        for part in parts:
-            await self._connection.send(part)
-
-    async def take_memory(self, size: int) -> bool:
-        """Take memory for the request, before it runs.
-
-        :returns: whether it was taken
-        """
-        return await self._connection.holding.take(size)
-
-    async def take_memory_for_response(self, size: int) -> None:
-        """Take memory for a response, and wait until there is some.
-
-        While it waits, the request may have to give way to others.
-        """
-        holding = self._connection.holding
-        while not holding.is_lost and not await holding.take(size):
-            holding.wait_for_client()
-            await curio.sleep(_ROOM_PAUSE.total_seconds())
-        holding.begin_serving()
-
-    async def start(
-        self, status: int, headers: connections.Headers, data: bytes
-    ) -> None:
-        """Send the head and the first part of a chunked response."""
-        self._is_started = True
-        is_last = self._connection.is_closing
-        await self._connection.send(
-            self._framing.start(status, headers, data, is_last)
-        )
-
-    async def send_part(self, data: bytes) -> None:
-        """Send a further part of a chunked response."""
-        await self._connection.send(self._framing.part(data))
-
-    async def finish(self, data: bytes = b'') -> None:
-        """Send the end of a chunked response, which marks it as complete.
-
-        :param data: last part, sent in the same write
-        """
-        part = self._framing.part(data) if data else b''
-        await self._connection.send(part + self._framing.end())
-
-
 def _peer_address(sock: curio.io.Socket) -> str:
     """Return the IP address of the caller; empty if it has none any more."""
     try:
@@ -172,44 +91,11 @@
     return str(name[0]) if name else ''
 
 
-def _check_length(size: int, limit: int) -> None:
-    if size > limit:
-        raise h11.RemoteProtocolError(
-            'body too large',
-            error_status_hint=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        )
-
-
 Handler = collections.abc.Callable[
     [CallerRequest, Responder], collections.abc.Awaitable[None]
 ]
 
 
-class ParsingTurns:
-    """Turns of bodies in so many parts that parsing takes long.
-
-    One part may have a single byte, and costs as much as a long one. Of all
-    connections with such a body one at a time has some parts parsed, so that
-    they delay other requests no longer than one of them does.
-    """
-
-    def __init__(self) -> None:
-        self._lock = curio.Lock()
-
-    async def pause(self, parts: int) -> None:
-        """Let other connections go on, if it is time for that.
-
-        :param parts: number of parts of the body so far
-        """
-        if parts % _PARTS_AT_ONCE:
-            return
-        if parts < _MAX_QUICK_PARTS:
-            await curio.sleep(0)
-            return
-        async with self._lock:
-            await curio.sleep(0)
-
-
 class CallerConnection:
     """Serves the requests of one connection sequentially.
 
@@ -229,7 +115,7 @@
         clock: clocks.Clock,
         registry: registries.Registry | None = None,
         holding: client_budget.Holding | None = None,
-        body_limit: datetime.timedelta = BODY_LIMIT,
+        body_limit: datetime.timedelta = caller_body.TIME_LIMIT,
         parsing_turns: ParsingTurns | None = None,
     ) -> None:
         self.holding = holding or client_budget.unlimited_holding(clock)
@@ -335,11 +221,11 @@
             await self._reject(error.error_status_hint)
             await self._discard_rest()
             return False
-        except (RequestEvicted, NoRoom) as error:
+        except (RequestEvicted, caller_body.NoRoom) as error:
             await self._reject(
                 http.HTTPStatus.SERVICE_UNAVAILABLE, _NO_ROOM_RETRY_AFTER
             )
-            if isinstance(error, NoRoom):
+            if isinstance(error, caller_body.NoRoom):
                 await self._discard_rest()
             return False
         except RequestCut:
@@ -423,7 +309,13 @@
         if not isinstance(head, h11.Request):
             return None
         arrived = self._clock.monotonic()
-        body = await self._read_body(head)
+        body = await caller_body.read(
+            head,
+            self._next_event,
+            self.holding,
+            self._limits().body_bytes,
+            self._parsing_turns,
+        )
         if body is None:
             return None
         request = CallerRequest(
@@ -436,36 +328,6 @@
         )
         return request, response_framing.ResponseFraming(self._h11, head)
 
-    async def _read_body(self, head: h11.Request) -> bytes | bytearray | None:
-        """Read a body; ``None`` if the caller closes before its end.
-
-        :raises RemoteProtocolError: if it is too large
-        :raises NoRoom: if there is no memory for it
-        """
-        body = bytearray()
-        limit = self._limits().body_bytes
-        taken = heads.content_length(head.headers)
-        _check_length(taken, limit)
-        await self._take(taken)
-        parts = 0
-        while isinstance(event := await self._next_event(), h11.Data):
-            size = len(body) + len(event.data)
-            _check_length(size, limit)
-            if size > taken:
-                step = min(max(size, _MIN_STEP_BYTES), _MAX_STEP_BYTES)
-                await self._take(step)
-                taken += step
-            body += event.data
-            parts += 1
-            await self._parsing_turns.pause(parts)
-        if not isinstance(event, h11.EndOfMessage):
-            return None
-        return body if len(body) > _MAX_COPIED_BYTES else bytes(body)
-
-    async def _take(self, size: int) -> None:
-        if size and not await self.holding.take(size):
-            raise NoRoom('no memory for the body')
-
     async def _next_event(self) -> connections.Event:
         while True:
             self._reader.forget_news()
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -35,8 +35,6 @@
 # way that hold a copy of a piece.
 _LONG_WRITES = 2
 
-TakeMemory = collections.abc.Callable[[int], collections.abc.Awaitable[bool]]
-
 
 async def _take_any(size: int) -> bool:
     return True
@@ -169,7 +167,7 @@
         route: configurations.Route,
         account: str = '',
         stream: stream_guard.StreamBinding | None = None,
-        take_memory: TakeMemory = _take_any,
+        take_memory: record_clients.TakeMemory = _take_any,
         input_bytes: int = 0,
     ) -> Turn:
         """Charge the maximum that a turn may spend and read its history.
@@ -355,7 +353,7 @@
         metadata: requests.RequestMetadata,
         route: configurations.Route,
         account: str,
-        take_memory: TakeMemory,
+        take_memory: record_clients.TakeMemory,
     ) -> quorum.Chain | errors.MagnoliawoodError:
         """Return the previous turns, or why they could not be read."""
         try:
@@ -370,7 +368,7 @@
         metadata: requests.RequestMetadata,
         route: configurations.Route,
         account: str,
-        take_memory: TakeMemory,
+        take_memory: record_clients.TakeMemory,
     ) -> quorum.Chain:
         if not route.keeps_history or not metadata.previous_turn_id:
             return quorum.Chain('')
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -1,11 +1,8 @@
 """Server side of one HTTP connection."""
 
 import collections.abc
-import dataclasses
 import datetime
 import logging
-import socket
-import typing
 
 import curio
 import h11
@@ -13,231 +10,24 @@
 from magnoliawood.budgets import client_budget
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
-from magnoliawood_server.http import connection as connections
 from magnoliawood_server.http import heads
 from magnoliawood_server.http import message as messages
-from magnoliawood_server.http import server_side
-
-IDLE_TIMEOUT = datetime.timedelta(seconds=75)
-KEEPALIVE_INTERVAL = datetime.timedelta(seconds=1)
-PROGRESS_TIMEOUT = datetime.timedelta(seconds=10)
-BODY_LIMIT_BYTES = 8 * 1024 * 1024
-HEAD_LIMIT_BYTES = 32 * 1024
-# Time for which the rest of a request that was refused is discarded.
-DISCARD_TIME = datetime.timedelta(seconds=1)
-# Time within which a body has to arrive.
-BODY_LIMIT = datetime.timedelta(seconds=30)
-_READ_SIZE_BYTES = 8 * 1024
-# Limit on the data that is read while a response is sent. Only whether the
-# peer is still connected matters then.
-_READ_AHEAD_BYTES = 8 * 1024
-# Memory for a body and for what is made of it: its text, the parsed document
-# and the messages to other processes.
-_COPIES_OF_BODY = 4
-_MIN_STEP_BYTES = 16 * 1024
-_MAX_STEP_BYTES = 1024 * 1024
-# Parts of one body that are parsed without a pause for other connections.
-_PARTS_AT_ONCE = 64
-_RETRY_AFTER = datetime.timedelta(seconds=1)
+from magnoliawood_server.http import server_connection
 
 Handler = collections.abc.Callable[
     [messages.Request],
     collections.abc.Awaitable[messages.Response],
 ]
 
-_log = logging.getLogger(__name__)
-
-
-@dataclasses.dataclass(slots=True)
-class Activity:
-    """Requests in progress on all connections of a listener.
-
-    :param requests: number of requests whose response is not sent yet
-    :param reading: number of requests of which only a part has been read
-    :param is_closing: whether each connection closes after its next response
-    :param is_closed: whether each further request is refused
-    """
-
-    requests: int = 0
-    reading: int = 0
-    is_closing: bool = False
-    is_closed: bool = False
-
-    @property
-    def is_busy(self) -> bool:
-        """Whether a request is read or served."""
-        return bool(self.reading or self.requests)
-
-
-class _GaveWay(curio.TaskCancelled):
-    """The connection gives way, since its client makes no progress."""
-
-
-class _Connection:
-    """Socket of one connection and its h11 state."""
-
-    def __init__(
-        self,
-        sock: curio.io.Socket,
-        activity: Activity,
-        progress_timeout: datetime.timedelta,
-        body_limit: datetime.timedelta,
-        holding: client_budget.Holding,
-        task: curio.Task,
-    ) -> None:
-        self.holding = holding
-        self._task = task
-        self._body_limit = body_limit
-        # Monotonic time in seconds at which the request began to arrive.
-        self._began: float | None = None
-        holding.end_with(self._give_way)
-        self._sock = sock
-        self._activity = activity
-        self._is_reading = False
-        self._progress_timeout = progress_timeout
-        self.write_lock = curio.Lock()
-        self.writes = 0
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=HEAD_LIMIT_BYTES
-        )
-
-    async def next_event(self) -> connections.Event:
-        return await server_side.next_event(
-            self._h11, self._receive, self.send
-        )
-
-    async def send(self, *events: h11.Event) -> None:
-        """Send events in one write.
-
-        A second small packet could be delayed until the peer acknowledges
-        the first one.
-        """
-        async with self.write_lock:
-            self.writes += 1
-            parts = [self._h11.send(event) or b'' for event in events]
-            data = memoryview(b''.join(parts))
-            while data:
-                data = data[await self._send_some(data) :]
-
-    async def _send_some(self, data: memoryview) -> int:
-        try:
-            # Without a timeout, because setting one costs more than most
-            # writes do.
-            return self._sock._socket.send(data)
-        except BlockingIOError:
-            pass
-        self.holding.wait_for_client()
-        sent = await _run_with_timeout(
-            self._progress_timeout, self._sock.send, data
-        )
-        self.holding.begin_serving()
-        return sent
-
-    async def _give_way(self) -> None:
-        await self._task.cancel(exc=_GaveWay, blocking=False)
-
-    async def _receive(self) -> bytes:
-        data = await _run_with_timeout(
-            self._receive_timeout(), self._sock.recv, _READ_SIZE_BYTES
-        )
-        self.holding.record_moved(len(data))
-        if data and not self._is_reading:
-            self._is_reading = True
-            self._activity.reading += 1
-        return data
-
-    def _receive_timeout(self) -> datetime.timedelta:
-        """Return the time for which more data is waited for.
-
-        A head has one limit for all of its parts. A body has a limit for each
-        pause, and one for all of it.
-        """
-        is_head = self._h11.their_state is h11.IDLE
-        now = self.holding.now()
-        if is_head and not self._h11.trailing_data[0]:
-            self._began = None
-            self.holding.become_idle(now)
-            return IDLE_TIMEOUT
-        self.holding.begin_receiving(now)
-        if self._began is None:
-            self._began = now.total_seconds()
-        passed = now - datetime.timedelta(seconds=self._began)
-        if is_head:
-            return self._progress_timeout - passed
-        return min(self._progress_timeout, self._body_limit - passed)
-
-    async def read_body(self, declared: int) -> bytes | None:
-        """Read a body; ``None`` if the peer closes before its end.
-
-        :param declared: length that the head states; 0 if it states none
-        :raises MagnoliawoodError: if it is too large, or if there is no room
-        """
-        body = bytearray()
-        _check_length(declared)
-        await self.take(declared * _COPIES_OF_BODY)
-        taken, parts = declared, 0
-        while isinstance(event := await self.next_event(), h11.Data):
-            size = len(body) + len(event.data)
-            _check_length(size)
-            if size > taken:
-                step = min(max(size, _MIN_STEP_BYTES), _MAX_STEP_BYTES)
-                await self.take(step * _COPIES_OF_BODY)
-                taken += step
-            body += event.data
-            parts += 1
-            if parts % _PARTS_AT_ONCE == 0:
-                await curio.sleep(0)
-        return bytes(body) if isinstance(event, h11.EndOfMessage) else None
-
-    async def take(self, size: int) -> None:
-        """Take memory before it is used.
-
-        :raises MagnoliawoodError: with ``host_overloaded`` if there is none
-        """
-        if size and not await self.holding.take(size):
-            raise _no_room_error()
-
-    def end_reading(self) -> None:
-        """Record that no request is being read any more."""
-        self._began = None
-        if self._is_reading:
-            self._is_reading = False
-            self._activity.reading -= 1
-
-    async def wait_for_close(self) -> None:
-        """Buffer some incoming data until the peer closes its side.
-
-        A peer that sends more is not read any further, so that its leave goes
-        unnoticed until a write fails.
-        """
-        ahead = 0
-        while data := await self._sock.recv(_READ_SIZE_BYTES):
-            self._h11.receive_data(data)
-            ahead += len(data)
-            if ahead > _READ_AHEAD_BYTES:
-                await curio.Event().wait()
-        self._h11.receive_data(b'')
-
-    async def discard_rest(self) -> None:
-        """Discard what the peer still sends of a request that was refused.
-
-        Closing the connection with unread data would reset it, and the peer
-        might not read the response.
-        """
-        if self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
-            return
-        self.holding.end_request()
-        self._sock._socket.shutdown(socket.SHUT_WR)
-        async with curio.ignore_after(DISCARD_TIME.total_seconds()):
-            while await self._sock.recv(_READ_SIZE_BYTES):
-                pass
-
-    @property
-    def may_respond(self) -> bool:
-        return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+IDLE_TIMEOUT = server_connection.IDLE_TIMEOUT
+PROGRESS_TIMEOUT = server_connection.PROGRESS_TIMEOUT
+BODY_LIMIT = server_connection.BODY_LIMIT
+BODY_LIMIT_BYTES = server_connection.BODY_LIMIT_BYTES
+HEAD_LIMIT_BYTES = server_connection.HEAD_LIMIT_BYTES
+KEEPALIVE_INTERVAL = datetime.timedelta(seconds=1)
+Activity = server_connection.Activity
 
-    def start_next_cycle(self) -> bool:
-        return server_side.start_next_cycle(self._h11)
+_log = logging.getLogger(__name__)
 
 
 async def serve_connection(
@@ -256,7 +46,7 @@
     :param body_limit: time within which a body has to arrive
     :param holding: what the connection holds; unlimited by default
     """
-    connection = _Connection(
+    connection = server_connection.Connection(
         sock,
         activity,
         progress_timeout,
@@ -267,7 +57,7 @@
     try:
         while await _serve_request(connection, handler, activity):
             pass
-    except _GaveWay:
+    except server_connection.GaveWay:
         _log.debug('connection closed for want of room')
     except (OSError, h11.LocalProtocolError):
         _log.debug('connection lost')
@@ -275,22 +65,10 @@
         connection.end_reading()
 
 
-async def _run_with_timeout(
-    timeout: datetime.timedelta,
-    operation: collections.abc.Callable[..., collections.abc.Awaitable],
-    argument: object,
-) -> typing.Any:
-    try:
-        async with curio.timeout_after(timeout.total_seconds()):
-            return await operation(argument)
-    except curio.TaskTimeout:
-        raise ConnectionResetError(
-            'peer sent or read no data before the timeout'
-        ) from None
-
-
 async def _serve_request(
-    connection: _Connection, handler: Handler, activity: Activity
+    connection: server_connection.Connection,
+    handler: Handler,
+    activity: Activity,
 ) -> bool:
     try:
         request = await _read_request(connection)
@@ -305,8 +83,8 @@
     except errors.MagnoliawoodError as error:
         await _reject(connection, error)
         return False
-    except _GaveWay:
-        await _reject(connection, _no_room_error())
+    except server_connection.GaveWay:
+        await _reject(connection, server_connection.no_room_error())
         return False
     if request is None:
         return False
@@ -327,21 +105,15 @@
     return connection.start_next_cycle()
 
 
-def _no_room_error() -> errors.MagnoliawoodError:
-    return errors.MagnoliawoodError(
-        errors.ErrorCode.HOST_OVERLOADED,
-        'clients hold all memory that they may',
-        retry_after=_RETRY_AFTER,
-    )
-
-
 def _leaving_error() -> errors.MagnoliawoodError:
     return errors.MagnoliawoodError(
         errors.ErrorCode.LEAVING, 'the process ends'
     )
 
 
-async def _read_request(connection: _Connection) -> messages.Request | None:
+async def _read_request(
+    connection: server_connection.Connection,
+) -> messages.Request | None:
     head = await connection.next_event()
     if not isinstance(head, h11.Request):
         return None
@@ -359,16 +131,8 @@
     )
 
 
-def _check_length(size: int) -> None:
-    if size > BODY_LIMIT_BYTES:
-        raise errors.MagnoliawoodError(
-            errors.ErrorCode.MESSAGE_TOO_LARGE,
-            f'the body exceeds {BODY_LIMIT_BYTES} bytes',
-        )
-
-
 async def _reject(
-    connection: _Connection, error: errors.MagnoliawoodError
+    connection: server_connection.Connection, error: errors.MagnoliawoodError
 ) -> None:
     if connection.may_respond:
         response = messages.Response.from_error(error)
@@ -399,7 +163,7 @@
 
 
 async def _write_response(
-    connection: _Connection, response: messages.Response
+    connection: server_connection.Connection, response: messages.Response
 ) -> None:
     if response.parts is None:
         await _write_complete(connection, response)
@@ -414,7 +178,7 @@
 
 
 async def _write_complete(
-    connection: _Connection, response: messages.Response
+    connection: server_connection.Connection, response: messages.Response
 ) -> None:
     headers = {
         **response.headers,
@@ -428,7 +192,7 @@
 
 
 async def _write_parts(
-    connection: _Connection,
+    connection: server_connection.Connection,
     response: messages.Response,
     watcher: curio.Task,
 ) -> None:
@@ -457,7 +221,7 @@
 
 
 async def _send_keepalive_comments(
-    connection: _Connection, comment: bytes
+    connection: server_connection.Connection, comment: bytes
 ) -> None:
     """Send a comment after each interval in which nothing was sent."""
     try:
@@ -470,7 +234,7 @@
         _log.debug('connection lost while sending a keep-alive comment')
 
 
-async def _watch_for_close(connection: _Connection) -> None:
+async def _watch_for_close(connection: server_connection.Connection) -> None:
     try:
         await connection.wait_for_close()
     except OSError:
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/client_limits.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/client_limits.py
@@ -2,16 +2,20 @@
 
 import datetime
 import os
+import typing
 
 import pydantic
 
 from magnoliawood.budgets import client_budget
+from magnoliawood.core import clock as clocks
+from magnoliawood.telemetry import registry as registries
 
 ENVIRONMENT_PREFIX = 'MAGNOLIAWOOD_'
 # Where neither the host's settings nor a setting states them.
 _BYTES_PER_MEGABYTE = 1024 * 1024
 DEFAULT_MEMORY_BYTES = 256 * _BYTES_PER_MEGABYTE
 DEFAULT_MAX_DESCRIPTORS = 4096
+_TURN_CACHE_SHARE = 0.1
 # Descriptors that are kept for files, and for the connections to other
 # processes of the system and to the store.
 _RESERVED_DESCRIPTORS = 264
@@ -79,16 +83,65 @@
             datetime.timedelta(seconds=self.stall_seconds),
         )
 
+    def make_budget(
+        self,
+        memory_bytes: int,
+        max_descriptors: int,
+        clock: clocks.Clock,
+        registry: registries.Registry,
+    ) -> client_budget.ClientBudget:
+        """Return the budget of a process; as :meth:`budget_limits`."""
+        return client_budget.ClientBudget(
+            self.budget_limits(memory_bytes, max_descriptors), clock, registry
+        )
+
+
+def turn_cache_bytes(memory_bytes: int) -> int:
+    """Return the limit of a gateway's cache of turns.
+
+    :param memory_bytes: memory of the process; 0 if it is not stated
+    """
+    return int((memory_bytes or DEFAULT_MEMORY_BYTES) * _TURN_CACHE_SHARE)
+
+
+class KeeperLimits(pydantic.BaseModel):
+    """Limits on what retained turns make a keeper hold."""
+
+    body_memory_share: float = pydantic.Field(
+        default=0.2,
+        ge=0.01,
+        le=0.6,
+        description='share of the memory of a keeper for bodies of retained '
+        'turns; those beyond it are read from the disk',
+    )
+    waiting_memory_share: float = pydantic.Field(
+        default=0.1,
+        ge=0.01,
+        le=0.6,
+        description='share of the memory of a keeper for records that wait '
+        'for the disk; those beyond it are refused, and sent again',
+    )
+    disk_share: float = pydantic.Field(
+        default=0.85,
+        ge=0.1,
+        le=1,
+        description='share of the disk that records may fill; those beyond '
+        'it are refused',
+    )
+
+
+_Limits = typing.TypeVar('_Limits', ClientLimits, KeeperLimits)
+
 
-def load() -> ClientLimits:
+def load(model: type[_Limits]) -> _Limits:
     """Return the limits that environment variables state.
 
     :raises ValueError: if one is malformed
     """
     named = {
         name: os.environ.get(f'{ENVIRONMENT_PREFIX}{name.upper()}')
-        for name in ClientLimits.model_fields
+        for name in model.model_fields
     }
-    return ClientLimits.model_validate(
+    return model.model_validate(
         {name: text for name, text in named.items() if text is not None}
     )
