Settings for the limits of keepers, tests of their disk, and the pages

The shares of a keeper's memory and disk were constants; they are settings with the same defaults. test_replica_limits.py: bodies that left the memory are read back, after a restart, after a rewrite, with a later expiry and after a failed write; records without room are refused with a time to return.

--- a/bin/make_settings_reference.py
+++ b/bin/make_settings_reference.py
@@ -25,9 +25,10 @@
 exit code 2 and one line that names the setting. All settings are read at the
 start; only classes, accounts and drains change while a process runs.
 """
-_HOSTED = """These are variables only. The memory and the descriptors of the
-process are `limits.memory_mb` and `limits.max_fds` of its settings file; 256
-and 4096 apply where it states none.
+_HOSTED = """These are variables only; the last three are a keeper's, the
+others a gateway's. The memory, the descriptors and the disk of a process are
+`limits.memory_mb`, `limits.max_fds` and `limits.disk_mb` of its settings file;
+256 and 4096 apply where it states none, and no limit on the disk.
 """
 _COLUMNS = (
     '| flag | variable | default | bounds | meaning |\n|---|---|---|---|---|'
@@ -61,8 +62,11 @@
         ),
     ]
     hosted = _section(
-        "Gateways on the users' platform",
-        client_limits.ClientLimits.model_fields,
+        "Gateways and keepers on the users' platform",
+        {
+            **client_limits.ClientLimits.model_fields,
+            **client_limits.KeeperLimits.model_fields,
+        },
         {},
     )
     return '\n'.join(
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/app.py
@@ -15,6 +15,7 @@
 from magnoliawood_server.platform import group_store as group_stores
 from magnoliawood_server.platform import objects
 from magnoliawood_server.platform import settings as settings_files
+from magnoliawood_server.runtime import client_limits
 from magnoliawood_server.runtime import listener as listeners
 from magnoliawood_server.runtime import metrics_page
 from magnoliawood_server.runtime import reload
@@ -43,10 +44,7 @@
         self._settings = settings
         self._clock = clock
         self._replica = replicas.DiskReplica(
-            settings.data_folder,
-            clock,
-            settings.memory_bytes,
-            settings.disk_bytes,
+            settings.data_folder, clock, _replica_limits(settings)
         )
         self._pool = pools.PeerPool(clock, None)
         self._registry = registries.Registry()
@@ -118,3 +116,16 @@
 
 def _ignore_settings(settings: settings_files.HostSettings) -> None:
     """Ignore reloaded settings; a keeper has none that may change."""
+
+
+def _replica_limits(
+    settings: settings_files.HostSettings,
+) -> replicas.ReplicaLimits:
+    """Return the limits of a replica, derived from those of its host."""
+    shares = client_limits.load(client_limits.KeeperLimits)
+    memory = settings.memory_bytes or client_limits.DEFAULT_MEMORY_BYTES
+    return replicas.ReplicaLimits(
+        int(memory * shares.body_memory_share),
+        int(memory * shares.waiting_memory_share),
+        int(settings.disk_bytes * shares.disk_share),
+    )
--- a/packages/magnoliawood-server/magnoliawood_server/keeper/replica.py
+++ b/packages/magnoliawood-server/magnoliawood_server/keeper/replica.py
@@ -17,33 +17,44 @@
 
 # Size above which the log is rewritten if more than half of it is outdated.
 _REWRITE_BYTES = 64 * 1024 * 1024
-# Shares of the memory of the process: for bodies that are on disk as well, and
-# for records that wait for the disk. Share of the disk that records may fill.
-_BODIES_SHARE = 0.2
-_WAITING_SHARE = 0.1
-_DISK_SHARE = 0.85
-_DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
 _NO_ROOM_RETRY_AFTER = datetime.timedelta(milliseconds=200)
 # Number of dropped turns that a log line names.
 _LOGGED_TURNS = 8
 
+_MEGABYTE = 1024 * 1024
+
 _log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaLimits:
+    """Limits on what a replica holds.
+
+    :param body_bytes: bodies in memory that are on disk as well
+    :param waiting_bytes: records that wait for the disk
+    :param disk_bytes: records on the disk; 0 for no limit
+    """
+
+    body_bytes: int = 50 * _MEGABYTE
+    waiting_bytes: int = 25 * _MEGABYTE
+    disk_bytes: int = 0
+
+
+_USUAL_LIMITS = ReplicaLimits()
+
+
 class DiskReplica:
     """Records on disk, with an index in memory.
 
     :param folder: data folder of this host
-    :param memory_bytes: memory of the process; 0 if it is not stated
-    :param disk_bytes: space on the disk; 0 if it is not stated
+    :param limits: limits on what it holds in memory and on the disk
     """
 
     def __init__(
         self,
         folder: pathlib.Path,
         clock: clocks.Clock,
-        memory_bytes: int = 0,
-        disk_bytes: int = 0,
+        limits: ReplicaLimits = _USUAL_LIMITS,
     ) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
@@ -51,12 +62,10 @@
         self._last_write = _last_write(folder)
         self._state = disk_state.load(folder)
         self._log = disk_log.DiskLog(folder)
-        memory = memory_bytes or _DEFAULT_MEMORY_BYTES
-        self._waiting_limit = int(memory * _WAITING_SHARE)
-        self._disk_limit = int(disk_bytes * _DISK_SHARE)
+        self._limits = limits
         self._table = tables.RecordTable(
             clock,
-            spill.Bodies(self._read_turn, int(memory * _BODIES_SHARE)),
+            spill.Bodies(self._read_turn, limits.body_bytes),
         )
         for data, place in self._log.load_places():
             record = records.decode(data)
@@ -222,10 +231,11 @@
         """
         size = sum(map(len, entries))
         waiting = self._log.waiting_bytes
-        if waiting and waiting + size > self._waiting_limit:
+        if waiting and waiting + size > self._limits.waiting_bytes:
             raise self._no_room('too much waits for the disk')
         stored = self._log.total_bytes + waiting
-        if self._disk_limit and stored + size > self._disk_limit:
+        limit = self._limits.disk_bytes
+        if limit and stored + size > limit:
             raise self._no_room('the disk is full')
 
     @staticmethod
