Let a request that waits for memory for its response give way

What callers would see: responses that wait for each other's memory until their deadlines, with no way to end one of them sooner.

Cause: found by reading: each look for memory, every 50 ms, counted as a step of the caller, so the wait never lasted long enough to give way.

Change: the wait is one. A request that gives way is refused as host_overloaded in place of leaving. A malformed limit in a variable ends the start with one line and exit code 2, like the settings file.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/job.py
@@ -210,9 +210,10 @@
                 reason,
                 errors.verdicts.Verdict.MAY_HAVE_RUN,
             )
-        return errors.MagnoliawoodError(
-            errors.ErrorCode.LEAVING, reason, retry_after=RETRY_AFTER
-        )
+        code = errors.ErrorCode.LEAVING
+        if is_evicted:
+            code = errors.ErrorCode.HOST_OVERLOADED
+        return errors.MagnoliawoodError(code, reason, retry_after=RETRY_AFTER)
 
 
 def hash_point(metadata: requests.RequestMetadata) -> float:
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/responder.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/responder.py
@@ -68,8 +68,10 @@
         While it waits, the request may have to give way to others.
         """
         holding = self._connection.holding
+        if await holding.take(size):
+            return
+        holding.wait_for_client()
         while not holding.is_lost and not await holding.take(size):
-            holding.wait_for_client()
             await curio.sleep(_ROOM_PAUSE.total_seconds())
         holding.begin_serving()
 
--- a/packages/magnoliawood-server/magnoliawood_server/platform/launch.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/launch.py
@@ -7,6 +7,7 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood_server.platform import settings as settings_files
+from magnoliawood_server.runtime import client_limits
 from magnoliawood_server.runtime import logs
 
 BAD_SETTING_EXIT_CODE = 2
@@ -21,6 +22,8 @@
     """
     try:
         settings = settings_files.load()
+        client_limits.load(client_limits.ClientLimits)
+        client_limits.load(client_limits.KeeperLimits)
     except (OSError, KeyError, ValueError) as error:
         print(f'cannot load settings: {error}', file=sys.stderr)
         raise SystemExit(BAD_SETTING_EXIT_CODE) from None
--- a/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_launch.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/tests/test_launch.py
@@ -2,12 +2,15 @@
 
 import importlib.metadata
 import json
+import os
 import pathlib
 import subprocess
 import sys
 
 import pytest
 
+from magnoliawood_server.platform import launch
+
 ROOT = pathlib.Path(__file__).parents[5]
 REQUIREMENTS = ROOT / 'deploy' / 'requirements.txt'
 OWN_DISTRIBUTIONS = {'magnoliawood', 'magnoliawood-server'}
@@ -48,3 +51,30 @@
         for distribution in installed.get(module, [])
     }
     assert used - OWN_DISTRIBUTIONS <= _required_distributions()
+
+
+@pytest.mark.parametrize('role', ['gateway', 'keeper'])
+def test_malformed_limit_ends_the_start_with_one_line(role, tmp_path):
+    settings = {
+        'node_name': 'host-1',
+        'ip': '127.0.0.1',
+        'zone': 'zone-1',
+        'port_range': [7380, 7395],
+        'platform': {'address': '127.0.0.1:1'},
+    }
+    path = tmp_path / 'boot.json'
+    path.write_text(json.dumps(settings), encoding='utf-8')
+    completed = subprocess.run(
+        [sys.executable, '-m', 'magnoliawood_server.platform.launch', role],
+        capture_output=True,
+        check=False,
+        text=True,
+        env={
+            **os.environ,
+            'MAGNOLIAWOOD_CONFIG': str(path),
+            'MAGNOLIAWOOD_STALL_SECONDS': 'soon',
+        },
+    )
+    assert completed.returncode == launch.BAD_SETTING_EXIT_CODE
+    assert 'stall_seconds' in completed.stderr
+    assert 'Traceback' not in completed.stderr
