--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/proxy.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/proxy.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from magnoliawood.budgets import client_budget
 from magnoliawood_server.http import connection as connections
 from magnoliawood_server.http import message as http_message
 from magnoliawood_server.runtime import listener
@@ -86,7 +87,9 @@
                 await curio.sleep(_SERVER_POLL_SECONDS)
             self._is_server_down.clear()
 
-    async def serve_client(self, client: curio.io.Socket) -> None:
+    async def serve_client(
+        self, client: curio.io.Socket, holding: client_budget.Holding
+    ) -> None:
         """Forward one connection until either side closes it."""
         if self.faults.refuse:
             return
