--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds.py
@@ -25,6 +25,8 @@
 # Number of clients that send large bodies, and of those that send little.
 LARGE = 24
 MANY = 600
+# Fewer clients than a host with so few descriptors lets connect.
+NEARLY_ALL = 66
 BODY = b'x' * BODY_BYTES
 REFUSALS = (429, 503)
 _numbers = itertools.count()
@@ -142,6 +144,11 @@
         check_crowd(deployment, LARGE, data)
 
 
+def test_many_large_bodies_in_chunks_that_are_refused_midway():
+    with small_gateway() as deployment:
+        check_crowd(deployment, NEARLY_ALL, chunked_all_but_last)
+
+
 def test_large_bodies_that_are_trickled():
     def data(number):
         return all_but_last(number)[: -64 * 1024]
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_at_own_interface.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_at_own_interface.py
@@ -16,6 +16,8 @@
 BODY_BYTES = 8 * MEGABYTE
 LARGE = 24
 MANY = 600
+# Fewer clients than a host with so few descriptors lets connect.
+NEARLY_ALL = 66
 STREAMS = 8
 BEHIND_BYTES = 20 * MEGABYTE
 BODY = b'x' * BODY_BYTES
@@ -83,6 +85,10 @@
     check_crowd(node, LARGE, data)
 
 
+def test_many_large_bodies_in_chunks_that_are_refused_midway(node):
+    check_crowd(node, NEARLY_ALL, chunked_all_but_last)
+
+
 def test_many_connections_with_the_beginning_of_a_request(node):
     check_crowd(node, MANY, lambda number: head_of('X-Filler: x')[:-4])
 
