Tests of crowds whose requests are remembered, joined or kept

What callers saw: nothing yet.

The stand-in of an upstream can begin an event that it does not end.

--- /dev/null
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_of_programs.py
@@ -0,0 +1,196 @@
+"""Crowds whose requests an entry and a sidecar run, and whose programs stay.
+
+Each body is of legal size; the programs of an entry keep their histories.
+"""
+
+import concurrent.futures
+import contextlib
+import json
+
+from magnoliawood_testing.cluster import crowd as crowds
+from magnoliawood_testing.cluster import deployment as deployments
+from magnoliawood_testing.cluster import process_watch
+from magnoliawood_testing.cluster.tests import test_crowds_at_own_interface
+
+MEGABYTE = 1024 * 1024
+MEMORY_MB = test_crowds_at_own_interface.MEMORY_MB
+MAX_FDS = test_crowds_at_own_interface.MAX_FDS
+LARGE = 24
+TEXT = 'x' * (3 * MEGABYTE)
+PROGRAMS = 48
+PROGRAM_TEXT = 'y' * (2 * MEGABYTE)
+AT_ONCE = 4
+ENTRIES = 4
+CLIENTS_EACH = 6
+SIDECAR_LIMITS = {'memory_mb': 96, 'max_fds': MAX_FDS}
+ACCOUNT = 'crowd'
+HEADERS = {
+    'Authorization': f'Bearer {deployments.token_of(ACCOUNT)}',
+    'Content-Type': 'application/json',
+}
+SUCCESS = 200
+
+
+@contextlib.contextmanager
+def one_entry(step_seconds=0.005):
+    with deployments.Deployment(
+        engines=1,
+        entries=1,
+        services=(),
+        step_seconds=step_seconds,
+        entry_settings=test_crowds_at_own_interface.HOST_LIMITS,
+        sidecar_settings=test_crowds_at_own_interface.HOST_LIMITS,
+    ) as deployment:
+        deployment.create_account(ACCOUNT)
+        yield deployment
+
+
+def body_of(text, max_tokens=20):
+    return {
+        'model': 'model-a',
+        'max_tokens': max_tokens,
+        'messages': [{'role': 'user', 'content': text}],
+    }
+
+
+def completion(text, program=''):
+    """Return the bytes of a request for a completion."""
+    body = json.dumps(body_of(text)).encode()
+    lines = [f'Content-Length: {len(body)}']
+    lines += [f'{name}: {value}' for name, value in HEADERS.items()]
+    if program:
+        lines.append(f'X-Magnoliawood-Program: {program}')
+    return test_crowds_at_own_interface.head_of('\r\n'.join(lines)) + body
+
+
+def is_completed(entry):
+    """Whether an ordinary request is completed, as for a usual client."""
+
+    def ask():
+        with contextlib.suppress(OSError):
+            status, _ = deployments.call(
+                entry.http,
+                'POST',
+                '/v1/chat/completions',
+                body_of('hello'),
+                HEADERS,
+            )
+            return status == SUCCESS
+
+    try:
+        deployments.wait_until(ask, 'a completion')
+    except TimeoutError:
+        return False
+    return True
+
+
+@contextlib.contextmanager
+def watched(deployment):
+    """Check entry and sidecar over what the block does."""
+    entry = next(iter(deployment.entries.values()))
+    sidecar = next(iter(deployment.sidecars.values()))
+    with (
+        process_watch.ProcessWatch(entry.process, entry.http) as of_entry,
+        process_watch.ProcessWatch(sidecar.process, sidecar.peer) as of_side,
+    ):
+        yield entry
+        answered = is_completed(entry)
+    assert entry.process.is_running
+    assert sidecar.process.is_running
+    for watch in (of_entry, of_side):
+        assert watch.peak_bytes <= MEMORY_MB * MEGABYTE
+        assert watch.peak_descriptors <= MAX_FDS
+    assert answered
+
+
+def complete_all(entry, headers_of):
+    """Send a long request for each program; return the statuses."""
+
+    def complete(number):
+        try:
+            status, _ = deployments.call(
+                entry.http,
+                'POST',
+                '/v1/chat/completions',
+                body_of(PROGRAM_TEXT),
+                {**HEADERS, **headers_of(number)},
+            )
+        except OSError:
+            return None
+        return status
+
+    with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
+        return list(pool.map(complete, range(PROGRAMS)))
+
+
+def history_of(entry, number):
+    """Return the first message of a program, which is still known."""
+    status, body = deployments.call(
+        entry.http, 'GET', f'/v1/programs/p-{number}/history', None, HEADERS
+    )
+    assert status == SUCCESS, body
+    return body['messages'][0]['content']
+
+
+def test_large_whole_bodies_at_once():
+    with one_entry() as deployment:
+        with watched(deployment) as entry:
+            with crowds.Crowd(
+                entry.http, LARGE, lambda number: completion(TEXT)
+            ) as crowd:
+                crowd.push()
+
+
+def test_long_programs_of_a_single_request():
+    with one_entry() as deployment:
+        with watched(deployment) as entry:
+            statuses = complete_all(entry, lambda number: {})
+        assert SUCCESS in statuses
+
+
+def test_programs_that_keep_long_histories():
+    def name(number):
+        return {'X-Magnoliawood-Program': f'p-{number}'}
+
+    with one_entry() as deployment:
+        with watched(deployment) as entry:
+            statuses = complete_all(entry, name)
+        kept = [
+            number
+            for number, status in enumerate(statuses)
+            if status == SUCCESS
+        ]
+        assert kept
+        for number in kept:
+            assert history_of(entry, number) == PROGRAM_TEXT
+
+
+def test_long_calls_of_many_entries_that_wait_at_a_sidecar():
+    with deployments.Deployment(
+        engines=1,
+        entries=ENTRIES,
+        services=(),
+        step_seconds=0.3,
+        entry_settings=test_crowds_at_own_interface.HOST_LIMITS,
+        sidecar_settings=SIDECAR_LIMITS,
+    ) as deployment:
+        deployment.create_account(ACCOUNT)
+        deployment.wait_for_configuration()
+        sidecar = next(iter(deployment.sidecars.values()))
+        entry = next(iter(deployment.entries.values()))
+        with process_watch.ProcessWatch(
+            sidecar.process, sidecar.peer
+        ) as watch:
+            with contextlib.ExitStack() as stack:
+                for node in deployment.entries.values():
+                    crowd = crowds.Crowd(
+                        node.http,
+                        CLIENTS_EACH,
+                        lambda number: completion(PROGRAM_TEXT),
+                    )
+                    stack.enter_context(crowd).push()
+            answered = is_completed(entry)
+        assert sidecar.process.is_running
+        assert watch.peak_bytes <= SIDECAR_LIMITS['memory_mb'] * MEGABYTE
+        assert watch.peak_descriptors <= MAX_FDS
+        assert answered
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/signed_upstream.py
@@ -20,6 +20,10 @@
 
 # Number of events in each stream.
 EVENTS = 5
+# Length of the parts of an event that is not ended, and time for which its
+# stream stays open.
+_PART_BYTES = 64 * 1024
+_UNENDED_SECONDS = 60.0
 CRASH_EXIT_CODE = 70
 
 
@@ -45,6 +49,8 @@
     :param answer_seconds: time from a run to a response that is no stream
     :param answer_bytes: length of a response that is no stream; 0 for the
         usual one
+    :param unended_event_bytes: length of an event that each stream begins and
+        does not end; none if 0
     :param refusals: number of requests to reject without running them
     :param lost_answers: number of responses to lose after the request ran
     :param cut_after: number of events after which each stream is cut; none
@@ -63,6 +69,7 @@
     event_seconds: float = 0.005
     answer_seconds: float = 0.0
     answer_bytes: int = 0
+    unended_event_bytes: int = 0
     refusals: int = 0
     lost_answers: int = 0
     cut_after: int = -1
@@ -188,6 +195,11 @@
     async def _events(
         self, first: int
     ) -> collections.abc.AsyncGenerator[bytes]:
+        if self.faults.unended_event_bytes:
+            yield b'data: '
+            for _ in range(0, self.faults.unended_event_bytes, _PART_BYTES):
+                yield b'a' * _PART_BYTES
+            await curio.sleep(_UNENDED_SECONDS)
         for number in range(first, EVENTS + 1):
             if number - first == self.faults.cut_after:
                 raise ConnectionResetError('injected fault: stream cut')
