Free the body of a refused request before its rest is discarded

What callers saw: 66 clients that send bodies in chunks, and are refused midway, took a gateway of 96 MiB to 110 to 116 MB.

Cause: the refusal was sent, and the rest of the request discarded for a second, within the except block. The exception that was handled there kept the frames that had read the body, while the budget had its memory back.

Change: reading returns the refusal as a value; by the time it is sent the exception and the body are gone.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -32,6 +32,7 @@
 # which the rest of a request that was refused is discarded.
 _NO_ROOM_RETRY_AFTER = datetime.timedelta(seconds=1)
 _DISCARD_TIME = datetime.timedelta(seconds=1)
+_UNAVAILABLE = int(http.HTTPStatus.SERVICE_UNAVAILABLE)
 
 CallerActivity = caller_reader.CallerActivity
 ParsingTurns = caller_body.ParsingTurns
@@ -96,6 +97,21 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    """Refusal of a request that has not been read whole.
+
+    :param is_last: whether nothing more is read of the connection
+    """
+
+    status: int
+    retry_after: datetime.timedelta | None = None
+    is_last: bool = False
+
+
+_Received = tuple[CallerRequest, response_framing.ResponseFraming] | None
+
+
 class CallerConnection:
     """Serves the requests of one connection sequentially.
 
@@ -215,23 +231,11 @@
             data = data[sent:]
 
     async def _serve_next(self) -> bool:
-        try:
-            received = await self._read_request()
-        except h11.RemoteProtocolError as error:
-            await self._reject(error.error_status_hint)
-            await self._discard_rest()
-            return False
-        except (RequestEvicted, caller_body.NoRoom) as error:
-            await self._reject(
-                http.HTTPStatus.SERVICE_UNAVAILABLE, _NO_ROOM_RETRY_AFTER
-            )
-            if isinstance(error, caller_body.NoRoom):
-                await self._discard_rest()
-            return False
-        except RequestCut:
-            await self._reject(
-                http.HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER
-            )
+        received = await self._read_or_refuse()
+        if isinstance(received, _Refusal):
+            # The error that it was made of, and the body that it kept in
+            # memory, are gone by now.
+            await self._refuse(received)
             return False
         if received is None:
             return False
@@ -247,6 +251,23 @@
             return False
         return server_side.start_next_cycle(self._h11)
 
+    async def _read_or_refuse(self) -> _Received | _Refusal:
+        try:
+            return await self._read_request()
+        except h11.RemoteProtocolError as error:
+            return _Refusal(error.error_status_hint)
+        except caller_body.NoRoom:
+            return _Refusal(_UNAVAILABLE, _NO_ROOM_RETRY_AFTER)
+        except RequestEvicted:
+            return _Refusal(_UNAVAILABLE, _NO_ROOM_RETRY_AFTER, is_last=True)
+        except RequestCut:
+            return _Refusal(_UNAVAILABLE, _RETRY_AFTER, is_last=True)
+
+    async def _refuse(self, refusal: _Refusal) -> None:
+        await self._reject(refusal.status, refusal.retry_after)
+        if not refusal.is_last:
+            await self._discard_rest()
+
     async def _run_handler(
         self,
         request: CallerRequest,
@@ -302,9 +323,7 @@
             },
         )
 
-    async def _read_request(
-        self,
-    ) -> tuple[CallerRequest, response_framing.ResponseFraming] | None:
+    async def _read_request(self) -> _Received:
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -70,21 +70,9 @@
     handler: Handler,
     activity: Activity,
 ) -> bool:
-    try:
-        request = await _read_request(connection)
-    except h11.RemoteProtocolError as error:
-        await _reject(
-            connection,
-            errors.MagnoliawoodError(
-                errors.ErrorCode.MALFORMED_REQUEST, str(error)
-            ),
-        )
-        return False
-    except errors.MagnoliawoodError as error:
-        await _reject(connection, error)
-        return False
-    except server_connection.GaveWay:
-        await _reject(connection, server_connection.no_room_error())
+    request = await _read_or_refuse(connection)
+    if isinstance(request, errors.MagnoliawoodError):
+        await _reject(connection, request)
         return False
     if request is None:
         return False
@@ -105,6 +93,23 @@
     return connection.start_next_cycle()
 
 
+async def _read_or_refuse(
+    connection: server_connection.Connection,
+) -> messages.Request | errors.MagnoliawoodError | None:
+    """Return a request, or why it is refused before it has been read."""
+    try:
+        return await _read_request(connection)
+    except h11.RemoteProtocolError as error:
+        return errors.MagnoliawoodError(
+            errors.ErrorCode.MALFORMED_REQUEST, str(error)
+        )
+    except errors.MagnoliawoodError as error:
+        # Without the frames that keep in memory what was read.
+        return error.with_traceback(None)
+    except server_connection.GaveWay:
+        return server_connection.no_room_error()
+
+
 def _leaving_error() -> errors.MagnoliawoodError:
     return errors.MagnoliawoodError(
         errors.ErrorCode.LEAVING, 'the process ends'
