Count the names of cached turns in the limit of the cache

What callers saw: 6,000 small turns with ids of 15 KiB, which the limits on heads allow, took a gateway of 96 MiB to 170 MB.

Cause: the cache of turns counted bodies only; ids and the records themselves were without a limit.

Change: a cached turn counts its names and the memory of its record.

Evidence: test_many_turns_with_long_names[turn_with_long_request_id], red on, passes.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/turn_guard.py
@@ -31,6 +31,8 @@
 CLOCK_TOLERANCE = datetime.timedelta(seconds=5)
 # Size limit of the cache of turns that this process has read or stored.
 _CACHE_BYTES = 16 * 1024 * 1024
+# Memory of a cached turn beside its body and names.
+_CACHED_TURN_BYTES = 512
 # Number of long turns that are stored at once. Each has some messages under
 # way that hold a copy of a piece.
 _LONG_WRITES = 2
@@ -88,10 +90,10 @@
         if turn.turn_id in self._turns:
             return
         self._turns[turn.turn_id] = turn
-        self._bytes += _size(turn)
+        self._bytes += _cached_size(turn)
         while self._bytes > self._limit_bytes:
             _, evicted = self._turns.popitem(last=False)
-            self._bytes -= _size(evicted)
+            self._bytes -= _cached_size(evicted)
 
     def chain(self, turn_id: str) -> list[records.TurnRecord]:
         chain_turns: dict[str, records.TurnRecord] = {}
@@ -108,6 +110,16 @@
     return len(turn.input_bytes) + len(turn.output_bytes)
 
 
+def _cached_size(turn: records.TurnRecord) -> int:
+    """Return the memory of a cached turn, with its names."""
+    return (
+        _size(turn)
+        + len(turn.turn_id)
+        + len(turn.previous_id)
+        + _CACHED_TURN_BYTES
+    )
+
+
 def _ledger_id(program_id: str, account: str) -> str:
     """Return the name under which the charges of a program are stored.
 
