Remember long names of programs and prompt parts as digests

What callers saw: 6,000 small turns with program ids or prompt parts of 15 KiB took a gateway of 96 MiB to 168 and 240 MB.

Cause: programs served, holders and caches of prompt parts, and the parts decoded last are bounded by number, not by length.

Change: a name of a program, a session, an affinity key or a prompt part that has over 256 characters is replaced by its digest when it is decoded; entries longer than that are not kept in the cache of decoded parts. What is forwarded to upstreams is unchanged.

--- a/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
+++ b/packages/magnoliawood-server/magnoliawood_server/platform/requests.py
@@ -8,6 +8,7 @@
 
 from magnoliawood.accounts import authentication
 from magnoliawood.accounts import client_account
+from magnoliawood.budgets import names as client_names
 from magnoliawood.fleet import prompt_cache
 from magnoliawood_server.platform import names
 
@@ -27,6 +28,8 @@
 class RequestMetadata:
     """Metadata of a request, as its caller states it.
 
+    Names that are remembered after the request have a limited length.
+
     :param request_id: identity of this attempt; empty if not given
     :param host: requested host name, without the port
     :param time_left: time for which the caller waits
@@ -78,14 +81,14 @@
         request_id=text(names.REQUEST_ID),
         host=text(b'host').rsplit(':', 1)[0],
         time_left=_decode_milliseconds(text(names.DEADLINE)),
-        program_id=text(names.PROGRAM),
-        session_id=text(names.SESSION_ID),
+        program_id=client_names.bounded(text(names.PROGRAM)),
+        session_id=client_names.bounded(text(names.SESSION_ID)),
         program_time_left=_decode_milliseconds(text(names.PROGRAM_TIME_LEFT)),
         budget_tokens=_decode_integer(text(names.BUDGET)),
         previous_turn_id=text(names.PREVIOUS_TURN),
         last_event_id=_decode_integer(text(names.LAST_EVENT_ID)),
         resumed_id=text(names.RESUMED),
-        affinity=text(names.AFFINITY),
+        affinity=client_names.bounded(text(names.AFFINITY)),
         parts=_decode_prompt_parts(text(names.PROMPT_PARTS)),
         output_tokens=output_tokens,
         expected_tokens=min(hint or output_tokens, output_tokens),
@@ -282,14 +285,23 @@
 def _decode_prompt_parts(text: str) -> tuple[prompt_cache.PromptPart, ...]:
     if not text:
         return ()
-    parts = map(_decode_prompt_part, text.split(','))
+    parts = (
+        _decode_known_prompt_part(entry)
+        if len(entry) <= client_names.MAX_LENGTH
+        else _decode_prompt_part(entry)
+        for entry in text.split(',')
+    )
     return tuple(part for part in parts if part is not None)
 
 
 @functools.lru_cache(maxsize=_MAX_REMEMBERED_PARTS)
+def _decode_known_prompt_part(entry: str) -> prompt_cache.PromptPart | None:
+    return _decode_prompt_part(entry)
+
+
 def _decode_prompt_part(entry: str) -> prompt_cache.PromptPart | None:
     name, _, tokens = entry.strip().partition(':')
     number = _decode_integer(tokens)
     if not name or number is None:
         return None
-    return prompt_cache.PromptPart(name, number)
+    return prompt_cache.PromptPart(client_names.bounded(name), number)
