Take memory for an event of a stream that has not ended

What callers saw: 24 streams whose upstream sends 3 MiB of an event took a gateway of 96 MiB to 149 MB; what a response may hold was bounded for each stream only, at 4 MiB.

Cause: the bytes after the last whole event were kept without a budget. They were also copied and searched anew with each part, which takes a time that grows with the square of the event's length.

Change: memory for the event and the copies made of it is taken in steps before it grows; as for other responses the upstream waits while there is none. Only new bytes are searched.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/events.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/events.py
@@ -91,23 +91,31 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b''
+        self._buffer = bytearray()
 
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
-        return self._buffer
+        return bytes(self._buffer)
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> EventBatch | None:
         """Add bytes and return the events that they complete, if any."""
-        received = self._buffer + data
-        end = received.rfind(_SEPARATOR) + len(_SEPARATOR)
+        # What was there has no separator, but may have the start of one.
+        start = max(0, len(self._buffer) - len(_SEPARATOR) + 1)
+        self._buffer += data
+        end = self._buffer.rfind(_SEPARATOR, start) + len(_SEPARATOR)
         if end < len(_SEPARATOR):
-            self._buffer = received
             return None
+        received = bytes(self._buffer)
         if any(text in received for text in _AMBIGUOUS):
             end = len(received) - len(received.split(_SEPARATOR)[-1])
-        complete, self._buffer = received[:end], received[end:]
+        complete = received[:end]
+        self._buffer = bytearray(received[end:])
         return EventBatch(
             complete, complete.count(_SEPARATOR), _last_id(complete)
         )
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/exchange.py
@@ -14,6 +14,7 @@
 from magnoliawood.fleet import directory
 from magnoliawood_server.gateway import caller as callers
 from magnoliawood_server.gateway import delivery as deliveries
+from magnoliawood_server.gateway import event_memory
 from magnoliawood_server.gateway import events as event_streams
 from magnoliawood_server.gateway import upstream_pool
 from magnoliawood_server.http import client as http_client
@@ -156,9 +157,10 @@
         :param may_reuse: whether an idle connection may be used
         :raises OSError: if the caller disconnected
         """
+        request_id = dict(self._request.headers).get(names.REQUEST_ID, b'')
         try:
             connection = await self._pool.acquire(
-                upstream, may_reuse, self._request_id()
+                upstream, may_reuse, request_id
             )
         except http_client.ConnectFailed as error:
             return Result(Ending.UNREACHABLE, str(error))
@@ -185,9 +187,6 @@
             if not is_released:
                 await connection.close()
 
-    def _request_id(self) -> bytes:
-        return dict(self._request.headers).get(names.REQUEST_ID, b'')
-
     async def _classify_failure(
         self,
         result: Result,
@@ -301,6 +300,7 @@
         parts: collections.abc.AsyncGenerator[bytes],
     ) -> Result:
         splitter = event_streams.EventSplitter()
+        memory = event_memory.EventMemory(self._responder)
         last_events = b''
         has_joined = False
         while True:
@@ -310,6 +310,7 @@
                 break
             except OSError as error:
                 return _failed(error)
+            await memory.cover(splitter.waiting_bytes + len(part))
             batch = splitter.feed(part)
             first = None if has_joined or not batch else batch.first_event()
             if first is not None:
@@ -325,7 +326,7 @@
             except errors.MagnoliawoodError as error:
                 return Result(Ending.ABANDONED, str(error))
         is_empty = not has_joined and connection.has_ended_by_close
-        if splitter.remainder or is_empty:
+        if splitter.waiting_bytes or is_empty:
             return Result(
                 Ending.FAILED,
                 'stream ended before or within an event',
@@ -352,7 +353,7 @@
         return (
             connection.is_body_complete
             and self._responder.is_started
-            and not splitter.remainder
+            and not splitter.waiting_bytes
             and not self._delivery.keeps_output
         )
 
@@ -379,11 +380,10 @@
 
 def _failed(error: OSError, is_before_response: bool = False) -> Result:
     """Return the result of an attempt whose connection failed."""
-    reason = str(error) or type(error).__name__
     is_malformed = isinstance(error, connections.MalformedReply)
     return Result(
         Ending.FAILED,
-        reason,
+        str(error) or type(error).__name__,
         not is_malformed,
         is_before_response,
         is_malformed=is_malformed,
