Take memory for heads with unusually many fields

What callers saw: 200 waiting requests whose heads have 2,500 fields each, well below the limit on a head, took a gateway of 96 MiB to 178 MB.

Cause: a parsed field takes some 250 bytes however short it is; what a connection counts covers usual heads only.

Change: what the fields, the copies of their values and the items in them need beyond 16 KiB is taken with the memory of the body, before it is read; else 503 with Retry-After.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller_body.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller_body.py
@@ -66,6 +66,8 @@
 ) -> bytes | bytearray | None:
     """Read a body; ``None`` if the caller closes before its end.
 
+    Memory for the head is taken with that for the body.
+
     :param limit: most bytes that a body may have
     :raises RemoteProtocolError: if it is too large
     :raises NoRoom: if there is no memory for it
@@ -73,7 +75,7 @@
     body = bytearray()
     taken = heads.content_length(head.headers)
     _check_length(taken, limit)
-    await _take(holding, taken)
+    await _take(holding, taken + heads.unusual_memory(head.headers))
     parts = 0
     while isinstance(event := await next_event(), h11.Data):
         size = len(body) + len(event.data)
--- a/packages/magnoliawood-server/magnoliawood_server/http/heads.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/heads.py
@@ -22,6 +22,12 @@
 )
 _METHODS_WITHOUT_BODY = frozenset({b'HEAD', b'CONNECT'})
 _HTTP_1_1 = b'1.1'
+# Memory of a parsed field, of its value's copies, and of one item of a list in
+# a value; a head that needs less than the usual takes none of its own.
+_FIELD_BYTES = 400
+_COPIES_OF_VALUE = 3
+_ITEM_BYTES = 200
+_USUAL_HEAD_BYTES = 16 * 1024
 _CLOSE = b'close'
 
 END = h11.EndOfMessage()
@@ -32,6 +38,28 @@
 )
 
 
+def unusual_memory(headers: collections.abc.Iterable) -> int:
+    """Return the memory that a parsed head needs beyond a usual one.
+
+    Fields may be so short that their objects take many times their length.
+
+    Examples
+    ========
+
+    >>> unusual_memory([(b'host', b'h')])
+    0
+    >>> unusual_memory([(b'a', b'')] * 100)
+    23616
+    """
+    size = sum(
+        _FIELD_BYTES
+        + _COPIES_OF_VALUE * len(value)
+        + _ITEM_BYTES * value.count(b',')
+        for _, value in headers
+    )
+    return max(0, size - _USUAL_HEAD_BYTES)
+
+
 def request_head(method: str, target: str, headers: Headers) -> bytes:
     """Return the head of a request.
 
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -122,6 +122,7 @@
     head = await connection.next_event()
     if not isinstance(head, h11.Request):
         return None
+    await connection.take(heads.unusual_memory(head.headers))
     body = await connection.read_body(heads.content_length(head.headers))
     if body is None:
         return None
