Drop the parser's buffer of a request that is refused midway

What callers saw: nothing yet; on a gateway with the limits of the smallest host (128 MiB, 4,100 descriptors) 1,500 clients that send 100 KB in one chunk took it to 128.4 MiB, over its memory.

Cause: while the rest of a refused request is discarded, the parser keeps what was read and not parsed, up to 32 KiB for each of some 850 connections.

Change: a parser without data replaces it.

No test of its own: it needs more descriptors than a test process has by default.

--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller.py
@@ -368,7 +368,9 @@
             self._sock._socket.shutdown(socket.SHUT_WR)
         except OSError as error:
             raise CallerLost(str(error)) from error
-        await self._reader.discard_rest(_DISCARD_TIME)
+        # Frees what was read ahead of the refused request.
+        self._h11 = h11.Connection(h11.SERVER)
+        await self._reader.discard_rest(self._h11, _DISCARD_TIME)
 
     async def _reject(
         self, status: int, retry_after: datetime.timedelta | None = None
--- a/packages/magnoliawood-server/magnoliawood_server/gateway/caller_reader.py
+++ b/packages/magnoliawood-server/magnoliawood_server/gateway/caller_reader.py
@@ -171,14 +171,18 @@
         if self._error is not None:
             raise self._error
 
-    async def discard_rest(self, limit: datetime.timedelta) -> None:
+    async def discard_rest(
+        self, machine: h11.Connection, limit: datetime.timedelta
+    ) -> None:
         """Discard what the caller still sends of a refused request.
 
         Closing the connection with unread data would reset it, and the caller
         might not read the response.
 
+        :param machine: parser without data that replaces the former one
         :param limit: time after which it is given up
         """
+        self._h11 = machine
         self._holding.end_request()
         self._is_discarding = True
         await self._may_read_on.set()
