Limit the memory of the programs that an entry keeps

What callers saw: 48 requests of 2 MiB one after the other took an entry of 160 MiB to 176 MB, as programs that stay open and as programs of a single request; the memory of the latter came back ten minutes later.

Cause: a program is kept with its whole history until some time after its end, and nothing bounded all of them together.

Change: programs sum up the memory of their calls. Beyond a share of the memory (program_memory_share) ended programs are dropped early, those of a single request at once since no client can name them, others after a minute; if that is not enough, new programs and calls are refused with 503 and Retry-After before anything is recorded or runs. A quarter of the limit is left to small calls. What is accepted is never dropped.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/app.py
@@ -32,6 +32,7 @@
 from magnoliawood_server.entry import membership as memberships
 from magnoliawood_server.entry import owner_service
 from magnoliawood_server.entry import ownership_guard
+from magnoliawood_server.entry import program_memory
 from magnoliawood_server.entry import quarantine_registry
 from magnoliawood_server.entry import record_replicator
 from magnoliawood_server.entry import retention
@@ -105,9 +106,7 @@
                 self._guard.confirm_forever,
                 self._recorder.send_forgets_forever,
                 self._shared_state.follow_forever,
-                retention.EndedProgramRetention(
-                    self._programs, self._clock
-                ).run,
+                self._retention.run,
                 self._reconciler.reconcile_forever,
                 self._quarantine.watch_forever,
                 self._quarantine.store_forever,
@@ -149,6 +148,9 @@
         )
 
     def _make_service(self) -> None:
+        self._retention = retention.EndedProgramRetention(
+            self._programs, self._clock
+        )
         self._service = owner_service.OwnerService(
             self._programs,
             self._configuration,
@@ -156,6 +158,13 @@
             self._pool,
             self._clock,
             self._metrics,
+            program_memory.ProgramMemory(
+                self._programs,
+                self._retention,
+                self._settings.program_bytes,
+                self._clock,
+                self._metrics,
+            ),
         )
         self._shard_manager = shard_manager.ShardManager(
             self._settings.name,
--- a/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
@@ -16,6 +16,7 @@
 from magnoliawood_server.entry import configuration_cache
 from magnoliawood_server.entry import gateway as gateways
 from magnoliawood_server.entry import program_names
+from magnoliawood_server.entry import retention
 from magnoliawood_server.entry import routes
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.http import message as http_message
@@ -271,7 +272,7 @@
             await gateway.request(messages.CancelCall(call))
         if ends_program:
             await gateway.request(
-                messages.EndProgram(call.program, 'single request')
+                messages.EndProgram(call.program, retention.SINGLE_REQUEST)
             )
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
@@ -11,6 +11,7 @@
 from magnoliawood.core import errors
 from magnoliawood.core import verdict as verdicts
 from magnoliawood.programs import call as calls
+from magnoliawood.programs import footprint
 from magnoliawood.programs import identity
 from magnoliawood.programs import program as programs
 from magnoliawood.programs import records
@@ -22,6 +23,7 @@
 from magnoliawood_server.entry import configuration_cache
 from magnoliawood_server.entry import ownership_guard
 from magnoliawood_server.entry import program_checks
+from magnoliawood_server.entry import program_memory
 from magnoliawood_server.entry import shard_manager
 from magnoliawood_server.entry import sidecar_directory
 from magnoliawood_server.entry import takeover_reader
@@ -35,7 +37,10 @@
 
 
 class OwnerService:
-    """Opens programs, runs their calls in order and ends them."""
+    """Opens programs, runs their calls in order and ends them.
+
+    :param memory: limits the memory of the programs
+    """
 
     def __init__(
         self,
@@ -45,8 +50,10 @@
         pool: pools.PeerPool,
         clock: clocks.Clock,
         metrics: registries.Registry,
+        memory: program_memory.ProgramMemory,
     ) -> None:
         self._programs = programs_table
+        self._memory = memory
         self._configuration = configuration
         self._sidecars = sidecars
         self._releaser = cache_releaser.CacheReleaser(sidecars, pool, metrics)
@@ -91,6 +98,7 @@
             await self._recorder.wait_all_durable_or_replicated()
             return program_checks.status_of(existing)
         self._recorder.check_backlog()
+        self._memory.check_room(footprint.PROGRAM_BYTES)
         opened = self._make_opened(message)
         self._programs.apply(opened)
         self._metrics.count(
@@ -251,6 +259,7 @@
             raise _program_ended_error(program.key)
         program.check_time(self._clock.now())
         self._recorder.check_backlog()
+        self._memory.check_room(footprint.of_request(message.request))
         if self._may_be_unrecorded(program, message):
             return await self._reject_unrecorded(program, message)
         reserved = self._reservation(program, message.request)
--- a/packages/magnoliawood-server/magnoliawood_server/entry/retention.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/retention.py
@@ -6,10 +6,15 @@
 
 from magnoliawood.core import clock as clocks
 from magnoliawood.programs import identity
+from magnoliawood.programs import program as program_states
 from magnoliawood.programs import table as tables
 
 ENDED_RETENTION = datetime.timedelta(minutes=10)
 _INTERVAL = datetime.timedelta(seconds=10)
+# Why a program ended that no client can name; its end is its last use.
+SINGLE_REQUEST = 'single request'
+# Time for which other ended programs stay readable though memory is scarce.
+MIN_RETENTION = datetime.timedelta(minutes=1)
 
 
 class EndedProgramRetention:
@@ -59,6 +64,20 @@
             if now - since >= self._retention:
                 self._drop_family(key)
 
+    def free(self, held_bytes: int) -> None:
+        """Drop ended families early, those that ended first.
+
+        :param held_bytes: memory of all programs that may be left
+        """
+        self.step()
+        now = self._clock.monotonic()
+        for key, since in list(self._ended_since.items()):
+            if self._programs.held_bytes <= held_bytes:
+                return
+            program = self._programs.get(key)
+            if _is_unnamed(program) or now - since >= MIN_RETENTION:
+                self._drop_family(key)
+
     def _has_family_ended(self, root: identity.ProgramKey) -> bool:
         return all(
             member.is_ended and member.pending is None
@@ -69,3 +88,7 @@
         for member in self._programs.family(root):
             self._programs.drop(member.key)
         del self._ended_since[root]
+
+
+def _is_unnamed(program: program_states.Program) -> bool:
+    return program.end_reason == SINGLE_REQUEST
--- a/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
+++ b/packages/magnoliawood-server/magnoliawood_server/runtime/settings.py
@@ -151,11 +151,23 @@
         description='time without a response after which another entry is '
         'suspected to have failed',
     )
+    program_memory_share: float = pydantic.Field(
+        default=0.3,
+        ge=0.05,
+        le=0.6,
+        description='share of the memory of the process for programs with '
+        'their histories; further ones are refused',
+    )
     policy: typing.Literal[policies.NAMES] = pydantic.Field(
         default=policies.STANDARD,
         description='scheduling policy; meant for experiments only',
     )
 
+    @property
+    def program_bytes(self) -> int:
+        """Memory for programs with their histories."""
+        return int(self.memory_mb * 2**20 * self.program_memory_share)
+
 
 class SidecarSettings(CommonSettings):
     """Settings that only a sidecar has, besides the common ones."""
@@ -197,3 +209,15 @@
         ge=0,
         description='maximum number of calls that wait for the upstream',
     )
+    call_memory_share: float = pydantic.Field(
+        default=0.4,
+        ge=0.05,
+        le=0.6,
+        description='share of the memory of the process for calls with their '
+        'histories, and their outcomes; further ones are refused',
+    )
+
+    @property
+    def call_bytes(self) -> int:
+        """Memory for calls with their histories, and their outcomes."""
+        return int(self.memory_mb * 2**20 * self.call_memory_share)
--- a/packages/magnoliawood/magnoliawood/budgets/client_budget.py
+++ b/packages/magnoliawood/magnoliawood/budgets/client_budget.py
@@ -45,6 +45,20 @@
     stall_time: datetime.timedelta = datetime.timedelta(seconds=1)
 
 
+def limit_for(size: int, limit_bytes: int) -> int:
+    """Return how much of a limit may be used for what has a given size.
+
+    Examples
+    ========
+
+    >>> limit_for(1000, 1_000_000), limit_for(200_000, 1_000_000)
+    (1000000, 750000)
+    """
+    if size <= SMALL_BYTES:
+        return limit_bytes
+    return int(limit_bytes * _SHARE_OF_LARGE)
+
+
 class Holding:
     """What one connection holds."""
 
@@ -247,9 +261,7 @@
         """Take memory for a holding."""
         if holding.is_lost:
             return False
-        limit = self._limits.memory_bytes
-        if holding.held_bytes + size > SMALL_BYTES:
-            limit = int(limit * _SHARE_OF_LARGE)
+        limit = limit_for(holding.held_bytes + size, self._limits.memory_bytes)
         while self._held_bytes + size > limit:
             largest = self._find_longest_stalled(
                 lambda other: 0 if other is holding else other.held_bytes
--- a/packages/magnoliawood/magnoliawood/programs/program.py
+++ b/packages/magnoliawood/magnoliawood/programs/program.py
@@ -7,6 +7,7 @@
 from magnoliawood.core import errors
 from magnoliawood.programs import budget as budgets
 from magnoliawood.programs import call as call_models
+from magnoliawood.programs import footprint
 from magnoliawood.programs import identity
 from magnoliawood.programs import message as messages
 from magnoliawood.programs import records
@@ -24,11 +25,17 @@
 
     :param opened: the record that opened the program
     :param parent: the parent program, whose budget limits this one too
+    :param tally: sums up the memory of this program and others
     """
 
     def __init__(
-        self, opened: records.Opened, parent: 'Program | None' = None
+        self,
+        opened: records.Opened,
+        parent: 'Program | None' = None,
+        tally: footprint.Tally | None = None,
     ) -> None:
+        self._tally = tally or footprint.Tally()
+        self._held_bytes = 0
         self._opened = opened
         self._parent = parent
         self._ledger = budgets.BudgetLedger(
@@ -42,6 +49,20 @@
         self._history: list[messages.Message] = []
         self._digest = ''
         self._is_damaged = False
+        self._hold(footprint.PROGRAM_BYTES)
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the program with its calls and their texts."""
+        return self._held_bytes
+
+    def drop(self) -> None:
+        """Take the memory of the program, which is forgotten, from the sum."""
+        self._hold(-self._held_bytes)
+
+    def _hold(self, size: int) -> None:
+        self._held_bytes += size
+        self._tally.add(size)
 
     @property
     def key(self) -> identity.ProgramKey:
@@ -193,11 +214,15 @@
         )
         self._ledger.restore(record.reserved)
         self._calls.append(call)
-        self._withdrawn = None
+        self._hold(footprint.of_request(record.request))
+        if self._withdrawn is not None:
+            self._hold(-footprint.of_request(self._withdrawn.request))
+            self._withdrawn = None
 
     def _replace_call(self, record: records.Intended) -> call_models.Call:
         """Replace a call whose withdrawal was not stored by a new one."""
         replaced = self._calls.pop()
+        self._hold(-footprint.of_request(replaced.request))
         self._ledger.withdraw(replaced.reserved)
         self._add_call(record)
         return self._calls[-1]
@@ -217,6 +242,7 @@
         if call.is_done or record.attempt not in (0, call.attempt):
             return
         call.finish(record.outcome)
+        self._hold(footprint.of_outcome(record.outcome))
         self._ledger.settle(call.reserved, record.outcome.tokens)
         self._extend_history(call, record.outcome)
         if record.digest and record.digest != self._digest:
--- a/packages/magnoliawood/magnoliawood/programs/table.py
+++ b/packages/magnoliawood/magnoliawood/programs/table.py
@@ -1,6 +1,7 @@
 """Table of the programs that an entry owns."""
 
 from magnoliawood.core import errors
+from magnoliawood.programs import footprint
 from magnoliawood.programs import identity
 from magnoliawood.programs import program as programs
 from magnoliawood.programs import records
@@ -12,6 +13,12 @@
     def __init__(self) -> None:
         self._programs: dict[identity.ProgramKey, programs.Program] = {}
         self._shards: dict[int, set[identity.ProgramKey]] = {}
+        self._tally = footprint.Tally()
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of all programs with their calls and histories."""
+        return self._tally.total_bytes
 
     def __len__(self) -> int:
         return len(self._programs)
@@ -62,11 +69,12 @@
     def drop_shard(self, shard: int) -> None:
         """Remove all programs of a shard."""
         for key in self._shards.pop(shard, set()):
-            del self._programs[key]
+            self._programs.pop(key).drop()
 
     def drop(self, key: identity.ProgramKey) -> None:
         """Remove one program."""
-        self._programs.pop(key, None)
+        if key in self._programs:
+            self._programs.pop(key).drop()
         self._shards.get(key.shard, set()).discard(key)
 
     def all(self) -> list[programs.Program]:
@@ -78,5 +86,5 @@
         if key in self._programs:
             return
         parent = self._programs.get(key.parent) if key.parent else None
-        self._programs[key] = programs.Program(record, parent)
+        self._programs[key] = programs.Program(record, parent, self._tally)
         self._shards.setdefault(key.shard, set()).add(key)
