Limit the memory of the calls that a sidecar keeps

What callers saw: 24 requests of 2 MiB over four entries took a sidecar of 96 MiB to 107 MB; with more entries it has no bound.

Cause: a sidecar queues up to 256 calls of any length, each with its whole history, and keeps those whose outcome the owner has not stored.

Change: a call's memory, three times its texts until it ends and once until it is forgotten, is taken before it is accepted (call_memory_share); else it is refused like one that finds the queue full, and has not run. One call is always accepted, and a quarter of the limit is left to small ones.

Crowd and bounds are those of before.

--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/app.py
@@ -64,6 +64,7 @@
             self._metrics,
             settings.concurrency,
             settings.queue_limit,
+            settings.call_bytes,
         )
         self._releaser = cache_releaser.CacheReleaser(
             self._runner.upstream, self._runner.has_calls, self._metrics
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -22,12 +22,14 @@
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.peer import messages
 from magnoliawood_server.sidecar import cache_tracker
+from magnoliawood_server.sidecar import call_memory
 from magnoliawood_server.sidecar import call_queue
 from magnoliawood_server.sidecar import call_run
 from magnoliawood_server.sidecar import health as healths
 from magnoliawood_server.sidecar import upstream as upstreams
 
 RETRY_AFTER = datetime.timedelta(seconds=1)
+_USUAL_MEMORY_BYTES = 100 * 1024 * 1024
 _POSSIBLE_CRASH_CODES = frozenset(
     {errors.ErrorCode.UPSTREAM_FAILED, errors.ErrorCode.OUTCOME_UNKNOWN}
 )
@@ -45,6 +47,7 @@
     :param name: name of the host
     :param concurrency: maximum number of calls that run at the same time
     :param queue_limit: maximum number of queued calls
+    :param memory_bytes: memory of all calls that are kept
     """
 
     def __init__(
@@ -55,7 +58,9 @@
         metrics: registries.Registry,
         concurrency: int,
         queue_limit: int,
+        memory_bytes: int = _USUAL_MEMORY_BYTES,
     ) -> None:
+        self._memory = call_memory.CallMemory(memory_bytes)
         self._name = name
         self._upstream = upstream
         self._health = healths.UpstreamHealth(upstream, clock)
@@ -155,6 +160,7 @@
                 'the owner abandoned this attempt before it arrived',
             )
         self._check_admission(order)
+        self._take_memory(order)
         run = call_run.CallRun(order, self._clock.monotonic())
         self._runs[call] = run
         self._active_calls[call.program] += 1
@@ -167,6 +173,13 @@
             await curio.spawn(self._start_after_hold, run, daemon=True)
         return run
 
+    def _take_memory(self, order: messages.Order) -> None:
+        try:
+            self._memory.take(order)
+        except errors.MagnoliawoodError:
+            self._metrics.count('admissions_refused_total', reason='memory')
+            raise
+
     def _check_admission(self, order: messages.Order) -> None:
         """Check that the queue admits a call.
 
@@ -218,6 +231,7 @@
         run = self._runs.get(call)
         if run is not None and run.response.outcome is not None:
             del self._runs[call]
+            self._memory.forget(call)
             self._witness.forget(call)
 
     async def release_held_calls(self) -> None:
@@ -397,6 +411,7 @@
         if outcome.code:
             self._metrics.count('refusals_total', reason=outcome.code)
         self._witness.settle(run.order.intended.call, outcome)
+        self._memory.settle(run.order, outcome)
         program = run.order.intended.call.program
         self._active_calls[program] -= 1
         if not self._active_calls[program]:
