Let none give way to a request that finds no room all the same

What callers saw: a large request that found no room ended idle connections, and requests that stalled, one by one, and was refused in the end.

Cause: each step ended the holding that weighs most, without a look at whether all that may give way are enough; the search was repeated for each of them.

Change: one search finds all that may give way; if they are not enough, none does.

Evidence: test_none_gives_way_in_vain fails without the change.

--- a/packages/magnoliawood/magnoliawood/budgets/client_budget.py
+++ b/packages/magnoliawood/magnoliawood/budgets/client_budget.py
@@ -245,11 +245,11 @@
         :returns: ``None`` if there is no room, and the connection is refused
         """
         while self.is_full:
-            longest = self._find_longest_stalled(lambda holding: 1)
-            if longest is None:
+            stalled = self._find_stalled(lambda holding: 1)
+            if not stalled:
                 self._refuse('connections')
                 return None
-            await longest.evict()
+            await stalled[0].evict()
         holding = Holding(self, self.now())
         self._holdings.add(holding)
         if await holding.take(CONNECTION_BYTES):
@@ -263,17 +263,32 @@
             return False
         limit = limit_for(holding.held_bytes + size, self._limits.memory_bytes)
         while self._held_bytes + size > limit:
-            largest = self._find_longest_stalled(
-                lambda other: 0 if other is holding else other.held_bytes
-            )
-            if largest is None:
+            if not await self._make_room(holding, size, limit):
                 self._refuse('memory')
                 return False
-            await largest.evict()
         self._held_bytes += size
         holding.add(size)
         return True
 
+    async def _make_room(
+        self, holding: Holding, size: int, limit: int
+    ) -> bool:
+        """Let others give way until a size fits.
+
+        :returns: whether enough of them may; otherwise none has
+        """
+        others = self._find_stalled(
+            lambda other: 0 if other is holding else other.held_bytes
+        )
+        held = sum(other.held_bytes for other in others)
+        if self._held_bytes + size - held > limit:
+            return False
+        for other in others:
+            if self._held_bytes + size <= limit:
+                break
+            await other.evict()
+        return True
+
     def give_back(self, size: int) -> None:
         """Give memory back."""
         self._held_bytes -= size
@@ -287,20 +302,21 @@
         self._registry.count('client_evictions_total', phase=phase)
         self._log_pressure()
 
-    def _find_longest_stalled(
+    def _find_stalled(
         self, weight: collections.abc.Callable[[Holding], int]
-    ) -> Holding | None:
-        """Return the holding that weighs most for longest, if one may go."""
-        found = None
-        most = -1.0
-        for holding in self._holdings:
-            stalled = holding.stalled_time()
-            weighed = weight(holding)
-            if stalled is None or not weighed:
-                continue
-            if weighed * stalled.total_seconds() > most:
-                found, most = holding, weighed * stalled.total_seconds()
-        return found
+    ) -> list[Holding]:
+        """Return the holdings that may give way.
+
+        :returns: the one that weighs most for longest first
+        """
+        weighed = [
+            (weight(holding) * stalled.total_seconds(), holding)
+            for holding in self._holdings
+            if (stalled := holding.stalled_time()) is not None
+            and weight(holding)
+        ]
+        weighed.sort(key=lambda pair: pair[0], reverse=True)
+        return [holding for _, holding in weighed]
 
     def _refuse(self, reason: str) -> None:
         self._registry.count('client_budget_refusals_total', reason=reason)
--- a/packages/magnoliawood/magnoliawood/budgets/tests/test_client_budget.py
+++ b/packages/magnoliawood/magnoliawood/budgets/tests/test_client_budget.py
@@ -130,3 +130,20 @@
         assert play.gone == (['first'] if idle else [])
 
     run(play)
+
+
+def test_none_gives_way_in_vain():
+    async def play():
+        play = Play()
+        await play.open('idle')
+        await play.receiving('stalled', MEGABYTE)
+        fixed = await play.receiving('fixed', 4 * MEGABYTE)
+        fixed.begin_serving()
+        play.clock.advance(2 * SECOND)
+        newer = await play.open('newer')
+        assert not await newer.take(4 * MEGABYTE)
+        assert play.gone == []
+        assert await newer.take(MEGABYTE + MEGABYTE // 2)
+        assert play.gone == ['stalled']
+
+    run(play)
