--- a/packages/magnoliawood-server/magnoliawood_server/entry/tests/test_program_memory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/tests/test_program_memory.py
@@ -38,7 +38,7 @@
         )
 
     def run(self, name, end_reason=''):
-        """Run a program with one long call, and end it if a reason is given."""
+        """Run a program with one long call; a reason ends it."""
         key = identity.ProgramKey('caller', name)
         call = identity.CallId(key, 1)
         request = calls.ModelRequest(
