Test of large bodies with one wide character, red at an entry

Found on the last reading of the diff: one character beyond the Basic Multilingual Plane makes all of a text take four bytes a character, in each of its copies, while the budget counts four times the length of the body.

The bodies of the other tests of this module are the same bytes as before, since they are ASCII.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_of_programs.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_of_programs.py
@@ -17,6 +17,8 @@
 MAX_FDS = test_crowds_at_own_interface.MAX_FDS
 LARGE = 24
 TEXT = 'x' * (3 * MEGABYTE)
+# Text whose one wide character makes all take four bytes in memory.
+WIDE_TEXT = 'x' * (7 * MEGABYTE) + '\U0001f600'
 PROGRAMS = 48
 PROGRAM_TEXT = 'y' * (2 * MEGABYTE)
 AT_ONCE = 4
@@ -56,7 +58,7 @@
 
 def completion(text, program=''):
     """Return the bytes of a request for a completion."""
-    body = json.dumps(body_of(text)).encode()
+    body = json.dumps(body_of(text), ensure_ascii=False).encode()
     lines = [f'Content-Length: {len(body)}']
     lines += [f'{name}: {value}' for name, value in HEADERS.items()]
     if program:
@@ -142,6 +144,15 @@
                 crowd.push()
 
 
+def test_large_bodies_with_one_wide_character():
+    with one_entry() as deployment:
+        with watched(deployment) as entry:
+            with crowds.Crowd(
+                entry.http, LARGE, lambda number: completion(WIDE_TEXT)
+            ) as crowd:
+                crowd.push()
+
+
 def test_long_programs_of_a_single_request():
     with one_entry() as deployment:
         with watched(deployment) as entry:
