Tests of long histories that are not read and of one wide body, red

An entry answers each request for a history with a body of its own, for which no memory is taken: 64 clients that don't read take an entry of 160 MiB to 628 MiB. One legal body whose text has a wide character takes it to 205 MB.

--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_of_programs.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_of_programs.py
@@ -22,6 +22,8 @@
 PROGRAMS = 48
 PROGRAM_TEXT = 'y' * (2 * MEGABYTE)
 AT_ONCE = 4
+# Clients that ask for a history and don't read it.
+HISTORIES = 64
 ENTRIES = 4
 USUAL_STEP_SECONDS = 0.005
 CLIENTS_EACH = 6
@@ -153,6 +155,20 @@
                 crowd.push()
 
 
+# Its escapes make the text take four times the bytes of the body.
+def test_one_large_body_with_a_wide_character_is_served():
+    with one_entry() as deployment:
+        with watched(deployment) as entry:
+            status, _ = deployments.call(
+                entry.http,
+                'POST',
+                '/v1/chat/completions',
+                body_of(WIDE_TEXT),
+                HEADERS,
+            )
+        assert status == SUCCESS
+
+
 def test_long_programs_of_a_single_request():
     with one_entry() as deployment:
         with watched(deployment) as entry:
@@ -177,6 +193,31 @@
             assert history_of(entry, number) == PROGRAM_TEXT
 
 
+def history_request(number):
+    lines = ['GET /v1/programs/p-0/history HTTP/1.1', 'Host: crowd']
+    lines += [f'{name}: {value}' for name, value in HEADERS.items()]
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
+def test_long_histories_that_are_not_read():
+    with one_entry() as deployment:
+        with watched(deployment) as entry:
+            status, _ = deployments.call(
+                entry.http,
+                'POST',
+                '/v1/chat/completions',
+                body_of(TEXT),
+                {**HEADERS, 'X-Magnoliawood-Program': 'p-0'},
+            )
+            assert status == SUCCESS
+            with crowds.Crowd(
+                entry.http, HISTORIES, history_request, reads=False
+            ) as crowd:
+                crowd.push()
+                assert is_completed(entry)
+        assert history_of(entry, 0) == TEXT
+
+
 def set_step_time(deployment, seconds):
     for engine in deployment.upstreams.values():
         deployments.call(
