Make digests of long texts without copies of them

Cause: each digest of a conversation built all of its text anew, four bytes a character if one of them is wide, and that of a request its JSON form, up to six bytes a character, each a second time in bytes. An entry makes three or more for each call.

Change: texts and their JSON form are hashed in pieces of 16 Ki characters (core/json_pieces.py).

--- a/packages/magnoliawood/magnoliawood/programs/call.py
+++ b/packages/magnoliawood/magnoliawood/programs/call.py
@@ -3,11 +3,11 @@
 import dataclasses
 import datetime
 import hashlib
-import json
 import typing
 
 from magnoliawood import charts
 from magnoliawood.core import errors
+from magnoliawood.core import json_pieces
 from magnoliawood.core import verdict as verdicts
 from magnoliawood.limits import crash_record
 from magnoliawood.programs import identity
@@ -133,8 +133,10 @@
     False
     """
     fields = dataclasses.asdict(typing.cast(typing.Any, request))
-    text = json.dumps(fields, sort_keys=True).encode()
-    return hashlib.blake2b(text, digest_size=16).hexdigest()
+    digest = hashlib.blake2b(digest_size=16)
+    for piece in json_pieces.of(fields, sort_keys=True):
+        digest.update(piece.encode())
+    return digest.hexdigest()
 
 
 def content_fingerprint(digest: str, request: Request) -> str:
--- a/packages/magnoliawood/magnoliawood/programs/message.py
+++ b/packages/magnoliawood/magnoliawood/programs/message.py
@@ -4,6 +4,8 @@
 import hashlib
 import itertools
 
+from magnoliawood.core import json_pieces
+
 _CHARACTERS_PER_TOKEN = 4
 
 
@@ -39,8 +41,11 @@
 
 
 def _link(previous: str, message: Message) -> str:
-    text = f'{previous}\0{message.role}\0{message.content}'.encode()
-    return hashlib.blake2b(text, digest_size=16).hexdigest()
+    start = f'{previous}\0{message.role}\0'.encode()
+    link = hashlib.blake2b(start, digest_size=16)
+    for part in json_pieces.slices(message.content):
+        link.update(part.encode())
+    return link.hexdigest()
 
 
 def token_estimate(messages: list[Message]) -> int:
