Take the memory of wide text at an entry before it is decoded

Cause: a body at an entry or a sidecar counted four times its length. Its text takes two or four bytes a character if one of them is wide, also one that is escaped, so that a crowd of such bodies held far more than they had taken.

Change: a body that was read is searched for wide characters (one pass for plain ASCII) and takes what its text needs beyond a byte a character, or all that a single request may hold: it is then served while no other large one is.

--- a/packages/magnoliawood-server/magnoliawood_server/http/server_connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server_connection.py
@@ -11,6 +11,7 @@
 
 from magnoliawood.budgets import client_budget
 from magnoliawood.core import errors
+from magnoliawood_server.http import body_text
 from magnoliawood_server.http import connection as connections
 from magnoliawood_server.http import server_side
 
@@ -176,7 +177,16 @@
             parts += 1
             if parts % _PARTS_AT_ONCE == 0:
                 await curio.sleep(0)
-        return bytes(body) if isinstance(event, h11.EndOfMessage) else None
+        if not isinstance(event, h11.EndOfMessage):
+            return None
+        await self._take_for_text(body)
+        return bytes(body)
+
+    async def _take_for_text(self, body: bytearray) -> None:
+        """Take what the text of a body needs beyond a byte a character."""
+        size = (body_text.bytes_per_character(body) - 1) * len(body)
+        if size and not await self.holding.take_at_most(size):
+            raise no_room_error()
 
     async def take(self, size: int) -> None:
         """Take memory before it is used.
--- a/packages/magnoliawood/magnoliawood/budgets/client_budget.py
+++ b/packages/magnoliawood/magnoliawood/budgets/client_budget.py
@@ -97,6 +97,17 @@
         """
         return await self._budget.take(self, size)
 
+    async def take_at_most(self, size: int) -> bool:
+        """Take memory; no more than a single request may ever hold.
+
+        What needs more than that is served while no other large request is.
+
+        :param size: in bytes
+        :returns: whether it was taken; otherwise nothing was
+        """
+        left = self._budget.limit_of_large_bytes - self._bytes
+        return await self.take(max(0, min(size, left)))
+
     def give_back(self, size: int) -> None:
         """Give memory back that was taken."""
         size = max(0, min(size, self._bytes))
@@ -220,6 +231,11 @@
         """Number of connections."""
         return len(self._holdings)
 
+    @property
+    def limit_of_large_bytes(self) -> int:
+        """Memory that large requests may hold together."""
+        return limit_for(SMALL_BYTES + 1, self._limits.memory_bytes)
+
     @property
     def stall_time(self) -> datetime.timedelta:
         """Time after which one without progress may have to give way."""
