Search longer for faults that are injected into the model of ownership

Change: up to 20,000 examples; a search ends when it has found the fault. The check of the model without a fault is unchanged.

--- a/packages/magnoliawood/magnoliawood/ownership/tests/test_ownership.py
+++ b/packages/magnoliawood/magnoliawood/ownership/tests/test_ownership.py
@@ -18,6 +18,9 @@
     phases=[hypothesis.Phase.generate],
     suppress_health_check=list(hypothesis.HealthCheck),
 )
+# The search for a fault ends when it is found. What is generated depends on
+# the modules that are loaded, so a rare one may need more examples.
+SEARCH = hypothesis.settings(SETTINGS, max_examples=20_000)
 
 
 def may_call(owner):
@@ -206,9 +209,9 @@
             assert attempt > self.model.reported_not_run.get(sequence, 0)
 
 
-def run(planted):
+def run(planted, settings=SETTINGS):
     machine = type('Planted', (Ownership,), {'planted': planted})
-    stateful.run_state_machine_as_test(machine, settings=SETTINGS)
+    stateful.run_state_machine_as_test(machine, settings=settings)
 
 
 def test_guarantees_hold_in_all_interleavings():
@@ -230,4 +233,4 @@
 )
 def test_injected_fault_is_found(planted):
     with pytest.raises(AssertionError):
-        run(planted)
+        run(planted, SEARCH)
