Store a record that is longer than the store takes in several segments

Seen: after one legal call of 7 MiB an entry refused all further programs with 503 until it ended. 24 such bodies did it in a test of a crowd.

Cause: a record was written as one object however long it was. The platform's store takes objects of 1 MiB at most (value_bytes), and the client reads no reply of over 4 MiB; so the write failed again and again, and all records behind it waited. Our stand-in took objects of any size.

Change: a batch whose JSON exceeds 900,000 bytes is stored as numbered parts, one segment each; a reader joins them. Parts without their last, after a seal or the end of an entry, hold no record: none of it was confirmed. Shorter batches are stored as before. An entry of an earlier release can't read parts. The stand-in refuses objects of over 1 MiB and lists 1 MB at a time, as the protocol says.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/journal_writer.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/journal_writer.py
@@ -74,6 +74,8 @@
         self._replicator = replicator
         self._buffer = journal.JournalBuffer()
         self._next_segment = 1
+        # Segments of the batch in flight that are not stored yet.
+        self._unwritten: list[str] = []
         self._appended = curio.Event()
         self._progress = curio.Event()
         self._is_stalled = False
@@ -196,33 +198,42 @@
             await self._appended.wait()
             self._appended.clear()
             while self._buffer.backlog and not self._is_sealed:
-                await self._write_batch()
+                await self._write_segment()
                 await curio.sleep(self._interval.total_seconds())
 
-    async def _write_batch(self) -> None:
+    async def _write_segment(self) -> None:
+        """Write the next segment; after the last of a batch, confirm it."""
         batch = self._buffer.next_batch()
-        name = journal.segment_name(self._log, self._next_segment)
+        if not self._unwritten:
+            self._unwritten = journal.encode_segments(batch)
         try:
-            await self._objects.put(
-                name, journal.encode_batch(batch), store.ABSENT
-            )
-        except store.VersionConflict as conflict:
-            await self._resolve_conflict(batch, conflict)
+            await self._put(self._unwritten[0])
+        except store.VersionConflict:
+            await self.handle_seal()
             return
         except errors.MagnoliawoodError as error:
             await self._stall(error)
             return
-        await self._confirm(batch)
-
-    async def _resolve_conflict(
-        self, batch: list[records.Record], conflict: store.VersionConflict
-    ) -> None:
-        text = conflict.current.value if conflict.current else ''
-        if text == journal.encode_batch(batch):
-            # An earlier attempt was applied although its reply was lost.
+        self._metrics.count('journal_writes_total')
+        self._next_segment += 1
+        del self._unwritten[0]
+        if not self._unwritten:
             await self._confirm(batch)
-            return
-        await self.handle_seal()
+
+    async def _put(self, text: str) -> None:
+        """Create the next segment.
+
+        :raises VersionConflict: if it exists with another content
+        :raises MagnoliawoodError: if the store does not take it
+        """
+        name = journal.segment_name(self._log, self._next_segment)
+        try:
+            await self._objects.put(name, text, store.ABSENT)
+        except store.VersionConflict as conflict:
+            # An earlier attempt may have been applied although its reply was
+            # lost.
+            if conflict.current is None or conflict.current.value != text:
+                raise
 
     async def handle_seal(self) -> None:
         """Stop writing to the log after another entry sealed it."""
@@ -234,9 +245,7 @@
         await self._on_sealed()
 
     async def _confirm(self, batch: list[records.Record]) -> None:
-        self._metrics.count('journal_writes_total')
         self._metrics.count('journal_records_total', len(batch))
-        self._next_segment += 1
         self._buffer.confirm_batch()
         if self._is_stalled:
             self._is_stalled = False
@@ -274,12 +283,7 @@
     """Return all stored records of a log in order."""
     listing = await objects.scan(f'{journal.JOURNAL_PREFIX}{log}/')
     segments = sorted(listing.objects, key=lambda item: item.name)
-    return [
-        record
-        for segment in segments
-        if segment.value != journal.SEAL
-        for record in journal.decode_batch(segment.value)
-    ]
+    return list(journal.decode_segments(item.value for item in segments))
 
 
 async def is_sealed(objects: store.ObjectStore, log: str) -> bool:
--- a/packages/magnoliawood-testing/magnoliawood_testing/promises/scenario.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/promises/scenario.py
@@ -229,9 +229,7 @@
         values = self.deployment.stored_values(journal.JOURNAL_PREFIX)
         intents = [
             record
-            for value in values
-            if value != journal.SEAL
-            for record in journal.decode_batch(value)
+            for record in journal.decode_segments(values)
             if isinstance(record, records.Intended)
             and record.call.program.name == name
         ]
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/metadata_store.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/metadata_store.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import itertools
+import json
 import random
 import time
 import typing
@@ -13,8 +14,11 @@
 from magnoliawood_server.http import message as http_message
 from magnoliawood_testing.standins import control
 
-# Maximum number of objects in one page of a list.
+# Maximum number of objects in one page of a list, and of their bytes.
 _PAGE_SIZE = 50
+_PAGE_BYTES = 1_000_000
+# Maximum size of an object.
+_OBJECT_BYTES = 1024 * 1024
 # Maximum number of changes kept for each kind. A watch from a revision before
 # the kept changes gets status 410.
 _MAX_KEPT_EVENTS = 2000
@@ -119,6 +123,19 @@
         }
 
 
+def _size_of(document: dict[str, typing.Any]) -> int:
+    return len(json.dumps(document))
+
+
+def _page_of(
+    names: list[str], documents: dict[str, dict[str, typing.Any]]
+) -> list[str]:
+    """Return the names of a page: one or more, of a limited size."""
+    totals = itertools.accumulate(_size_of(documents[name]) for name in names)
+    fitting = sum(1 for total in totals if total <= _PAGE_BYTES)
+    return names[: max(1, fitting)]
+
+
 def _apply(event: _Event, documents: dict[str, dict[str, typing.Any]]) -> None:
     documents[event.name] = event.document
     if event.deleted:
@@ -201,7 +218,7 @@
             documents = self._kinds[kind].documents()
         after = query.get('after', '')
         names = sorted(name for name in documents if name > after)
-        page = names[:_PAGE_SIZE]
+        page = _page_of(names[:_PAGE_SIZE], documents)
         return http_message.Response.from_json(
             {
                 'items': [documents[name] for name in page],
@@ -270,6 +287,8 @@
         return await self._put(kind, changed)
 
     async def _put(self, kind: str, changed: _Object) -> http_message.Response:
+        if _size_of(changed.document()) > _OBJECT_BYTES:
+            return http_message.Response.from_json({}, 413)
         changed.revision = self._revision + 1
         self._kinds[kind].objects[changed.name] = changed
         await self._record_change(kind, changed, deleted=False)
--- a/packages/magnoliawood/magnoliawood/ownership/journal.py
+++ b/packages/magnoliawood/magnoliawood/ownership/journal.py
@@ -1,6 +1,9 @@
 """Journal of an owner: a log to which batches of records are appended."""
 
+import codecs
+import collections.abc
 import itertools
+import json
 
 import pydantic
 
@@ -10,8 +13,14 @@
 # Content of the last segment of a sealed log: every later write to the log is
 # rejected, because the number of its segment is already in use.
 SEAL = 'sealed'
-# Below the size limit that the platform's store sets for a value.
+# Below the size limit that the platform's store sets for an object.
 BATCH_LIMIT_BYTES = 900_000
+# Most bytes that the store's JSON takes for a byte of a segment.
+_MAX_ESCAPED_BYTES = 6
+# Begins a segment that holds a part of a batch, with its number and the number
+# of all parts.
+_PART = 'part'
+_PIECE_BYTES = 16 * 1024
 
 _BATCH = pydantic.TypeAdapter(list[records.Record])
 
@@ -41,6 +50,71 @@
     return _BATCH.validate_json(text)
 
 
+def encode_segments(batch: list[records.Record]) -> list[str]:
+    """Return the segments in which a batch is stored.
+
+    A record that is longer than the store's limit takes several of them.
+
+    Examples
+    ========
+
+    >>> from magnoliawood.programs import identity, records
+    >>> ended = records.Ended(identity.ProgramKey('c', 'p'), 'x' * 1_000_000)
+    >>> [text[:8] for text in encode_segments([ended])]
+    ['part 1 2', 'part 2 2']
+    """
+    data = _BATCH.dump_json(batch)
+    if len(data) * _MAX_ESCAPED_BYTES <= BATCH_LIMIT_BYTES:
+        return [data.decode()]
+    texts = list(_parts(data))
+    if len(texts) == 1:
+        return texts
+    return [
+        f'{_PART} {number} {len(texts)}\n{text}'
+        for number, text in enumerate(texts, 1)
+    ]
+
+
+def decode_segments(
+    segments: collections.abc.Iterable[str],
+) -> collections.abc.Iterator[records.Record]:
+    """Yield the records of a log's segments, which are in order.
+
+    The seal holds none, nor do the parts of a batch that was not completed,
+    whose records were never reported to be stored.
+
+    :raises pydantic.ValidationError: if a segment is malformed
+    """
+    parts: list[str] = []
+    for segment in segments:
+        if segment == SEAL:
+            continue
+        if not segment.startswith(_PART):
+            yield from decode_batch(segment)
+            continue
+        head, _, text = segment.partition('\n')
+        _, number, count = head.split(' ')
+        parts = [*parts, text] if number != '1' else [text]
+        if number == count:
+            yield from decode_batch(''.join(parts))
+
+
+def _parts(data: bytes) -> collections.abc.Iterator[str]:
+    """Yield the text of a batch in parts that the store takes."""
+    decoder = codecs.getincrementaldecoder('utf-8')()
+    part: list[str] = []
+    size_bytes = 0
+    for start in range(0, len(data), _PIECE_BYTES):
+        piece = decoder.decode(data[start : start + _PIECE_BYTES])
+        piece_bytes = len(json.dumps(piece))
+        if size_bytes + piece_bytes > BATCH_LIMIT_BYTES:
+            yield ''.join(part)
+            part, size_bytes = [], 0
+        part.append(piece)
+        size_bytes += piece_bytes
+    yield ''.join(part)
+
+
 class JournalBuffer:
     """Buffer of unstored records with the position of the last stored one.
 
