Take the memory of a history that is asked for, and send it in pieces

Cause: an entry answered each request for a history, and each one for the outcome of a call, with a JSON document of its own in two copies, for which no memory was taken. A request cost its sender 100 bytes. 64 clients that ask for a history of 3 MiB and don't read it took an entry of 160 MiB to 628 MiB; at two entries, of which one asks the other, to 261 MB.

Change: the status of a program states what it holds. That much is taken from the budget before the history is asked for, or the request is refused with 503; so for a chat request, beyond its own length. Long documents and events are made in parts of 64 KiB as they are sent. No more is taken than a single request may hold.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
@@ -7,6 +7,7 @@
 import typing
 
 from magnoliawood.core import errors
+from magnoliawood.core import json_pieces
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import identity
 from magnoliawood_server.entry import bodies
@@ -77,15 +78,20 @@
         self, request: routes.RoutedRequest
     ) -> http_message.Response:
         key = _key(request)
+        status = await self._gateway.request(messages.GetProgram(key))
+        await request.http.reserve(status.held_bytes)
         history = await self._gateway.request(messages.GetHistory(key))
-        return http_message.Response.from_json(
-            {
-                'program': key.name,
-                'messages': [
-                    dataclasses.asdict(message) for message in history.messages
-                ],
-                'digest': history.digest,
-            }
+        return http_message.Response.from_pieces(
+            json_pieces.of(
+                {
+                    'program': key.name,
+                    'messages': [
+                        {'role': message.role, 'content': message.content}
+                        for message in history.messages
+                    ],
+                    'digest': history.digest,
+                }
+            )
         )
 
     async def _run_call(
@@ -184,8 +190,8 @@
                 texts.append(part.text)
     _raise_failure(part)
     content = ''.join(texts) if offset else part.outcome.content
-    return http_message.Response.from_json(
-        call_document(call, part.outcome, content)
+    return http_message.Response.from_pieces(
+        json_pieces.of(call_document(call, part.outcome, content))
     )
 
 
@@ -197,29 +203,30 @@
     ],
 ) -> collections.abc.AsyncIterator[bytes]:
     async with contextlib.aclosing(remaining_parts):
-        yield _event_of(call, first)
+        for data in _event_of(call, first):
+            yield data
         try:
             async for part in remaining_parts:
-                yield _event_of(call, part)
+                for data in _event_of(call, part):
+                    yield data
         except errors.MagnoliawoodError as error:
-            yield _event('error', _problem(error))
+            for data in http_message.encode_event('error', _problem(error)):
+                yield data
 
 
 def _event_of(
     call: identity.CallId, part: gateways.ResponsePart | None
-) -> bytes:
+) -> collections.abc.Iterator[bytes]:
     if part is None:
-        return keepalive.KEEPALIVE_COMMENT
+        return iter([keepalive.KEEPALIVE_COMMENT])
     if isinstance(part, messages.Delta):
-        return _event('delta', {'text': part.text})
+        return http_message.encode_event('delta', {'text': part.text})
     outcome = part.outcome
     if not outcome.is_success:
-        return _event('error', _problem(outcome.to_error()))
-    return _event('finished', call_document(call, outcome, outcome.content))
-
-
-def _event(kind: str, value: typing.Any) -> bytes:
-    return f'event: {kind}\ndata: {json.dumps(value)}\n\n'.encode()
+        return http_message.encode_event('error', _problem(outcome.to_error()))
+    return http_message.encode_event(
+        'finished', call_document(call, outcome, outcome.content)
+    )
 
 
 def _problem(error: errors.MagnoliawoodError) -> typing.Any:
--- a/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/chat_api.py
@@ -8,6 +8,7 @@
 import uuid
 
 from magnoliawood.core import errors
+from magnoliawood.core import json_pieces
 from magnoliawood.programs import budget as budgets
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import identity
@@ -94,7 +95,7 @@
             request.account.name, name or f'chat-{uuid.uuid4().hex}'
         )
         work_class = request.http.header(CLASS_HEADER, self._default_class)
-        message = await self._next_call(key, work_class, body)
+        message = await self._next_call(key, work_class, body, request.http)
         completion = _Completion(body.model, bool(body.stream))
         parts = self._gateway.response_parts(message)
         wrapped_parts = _parts_with_cleanup(
@@ -117,8 +118,11 @@
         key: identity.ProgramKey,
         work_class: str,
         body: bodies.ChatBody,
+        http: http_message.Request,
     ) -> messages.RunCall:
         status = await self._open(key, work_class)
+        # A request that fits the history has taken memory for all of it.
+        await http.reserve(max(0, status.held_bytes - len(http.body)))
         history = await self._gateway.request(messages.GetHistory(key))
         request_messages = [item.to_message() for item in body.messages]
         length = _matching_length(history.messages, request_messages)
@@ -182,9 +186,8 @@
             'completion_tokens': outcome.tokens,
             'total_tokens': outcome.tokens,
         }
-        return http_message.Response.from_json(
-            {**self._document(choice), 'usage': usage}
-        )
+        document = {**self._document(choice), 'usage': usage}
+        return http_message.Response.from_pieces(json_pieces.of(document))
 
     async def events(
         self,
@@ -194,17 +197,22 @@
         ],
     ) -> collections.abc.AsyncGenerator[bytes]:
         async with contextlib.aclosing(remaining_parts):
-            yield self._event(first)
+            for data in self._event(first):
+                yield data
             try:
                 async for part in remaining_parts:
-                    yield self._event(part)
+                    for data in self._event(part):
+                        yield data
             except errors.MagnoliawoodError as error:
-                yield _data({'error': _openai_error(error)})
+                for data in _data({'error': _openai_error(error)}):
+                    yield data
         yield b'data: [DONE]\n\n'
 
-    def _event(self, part: gateways.ResponsePart | None) -> bytes:
+    def _event(
+        self, part: gateways.ResponsePart | None
+    ) -> collections.abc.Iterator[bytes]:
         if part is None:
-            return keepalive.KEEPALIVE_COMMENT
+            return iter([keepalive.KEEPALIVE_COMMENT])
         if isinstance(part, messages.Delta):
             delta = {'role': 'assistant', 'content': part.text}
             return _data(
@@ -301,8 +309,8 @@
         raise outcome.to_error()
 
 
-def _data(value: typing.Any) -> bytes:
-    return f'data: {json.dumps(value)}\n\n'.encode()
+def _data(value: typing.Any) -> collections.abc.Iterator[bytes]:
+    return http_message.encode_event('', value)
 
 
 def _matching_length(
--- a/packages/magnoliawood-server/magnoliawood_server/entry/program_checks.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/program_checks.py
@@ -23,6 +23,7 @@
         ledger.calls_left,
         program.next_sequence,
         0 if pending is None else pending.id.sequence,
+        program.held_bytes,
     )
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/http/message.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/message.py
@@ -3,15 +3,25 @@
 import collections.abc
 import dataclasses
 import http
+import itertools
 import json
 import typing
 import urllib.parse
 
 from magnoliawood.core import errors
+from magnoliawood.core import json_pieces
 
 JSON_TYPE = 'application/json'
 PROBLEM_TYPE = 'application/problem+json'
 EVENT_STREAM_TYPE = 'text/event-stream'
+# A document is sent in parts of this size if it is longer.
+_PART_BYTES = 64 * 1024
+
+Reserve = collections.abc.Callable[[int], collections.abc.Awaitable[None]]
+
+
+async def _reserve_nothing(size: int) -> None:
+    """Take no memory, where nothing limits what a request may hold."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,12 +29,15 @@
     """A complete request.
 
     :param headers: header values by lower-case name
+    :param reserve: takes memory, in bytes, until the end of the response;
+        raises ``host_overloaded`` if there is none
     """
 
     method: str
     target: str
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b''
+    reserve: Reserve = _reserve_nothing
 
     @property
     def path(self) -> str:
@@ -74,6 +87,21 @@
         body = json.dumps(value).encode()
         return cls(status, {'content-type': JSON_TYPE, **named}, body)
 
+    @classmethod
+    def from_pieces(cls, pieces: collections.abc.Iterator[str]) -> 'Response':
+        """Return a JSON response; a long one is made as it is sent.
+
+        :param pieces: ASCII text of the document
+        """
+        headers = {'content-type': JSON_TYPE}
+        parts = json_pieces.encoded(pieces, _PART_BYTES)
+        first = next(parts, b'')
+        second = next(parts, None)
+        if second is None:
+            return cls(200, headers, first)
+        rest = _one_by_one(itertools.chain([first, second], parts))
+        return cls(200, headers, parts=rest)
+
     @classmethod
     def from_error(cls, error: errors.MagnoliawoodError) -> 'Response':
         """Return an RFC 9457 problem document."""
@@ -93,3 +121,31 @@
             headers['retry-after'] = str(max(1, round(seconds)))
             problem['retry_after_seconds'] = seconds
         return cls(error.status, headers, json.dumps(problem).encode())
+
+
+def encode_event(
+    kind: str, value: typing.Any
+) -> collections.abc.Iterator[bytes]:
+    """Return a server-sent event; a long one in several parts.
+
+    Examples
+    ========
+
+    >>> list(encode_event('delta', {'text': 'one'}))
+    [b'event: delta\\ndata: {"text": "one"}\\n\\n']
+
+    :param kind: type of the event; none if empty
+    :param value: document that it carries
+    """
+    head = f'event: {kind}\n' if kind else ''
+    pieces = itertools.chain(
+        [f'{head}data: '], json_pieces.of(value), ['\n\n']
+    )
+    return json_pieces.encoded(pieces, _PART_BYTES)
+
+
+async def _one_by_one(
+    parts: collections.abc.Iterator[bytes],
+) -> collections.abc.AsyncIterator[bytes]:
+    for part in parts:
+        yield part
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -134,6 +134,7 @@
             for name, value in head.headers
         },
         body,
+        connection.reserve,
     )
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/http/server_connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server_connection.py
@@ -179,12 +179,20 @@
                 await curio.sleep(0)
         if not isinstance(event, h11.EndOfMessage):
             return None
-        await self._take_for_text(body)
+        # What its text needs beyond a byte for each character.
+        await self.reserve(
+            (body_text.bytes_per_character(body) - 1) * len(body)
+        )
         return bytes(body)
 
-    async def _take_for_text(self, body: bytearray) -> None:
-        """Take what the text of a body needs beyond a byte a character."""
-        size = (body_text.bytes_per_character(body) - 1) * len(body)
+    async def reserve(self, size: int) -> None:
+        """Take memory until the end of the response.
+
+        No more is taken than a single request may ever hold; what needs more
+        is served while no other large request is.
+
+        :raises MagnoliawoodError: with ``host_overloaded`` if there is none
+        """
         if size and not await self.holding.take_at_most(size):
             raise no_room_error()
 
--- a/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/messages.py
@@ -482,6 +482,8 @@
     :param end_reason: empty while the program is active
     :param next_sequence: number that the next call must have
     :param pending_sequence: number of the call in progress, 0 if none
+    :param held_bytes: memory of its history and its calls; 0 if its owner
+        is of a release that doesn't state it
     """
 
     program: identity.ProgramKey
@@ -496,6 +498,7 @@
     calls_left: int
     next_sequence: int
     pending_sequence: int
+    held_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_of_programs.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_of_programs.py
@@ -218,6 +218,47 @@
         assert history_of(entry, 0) == TEXT
 
 
+# The program belongs to one of two entries; the other asks it each time.
+def test_long_histories_at_two_entries_that_are_not_read():
+    with deployments.Deployment(
+        engines=1,
+        entries=2,
+        services=(),
+        entry_settings=test_crowds_at_own_interface.HOST_LIMITS,
+    ) as deployment:
+        deployment.create_account(ACCOUNT)
+        deployment.wait_for_configuration()
+        first, second = deployment.entries.values()
+        status, _ = deployments.call(
+            first.http,
+            'POST',
+            '/v1/chat/completions',
+            body_of(TEXT),
+            {**HEADERS, 'X-Magnoliawood-Program': 'p-0'},
+        )
+        assert status == SUCCESS
+        with contextlib.ExitStack() as stack:
+            watches = [
+                stack.enter_context(
+                    process_watch.ProcessWatch(entry.process, entry.http)
+                )
+                for entry in (first, second)
+            ]
+            for entry in (first, second):
+                crowd = crowds.Crowd(
+                    entry.http, HISTORIES, history_request, reads=False
+                )
+                stack.enter_context(crowd).push()
+            answered = is_completed(first) and is_completed(second)
+        assert first.process.is_running
+        assert second.process.is_running
+        for watch in watches:
+            assert watch.peak_bytes <= MEMORY_MB * MEGABYTE
+            assert watch.peak_descriptors <= MAX_FDS
+        assert answered
+        assert history_of(second, 0) == TEXT
+
+
 def set_step_time(deployment, seconds):
     for engine in deployment.upstreams.values():
         deployments.call(
