Take the memory of the values that a body holds before it is parsed

Cause: a body at an entry took memory by its length. Parsed, an object needs up to 1 KB, and one that is wrong 3 KB for its description: one body of 8 MiB took the parser to 306 MiB, or to 1,937 with a wrong field in each message.

Change: objects, arrays, fields and values of a body are counted, those in strings too unless that exceeds what a single request may hold; then exactly, until the limit. Their memory is taken from the budget; a body that needs more than a single request may ever hold is refused with 413. A list ends at its first wrong item, and more than 64 wrong fields are not described one by one.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/bodies.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/bodies.py
@@ -15,6 +15,8 @@
 
 DEFAULT_MAX_TOKENS = 1024
 _MAX_TOKENS_LIMIT = 1_000_000
+# Each description needs far more memory than the field that it describes.
+_MAX_DESCRIBED_ERRORS = 64
 _NAME = r'^[A-Za-z0-9][A-Za-z0-9._/-]{0,127}$'
 
 Model = typing.TypeVar('Model', bound=pydantic.BaseModel)
@@ -73,7 +75,9 @@
 
     kind: typing.Literal['model']
     model: Name
-    messages: typing.Annotated[list[MessageBody], pydantic.Field(min_length=1)]
+    messages: typing.Annotated[
+        list[MessageBody], pydantic.Field(min_length=1, fail_fast=True)
+    ]
     max_tokens: TokenLimit = DEFAULT_MAX_TOKENS
     stream: bool = False
 
@@ -132,7 +136,9 @@
     model_config = pydantic.ConfigDict(extra='ignore')
 
     role: MessageRole
-    content: str | list[TextPart]
+    content: (
+        str | typing.Annotated[list[TextPart], pydantic.Field(fail_fast=True)]
+    )
 
     def to_message(self) -> conversation.Message:
         """Return the message as a domain object."""
@@ -157,7 +163,8 @@
 
     model: Name
     messages: typing.Annotated[
-        list[ChatMessageBody], pydantic.Field(min_length=1)
+        list[ChatMessageBody],
+        pydantic.Field(min_length=1, fail_fast=True),
     ]
     n: typing.Literal[1] | None = None
     tools: typing.Annotated[
@@ -207,13 +214,19 @@
     try:
         return model.model_validate_json(request.body)
     except pydantic.ValidationError as error:
-        detail = '; '.join(
-            _describe(item, unknown_field)
-            for item in error.errors(include_url=False, include_input=False)
-        )
         raise errors.MagnoliawoodError(
-            errors.ErrorCode.MALFORMED_BODY, detail
-        ) from error
+            errors.ErrorCode.MALFORMED_BODY, _detail(error, unknown_field)
+        ) from None
+
+
+def _detail(error: pydantic.ValidationError, unknown_field: str) -> str:
+    """Describe what is wrong with a body, unless that is very much."""
+    if error.error_count() > _MAX_DESCRIBED_ERRORS:
+        return f'{error.error_count()} fields are wrong'
+    return '; '.join(
+        _describe(item, unknown_field)
+        for item in error.errors(include_url=False, include_input=False)
+    )
 
 
 def _describe(item: typing.Any, unknown_field: str) -> str:
--- a/packages/magnoliawood-server/magnoliawood_server/http/server_connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server_connection.py
@@ -11,7 +11,7 @@
 
 from magnoliawood.budgets import client_budget
 from magnoliawood.core import errors
-from magnoliawood_server.http import body_text
+from magnoliawood_server.http import body_memory
 from magnoliawood_server.http import connection as connections
 from magnoliawood_server.http import server_side
 
@@ -179,12 +179,25 @@
                 await curio.sleep(0)
         if not isinstance(event, h11.EndOfMessage):
             return None
-        # What its text needs beyond a byte for each character.
-        await self.reserve(
-            (body_text.bytes_per_character(body) - 1) * len(body)
-        )
+        await self._take_for_document(body)
         return bytes(body)
 
+    async def _take_for_document(self, body: bytearray) -> None:
+        """Take the memory of what a body becomes beyond copies of it.
+
+        :raises MagnoliawoodError: if it is too large, or if there is no room
+        """
+        limit = self.holding.most_bytes
+        structure = body_memory.structure_bytes(body, limit)
+        if structure > limit:
+            raise errors.MagnoliawoodError(
+                errors.ErrorCode.MESSAGE_TOO_LARGE,
+                'the body has more values than there is memory for',
+            )
+        # Text beyond a byte for each character.
+        wide = (body_memory.bytes_per_character(body) - 1) * len(body)
+        await self.reserve(structure + wide)
+
     async def reserve(self, size: int) -> None:
         """Take memory until the end of the response.
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_of_programs.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_of_programs.py
@@ -7,6 +7,8 @@
 import contextlib
 import json
 
+import pytest
+
 from magnoliawood_testing.cluster import crowd as crowds
 from magnoliawood_testing.cluster import deployment as deployments
 from magnoliawood_testing.cluster import process_watch
@@ -22,6 +24,9 @@
 PROGRAMS = 48
 PROGRAM_TEXT = 'y' * (2 * MEGABYTE)
 AT_ONCE = 4
+# Clients whose bodies hold as many values as fit, and the bodies' length.
+VALUES = 6
+BODY_BYTES = 7 * MEGABYTE
 # Clients that ask for a history and don't read it.
 HISTORIES = 64
 ENTRIES = 4
@@ -155,6 +160,34 @@
                 crowd.push()
 
 
+def many_values(item):
+    """Return the bytes of a request with a very long list of messages."""
+    count = BODY_BYTES // (len(item) + 1)
+    body = f'{{"model": "model-a", "messages": [{",".join([item] * count)}]}}'
+    lines = [f'Content-Length: {len(body)}']
+    lines += [f'{name}: {value}' for name, value in HEADERS.items()]
+    head = test_crowds_at_own_interface.head_of('\r\n'.join(lines))
+    return head + body.encode()
+
+
+@pytest.mark.parametrize(
+    'item',
+    [
+        '{"role":"user","content":"a"}',
+        '{"role":"none"}',
+        '{"role":"user","content":[{"type":"text","text":""}],"x":[[],1.5]}',
+    ],
+    ids=['messages', 'wrong', 'parts'],
+)
+def test_large_bodies_of_very_many_values(item):
+    with one_entry() as deployment:
+        with watched(deployment) as entry:
+            with crowds.Crowd(
+                entry.http, VALUES, lambda number: many_values(item)
+            ) as crowd:
+                crowd.push()
+
+
 # Its escapes make the text take four times the bytes of the body.
 def test_one_large_body_with_a_wide_character_is_served():
     with one_entry() as deployment:
--- a/packages/magnoliawood/magnoliawood/budgets/client_budget.py
+++ b/packages/magnoliawood/magnoliawood/budgets/client_budget.py
@@ -80,6 +80,11 @@
         """Memory that was taken and not given back."""
         return self._bytes
 
+    @property
+    def most_bytes(self) -> int:
+        """Memory that it may ever hold."""
+        return self._budget.limit_of_large_bytes
+
     @property
     def is_lost(self) -> bool:
         """Whether it gave way, or its connection has ended."""
@@ -105,7 +110,7 @@
         :param size: in bytes
         :returns: whether it was taken; otherwise nothing was
         """
-        left = self._budget.limit_of_large_bytes - self._bytes
+        left = self.most_bytes - self._bytes
         return await self.take(max(0, min(size, left)))
 
     def give_back(self, size: int) -> None:
