--- a/packages/magnoliawood-server/magnoliawood_server/http/server_connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server_connection.py
@@ -190,6 +190,7 @@
         limit = self.holding.most_bytes
         structure = body_memory.structure_bytes(body, limit)
         if structure > limit:
+            self.holding.refuse_as_too_large()
             raise errors.MagnoliawoodError(
                 errors.ErrorCode.MESSAGE_TOO_LARGE,
                 'the body has more values than there is memory for',
--- a/packages/magnoliawood/magnoliawood/budgets/client_budget.py
+++ b/packages/magnoliawood/magnoliawood/budgets/client_budget.py
@@ -113,6 +113,10 @@
         left = self.most_bytes - self._bytes
         return await self.take(max(0, min(size, left)))
 
+    def refuse_as_too_large(self) -> None:
+        """Record a request that needs more than it may ever hold."""
+        self._budget.refuse('values')
+
     def give_back(self, size: int) -> None:
         """Give memory back that was taken."""
         size = max(0, min(size, self._bytes))
@@ -268,7 +272,7 @@
         while self.is_full:
             stalled = self._find_stalled(lambda holding: 1)
             if not stalled:
-                self._refuse('connections')
+                self.refuse('connections')
                 return None
             await stalled[0].evict()
         holding = Holding(self, self.now())
@@ -285,7 +289,7 @@
         limit = limit_for(holding.held_bytes + size, self._limits.memory_bytes)
         while self._held_bytes + size > limit:
             if not await self._make_room(holding, size, limit):
-                self._refuse('memory')
+                self.refuse('memory')
                 return False
         self._held_bytes += size
         holding.add(size)
@@ -339,7 +343,8 @@
         weighed.sort(key=lambda pair: pair[0], reverse=True)
         return [holding for _, holding in weighed]
 
-    def _refuse(self, reason: str) -> None:
+    def refuse(self, reason: str) -> None:
+        """Count a connection or a request for which there is no room."""
         self._registry.count('client_budget_refusals_total', reason=reason)
         self._log_pressure()
 
