Make the request to an engine as it is sent

Cause: a sidecar made the whole JSON text of a call for its engine, and its bytes, each up to six times the text: characters that JSON escapes take six bytes. The budget of calls counts three copies of the text.

Change: a request with a JSON document is made in parts of 64 KiB as it is sent; its length is counted before, in a pass of its own.

--- a/packages/magnoliawood-server/magnoliawood_server/http/client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/client.py
@@ -5,7 +5,6 @@
 import dataclasses
 import datetime
 import itertools
-import json
 import typing
 
 import curio
@@ -38,11 +37,12 @@
 
     async def send(self, request: messages.Request) -> None:
         """Send the complete request."""
+        length = sum(map(len, request.body_parts()))
         headers = {
             'host': 'upstream',
             'connection': 'close',
             **request.headers,
-            'content-length': str(len(request.body)),
+            'content-length': str(length),
         }
         data = self._h11.send(
             h11.Request(
@@ -51,9 +51,13 @@
                 headers=[*headers.items()],
             )
         )
-        data += self._h11.send(h11.Data(data=request.body))
-        data += self._h11.send(h11.EndOfMessage())
-        await self._sock.sendall(data)
+        for part in request.body_parts():
+            # The head is sent with the first part, in one packet if it fits.
+            await self._sock.sendall(
+                data + self._h11.send(h11.Data(data=part))
+            )
+            data = b''
+        await self._sock.sendall(data + self._h11.send(h11.EndOfMessage()))
 
     async def read_head(self) -> ResponseHead:
         """Read the status and headers."""
@@ -169,12 +173,16 @@
 ) -> messages.Request:
     """Return a request with a JSON body; it is empty without a value.
 
+    A long body is made as it is sent.
+
     :param headers: further headers, with underscores instead of hyphens
     """
     named = {name.replace('_', '-'): text for name, text in headers.items()}
-    body = b'' if value is None else json.dumps(value).encode()
     return messages.Request(
-        method, target, {'content-type': messages.JSON_TYPE, **named}, body
+        method,
+        target,
+        {'content-type': messages.JSON_TYPE, **named},
+        document=value,
     )
 
 
--- a/packages/magnoliawood-server/magnoliawood_server/http/message.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/message.py
@@ -29,6 +29,7 @@
     """A complete request.
 
     :param headers: header values by lower-case name
+    :param document: JSON document of a request that is sent without ``body``
     :param reserve: takes memory, in bytes, until the end of the response;
         raises ``host_overloaded`` if there is none
     """
@@ -38,6 +39,20 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b''
     reserve: Reserve = _reserve_nothing
+    document: typing.Any = None
+
+    def body_parts(self) -> collections.abc.Iterator[bytes]:
+        """Return the parts of the body of a request that is sent.
+
+        Examples
+        ========
+
+        >>> list(Request('POST', '/', document={'a': 1}).body_parts())
+        [b'{"a": 1}']
+        """
+        if self.document is None:
+            return iter([self.body] if self.body else [])
+        return json_pieces.encoded(json_pieces.of(self.document), _PART_BYTES)
 
     @property
     def path(self) -> str:
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_of_programs.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_of_programs.py
@@ -21,6 +21,8 @@
 TEXT = 'x' * (3 * MEGABYTE)
 # Text whose one wide character makes all take four bytes in memory.
 WIDE_TEXT = 'x' * (7 * MEGABYTE) + '\U0001f600'
+# Text of which each byte takes six in JSON that is all ASCII.
+ESCAPED_TEXT = '\x7f' * (7 * MEGABYTE)
 PROGRAMS = 48
 PROGRAM_TEXT = 'y' * (2 * MEGABYTE)
 AT_ONCE = 4
@@ -160,6 +162,15 @@
                 crowd.push()
 
 
+def test_large_bodies_of_characters_that_are_escaped():
+    with one_entry() as deployment:
+        with watched(deployment) as entry:
+            with crowds.Crowd(
+                entry.http, LARGE, lambda number: completion(ESCAPED_TEXT)
+            ) as crowd:
+                crowd.push()
+
+
 def many_values(item):
     """Return the bytes of a request with a very long list of messages."""
     count = BODY_BYTES // (len(item) + 1)
