Limit the responses that calls make a sidecar and an entry keep

Seen: eight service calls at once with responses of 6 MiB took an entry of 160 MiB to 170 MiB, and afterwards it refused all further programs, small ones too, as long as those were open.

Cause: the memory of a call was checked by its request alone; its response took whatever it needed, at the sidecar while it was read, at the entry for good, beyond the part of the limit that is left to small calls.

Change: a sidecar takes the memory of a response as it is read; the only call may always go on. No response is longer than 8 MiB, no event than 1 MiB; a call whose response is not kept has an unknown outcome. An entry keeps an outcome of over 128 KiB only if there is room; otherwise it records that the call ran, with an error in place of the response. A long batch is encoded without a second copy.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/owner_service.py
@@ -359,7 +359,10 @@
     ) -> None:
         started = self._clock.monotonic()
         try:
-            outcome = await self._executor.run(execution, sidecar)
+            # Nothing else may keep a response that is dropped here.
+            outcome = self._memory.fit_outcome(
+                await self._executor.run(execution, sidecar)
+            )
         except errors.MagnoliawoodError as error:
             outcome = calls.CallOutcome.from_error(error)
         self._metrics.record(
@@ -375,8 +378,8 @@
         unresponsive_sidecars: set[str],
     ) -> None:
         try:
-            outcome = await self._executor.resume(
-                execution, unresponsive_sidecars
+            outcome = self._memory.fit_outcome(
+                await self._executor.resume(execution, unresponsive_sidecars)
             )
         except errors.MagnoliawoodError as error:
             outcome = calls.CallOutcome.from_error(error)
--- a/packages/magnoliawood-server/magnoliawood_server/entry/program_memory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/program_memory.py
@@ -1,11 +1,14 @@
 """Limit on the memory of the programs of an entry."""
 
+import dataclasses
 import datetime
 import logging
 
 from magnoliawood.budgets import client_budget
 from magnoliawood.core import clock as clocks
 from magnoliawood.core import errors
+from magnoliawood.programs import call as calls
+from magnoliawood.programs import footprint
 from magnoliawood.programs import table as tables
 from magnoliawood.telemetry import registry as registries
 from magnoliawood_server.entry import retention as retentions
@@ -74,6 +77,27 @@
             retry_after=_RETRY_AFTER,
         )
 
+    def fit_outcome(self, outcome: calls.CallOutcome) -> calls.CallOutcome:
+        """Return an outcome without its content if there is no memory for it.
+
+        The call has run, so the outcome itself is kept in any case.
+        """
+        size = footprint.of_outcome(outcome)
+        if size <= client_budget.SMALL_BYTES:
+            return outcome
+        try:
+            self.check_room(size)
+        except errors.MagnoliawoodError as error:
+            return dataclasses.replace(
+                outcome,
+                content='',
+                status=error.status,
+                finish_reason='error',
+                code=str(error.code),
+                detail=f'the call ran, but for its response {error.detail}',
+            )
+        return outcome
+
     def _has_room(self, size: int) -> bool:
         limit = client_budget.limit_for(size, self._limit_bytes)
         return self._programs.held_bytes + size <= limit
--- a/packages/magnoliawood-server/magnoliawood_server/entry/tests/test_program_memory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/tests/test_program_memory.py
@@ -124,3 +124,25 @@
         entry.programs.apply(records.Withdrawn(call, attempt))
     expected = footprint.PROGRAM_BYTES + footprint.of_request(request)
     assert entry.programs.held_bytes == expected
+
+
+def test_response_without_room_is_dropped_but_not_that_it_ran():
+    entry = Entry()
+    for number in range(7):
+        entry.run(f'p-{number}')
+    ran = calls.CallOutcome(verdicts.Verdict.RAN, 'x' * LARGE, 5)
+    dropped = entry.memory.fit_outcome(ran)
+    assert dropped.verdict is verdicts.Verdict.RAN
+    assert (dropped.content, dropped.tokens) == ('', 5)
+    assert dropped.code == errors.ErrorCode.HOST_OVERLOADED
+    assert dropped.to_error().verdict is verdicts.Verdict.RAN
+
+
+def test_response_that_fits_and_a_short_one_are_kept():
+    entry = Entry()
+    long = calls.CallOutcome(verdicts.Verdict.RAN, 'x' * LARGE)
+    assert entry.memory.fit_outcome(long) is long
+    for number in range(9):
+        entry.run(f'p-{number}')
+    short = calls.CallOutcome(verdicts.Verdict.RAN, 'x' * 1000)
+    assert entry.memory.fit_outcome(short) is short
--- a/packages/magnoliawood-server/magnoliawood_server/http/client.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/client.py
@@ -14,12 +14,27 @@
 
 _READ_SIZE_BYTES = 64 * 1024
 _DATA_FIELD = b'data:'
+BODY_LIMIT_BYTES = 8 * 1024 * 1024
+_EVENT_LIMIT_BYTES = 1024 * 1024
 
 
 class ConnectFailed(ConnectionError):  # noqa: N818
     """No connection could be made, so the request was never sent."""
 
 
+class ResponseTooLong(ConnectionResetError):  # noqa: N818
+    """A response has no end, or is longer than there is memory for."""
+
+
+# Takes memory before more of a response is kept, in bytes; raises
+# ResponseTooLong.
+Take = collections.abc.Callable[[int], None]
+
+
+def _take_nothing(size: int) -> None:
+    """Take no memory, for a response that is short."""
+
+
 @dataclasses.dataclass(slots=True)
 class ResponseHead:
     """Status and headers of a response, without the body."""
@@ -81,11 +96,18 @@
         if not isinstance(event, h11.EndOfMessage):
             raise ConnectionResetError('connection closed within the response')
 
-    async def read_body(self) -> bytes:
-        """Read the complete body."""
+    async def read_body(self, take: Take = _take_nothing) -> bytes:
+        """Read the complete body.
+
+        :param take: takes the memory of each part
+        :raises ResponseTooLong: if it is too long
+        """
         body = bytearray()
         async with contextlib.aclosing(self.read_parts()) as parts:
             async for part in parts:
+                if len(body) + len(part) > BODY_LIMIT_BYTES:
+                    raise ResponseTooLong('the response is too long')
+                take(len(part))
                 body += part
         return bytes(body)
 
@@ -135,10 +157,14 @@
             yield exchange
 
     async def fetch(
-        self, request: messages.Request, timeout: datetime.timedelta
+        self,
+        request: messages.Request,
+        timeout: datetime.timedelta,
+        take: Take = _take_nothing,
     ) -> tuple[ResponseHead, bytes]:
         """Send a request and read the complete response.
 
+        :param take: takes the memory of each part of the body
         :raises ConnectFailed: if no connection could be made
         :raises OSError: if the connection is lost
         :raises curio.TaskTimeout: if it takes longer than ``timeout``
@@ -146,7 +172,7 @@
         async with curio.timeout_after(timeout.total_seconds()):
             async with self.open(request) as exchange:
                 head = await exchange.read_head()
-                return head, await exchange.read_body()
+                return head, await exchange.read_body(take)
 
     async def check_reachable(self) -> None:
         """Check that the server accepts connections, by opening one.
@@ -189,12 +215,17 @@
 async def read_events(
     parts: collections.abc.AsyncGenerator[bytes],
 ) -> collections.abc.AsyncGenerator[str]:
-    """Yield the data of each server-sent event."""
+    """Yield the data of each server-sent event.
+
+    :raises ResponseTooLong: if one is too long
+    """
     buffer = b''
     async with contextlib.aclosing(parts):
         async for part in parts:
             buffer += part
             *events, buffer = buffer.split(b'\n\n')
+            if len(buffer) > _EVENT_LIMIT_BYTES:
+                raise ResponseTooLong('an event is too long')
             for data in itertools.chain.from_iterable(
                 map(_event_data, events)
             ):
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_memory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_memory.py
@@ -7,6 +7,7 @@
 from magnoliawood.programs import call as calls
 from magnoliawood.programs import footprint
 from magnoliawood.programs import identity
+from magnoliawood_server.http import client as http_client
 from magnoliawood_server.peer import messages
 
 _RETRY_AFTER = datetime.timedelta(seconds=1)
@@ -52,6 +53,24 @@
             )
         self._set(order.intended.call, size)
 
+    def take_response(self, call: identity.CallId, size: int) -> None:
+        """Take memory for more of the response to a call that runs.
+
+        The only call may always go on.
+
+        :param size: in bytes
+        :raises ResponseTooLong: if there is none; the call may have run
+        """
+        size *= _COPIES
+        if len(self._held) > 1 and self._total_bytes + size > (
+            self._limit_bytes
+        ):
+            raise http_client.ResponseTooLong(
+                'calls hold all memory that they may'
+            )
+        if call in self._held:
+            self._set(call, self._held[call] + size)
+
     def settle(
         self, order: messages.Order, outcome: calls.CallOutcome
     ) -> None:
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/call_run.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from magnoliawood_server.http import client as http_client
 from magnoliawood_server.peer import messages
 from magnoliawood_server.runtime import response_buffer as response_buffers
 
@@ -13,13 +14,17 @@
 
     :param order: the request to run the call
     :param queued_at: monotonic time at which the call was accepted
+    :param take: takes memory for more of its response
     """
 
     def __init__(
         self,
         order: messages.Order,
         queued_at: datetime.timedelta = datetime.timedelta(),
+        take: http_client.Take | None = None,
     ) -> None:
+        self._take = take
+        self._response_bytes = 0
         self.order = order
         self.queued_at = queued_at
         self.response = response_buffers.ResponseBuffer()
@@ -29,6 +34,18 @@
         self.new_tokens = 0
         self.first_token_at: datetime.timedelta | None = None
 
+    def take_response(self, size: int) -> None:
+        """Take memory before more of the response is kept.
+
+        :param size: in bytes
+        :raises ResponseTooLong: if there is none, or the response is too long
+        """
+        self._response_bytes += size
+        if self._response_bytes > http_client.BODY_LIMIT_BYTES:
+            raise http_client.ResponseTooLong('the response is too long')
+        if self._take is not None:
+            self._take(size)
+
     @property
     def caller(self) -> str:
         """Name of the caller that the program belongs to."""
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/runner.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import datetime
+import functools
 import random
 
 import curio
@@ -161,7 +162,11 @@
             )
         self._check_admission(order)
         self._take_memory(order)
-        run = call_run.CallRun(order, self._clock.monotonic())
+        run = call_run.CallRun(
+            order,
+            self._clock.monotonic(),
+            functools.partial(self._memory.take_response, call),
+        )
         self._runs[call] = run
         self._active_calls[call.program] += 1
         self._witness.accept(order.opened, order.intended)
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/service.py
@@ -29,7 +29,7 @@
         """Run a service call, without retries."""
         try:
             reply, body = await self._client.fetch(
-                _request(run), self._timeout
+                _request(run), self._timeout, run.take_response
             )
         except http_client.ConnectFailed as error:
             return _failed_outcome(
@@ -37,6 +37,12 @@
                 str(error),
                 verdicts.Verdict.NOT_RUN,
             )
+        except http_client.ResponseTooLong as error:
+            return _failed_outcome(
+                errors.ErrorCode.OUTCOME_UNKNOWN,
+                f'the response was not kept: {error}',
+                verdicts.Verdict.MAY_HAVE_RUN,
+            )
         except (OSError, curio.TaskTimeout):
             return _failed_outcome(
                 errors.ErrorCode.OUTCOME_UNKNOWN,
--- a/packages/magnoliawood-server/magnoliawood_server/sidecar/tests/test_call_memory.py
+++ b/packages/magnoliawood-server/magnoliawood_server/sidecar/tests/test_call_memory.py
@@ -11,6 +11,7 @@
 from magnoliawood.programs import identity
 from magnoliawood.programs import message as conversation
 from magnoliawood.programs import records
+from magnoliawood_server.http import client as http_client
 from magnoliawood_server.peer import messages
 from magnoliawood_server.sidecar import call_memory
 
@@ -71,3 +72,19 @@
     assert 100_000 < memory.held_bytes < taken
     memory.forget(order.intended.call)
     assert memory.held_bytes == 0
+
+
+def test_response_takes_memory_as_it_is_read():
+    memory = call_memory.CallMemory(LIMIT)
+    first, second = _order(1, 1000), _order(2, 1000)
+    memory.take(first)
+    memory.take(second)
+    memory.take_response(second.intended.call, 100_000)
+    with pytest.raises(http_client.ResponseTooLong):
+        memory.take_response(second.intended.call, LIMIT)
+    memory.settle(first, OUTCOME)
+    memory.forget(first.intended.call)
+    # Alone it may be of any length.
+    memory.take_response(second.intended.call, LIMIT)
+    memory.forget(second.intended.call)
+    assert memory.held_bytes == 0
--- a/packages/magnoliawood-testing/magnoliawood_testing/standins/service.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/standins/service.py
@@ -14,11 +14,13 @@
 
     :param delay_seconds: delay before each request runs
     :param reply_delay_seconds: delay between the run and its reply
+    :param reply_bytes: length of a text that each reply holds
     :param lost_replies: number of replies to lose after the request ran
     """
 
     delay_seconds: float = 0.005
     reply_delay_seconds: float = 0.0
+    reply_bytes: int = 0
     lost_replies: int = 0
 
 
@@ -61,6 +63,7 @@
                 'operation': request.path.strip('/'),
                 'request': key,
                 'run': self._runs[key],
+                'text': 'x' * self.faults.reply_bytes,
             }
         )
 
--- a/packages/magnoliawood/magnoliawood/ownership/journal.py
+++ b/packages/magnoliawood/magnoliawood/ownership/journal.py
@@ -67,12 +67,13 @@
     if len(data) * _MAX_ESCAPED_BYTES <= BATCH_LIMIT_BYTES:
         return [data.decode()]
     texts = list(_parts(data))
+    del data
     if len(texts) == 1:
         return texts
-    return [
-        f'{_PART} {number} {len(texts)}\n{text}'
-        for number, text in enumerate(texts, 1)
-    ]
+    # One by one, so that not all of the record is there twice.
+    for index, text in enumerate(texts):
+        texts[index] = f'{_PART} {index + 1} {len(texts)}\n{text}'
+    return texts
 
 
 def decode_segments(
