Take the memory of a call's response that is asked for again

Cause: an entry that reads a call of another entry's program got its whole response in a message for each request, with no memory taken: 64 clients that ask for a response of 6 MiB and don't read it took one of two entries of 160 MiB to 513 MiB (538 MB).

Change: as for histories, what the program holds is taken before.

A call that is sent again by PUT is not covered: it would cost each call another round trip to the owner.

--- a/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
+++ b/packages/magnoliawood-server/magnoliawood_server/entry/caller_api.py
@@ -78,8 +78,7 @@
         self, request: routes.RoutedRequest
     ) -> http_message.Response:
         key = _key(request)
-        status = await self._gateway.request(messages.GetProgram(key))
-        await request.http.reserve(status.held_bytes)
+        await self._reserve(request)
         history = await self._gateway.request(messages.GetHistory(key))
         return http_message.Response.from_pieces(
             json_pieces.of(
@@ -94,6 +93,12 @@
             )
         )
 
+    async def _reserve(self, request: routes.RoutedRequest) -> None:
+        """Take the memory of what a program holds before it is read."""
+        key = _key(request)
+        status = await self._gateway.request(messages.GetProgram(key))
+        await request.http.reserve(status.held_bytes)
+
     async def _run_call(
         self, request: routes.RoutedRequest
     ) -> http_message.Response:
@@ -108,6 +113,7 @@
     ) -> http_message.Response:
         offset = _query_number(request.http, 'offset')
         is_streamed = request.http.query.get('stream') in ('1', 'true')
+        await self._reserve(request)
         message = messages.ReadCall(_call_id(request), offset)
         return await self._respond(message, is_streamed)
 
--- a/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_with_long_replies.py
+++ b/packages/magnoliawood-testing/magnoliawood_testing/cluster/tests/test_crowds_with_long_replies.py
@@ -1,7 +1,9 @@
 """Crowds whose service calls get long replies, at a sidecar and an entry."""
 
 import concurrent.futures
+import contextlib
 
+from magnoliawood_testing.cluster import crowd as crowds
 from magnoliawood_testing.cluster import deployment as deployments
 from magnoliawood_testing.cluster import process_watch
 from magnoliawood_testing.cluster.tests import test_crowds_at_own_interface
@@ -16,6 +18,7 @@
 TARGET_SECONDS = 30
 CALLS = 24
 AT_ONCE = 8
+READERS = 64
 REPLY_BYTES = 6 * MEGABYTE
 OPENED = 201
 SUCCESS = 200
@@ -105,3 +108,47 @@
         for watch in (of_entry, of_side):
             assert watch.peak_bytes <= MEMORY_MB * MEGABYTE
             assert watch.peak_descriptors <= MAX_FDS
+
+
+def read_request(number):
+    lines = ['GET /v1/programs/p-0/calls/1 HTTP/1.1', 'Host: crowd']
+    lines += [f'{name}: {value}' for name, value in HEADERS.items()]
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
+# The program belongs to one of two entries; the other asks it each time.
+def test_long_replies_at_two_entries_that_are_not_read():
+    with deployments.Deployment(
+        engines=1,
+        entries=2,
+        services=(SERVICE,),
+        entry_settings=test_crowds_at_own_interface.HOST_LIMITS,
+    ) as deployment:
+        deployment.create_account(test_crowds_of_programs.ACCOUNT)
+        deployment.create_class(WORK_CLASS, TARGET_SECONDS)
+        deployment.wait_for_configuration()
+        entries = list(deployment.entries.values())
+        open_program(entries[0], 'p-0')
+        set_reply_bytes(deployment, REPLY_BYTES)
+        assert call_service(entries[0], 'p-0') == SUCCESS
+        set_reply_bytes(deployment, 0)
+        with contextlib.ExitStack() as stack:
+            watches = [
+                stack.enter_context(
+                    process_watch.ProcessWatch(entry.process, entry.http)
+                )
+                for entry in entries
+            ]
+            for entry in entries:
+                crowd = crowds.Crowd(
+                    entry.http, READERS, read_request, reads=False
+                )
+                stack.enter_context(crowd).push()
+            for number, entry in enumerate(entries):
+                name = f'ordinary-{number}'
+                open_program(entry, name)
+                assert call_service(entry, name) == SUCCESS
+        for entry, watch in zip(entries, watches, strict=True):
+            assert entry.process.is_running
+            assert watch.peak_bytes <= MEMORY_MB * MEGABYTE
+            assert watch.peak_descriptors <= MAX_FDS
