Send no comment within an event that is sent in parts

Cause: since a long event is sent in several writes. A comment that keeps a quiet stream alive could come between two of them, if the client read slowly, and cut the event in two. Found on reading the diff.

Change: parts whose rest follows are marked; no comment is sent after one, nor while a write waits for the client.

Measured: the new test fails without the change of the server and passes with it.

--- a/packages/magnoliawood-server/magnoliawood_server/http/message.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/message.py
@@ -24,6 +24,10 @@
     """Take no memory, where nothing limits what a request may hold."""
 
 
+class PartialEvent(bytes):
+    """Part of an event whose rest follows; nothing may be sent between."""
+
+
 @dataclasses.dataclass(slots=True)
 class Request:
     """A complete request.
@@ -156,7 +160,12 @@
     pieces = itertools.chain(
         [f'{head}data: '], json_pieces.of(value), ['\n\n']
     )
-    return json_pieces.encoded(pieces, _PART_BYTES)
+    parts = json_pieces.encoded(pieces, _PART_BYTES)
+    part = next(parts)
+    for following in parts:
+        yield PartialEvent(part)
+        part = following
+    yield part
 
 
 async def _one_by_one(
--- a/packages/magnoliawood-server/magnoliawood_server/http/server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server.py
@@ -216,6 +216,9 @@
         async for part in parts:
             if watcher.terminated:
                 raise ConnectionResetError('caller closed the connection')
+            connection.is_within_event = isinstance(
+                part, messages.PartialEvent
+            )
             await connection.send(h11.Data(data=part))
     finally:
         # A cancelled write would leave an incomplete chunk in the stream.
@@ -235,7 +238,11 @@
         while comment:
             writes = connection.writes
             await curio.sleep(KEEPALIVE_INTERVAL.total_seconds())
-            if connection.writes == writes:
+            # A write that waits for the client has to end first.
+            may_send = not (
+                connection.is_within_event or connection.write_lock.locked()
+            )
+            if connection.writes == writes and may_send:
                 await connection.send(h11.Data(data=comment))
     except OSError:
         _log.debug('connection lost while sending a keep-alive comment')
--- a/packages/magnoliawood-server/magnoliawood_server/http/server_connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/server_connection.py
@@ -86,6 +86,8 @@
         self._progress_timeout = progress_timeout
         self.write_lock = curio.Lock()
         self.writes = 0
+        # Whether the rest of an event is to be sent next.
+        self.is_within_event = False
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=HEAD_LIMIT_BYTES
         )
--- a/packages/magnoliawood-server/magnoliawood_server/http/tests/test_long_documents.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/tests/test_long_documents.py
@@ -37,3 +37,5 @@
     parts = list(http_message.encode_event(kind, value))
     assert b''.join(parts) == text.encode()
     assert max(map(len, parts)) <= LARGEST_PART_BYTES
+    partial = [isinstance(item, http_message.PartialEvent) for item in parts]
+    assert partial == [True] * (len(parts) - 1) + [False]
--- a/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
+++ b/packages/magnoliawood-server/magnoliawood_server/http/tests/test_server.py
@@ -165,6 +165,37 @@
     assert rest.endswith(b'4\r\nlast\r\n0\r\n\r\n')
 
 
+# Guards against an event that is cut in two by a comment.
+def test_no_comment_is_sent_within_an_event(monkeypatch):
+    interval = datetime.timedelta(milliseconds=5)
+    monkeypatch.setattr(server, 'KEEPALIVE_INTERVAL', interval)
+
+    async def parts():
+        yield messages.PartialEvent(b'data: one')
+        await curio.sleep(0.1)
+        yield b' two\n\n'
+
+    async def stream(request):
+        return messages.Response(200, parts=parts(), keepalive_comment=b':\n')
+
+    async def main():
+        client, peer = socket.socketpair()
+        task = await curio.spawn(
+            server.serve_connection, peer, stream, server.Activity()
+        )
+        await client.sendall(REQUEST)
+        response = b''
+        while not response.endswith(b'0\r\n\r\n'):
+            response += await client.recv(65536)
+        await client.close()
+        await task.join()
+        await peer.close()
+        return response
+
+    body = curio.run(main).partition(b'\r\n\r\n')[2]
+    assert body == b'9\r\ndata: one\r\n6\r\n two\n\n\r\n0\r\n\r\n'
+
+
 class _CountingSocket:
     """Socket that counts the calls of ``send``."""
 
