--- a/packages/magnoliawood-server/magnoliawood_server/peer/connection.py
+++ b/packages/magnoliawood-server/magnoliawood_server/peer/connection.py
@@ -243,10 +243,9 @@
 
         :raises PeerLost: if the connection is lost
         """
+        data = memoryview(frames.encode(frame))
         async with self._write_lock:
             self.raise_if_lost()
-            # Only now, so that frames which wait for the lock hold no copy.
-            data = memoryview(frames.encode(frame))
             try:
                 while data:
                     data = data[await self._send_some(data) :]
